Start: build, checks, public headers, util and HTTP framing

The public headers hold the types and hooks between packages. util has the clock, errors, settings, logs and metrics; http reads and writes messages with Boost.Beast's parser, made stricter where two programs could read a message differently (list of equal lengths, folded lines, bare line feeds).

--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,102 @@
+#ifndef GUAVACROSS_HTTP_MESSAGE_H_
+#define GUAVACROSS_HTTP_MESSAGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace guavacross::http {
+
+/// Header fields in the order in which they came.
+class Fields {
+ public:
+  using Field = std::pair<std::string, std::string>;
+
+  Fields() = default;
+  Fields(std::initializer_list<Field> fields) : m_fields(fields) {}
+
+  /// The first value of a field, or nothing. Names compare without case.
+  std::optional<std::string_view> Find(std::string_view name) const;
+  /// Whether the comma-separated values of a field hold `token`.
+  bool HasToken(std::string_view name, std::string_view token) const;
+  void Add(std::string name, std::string value);
+  /// Removes all fields called `name`, then adds one.
+  void Set(std::string name, std::string value);
+  void Remove(std::string_view name);
+
+  const std::vector<Field>& all() const { return m_fields; }
+
+  bool operator==(const Fields&) const = default;
+
+ private:
+  std::vector<Field> m_fields;
+};
+
+/// How the length of a message's body is told.
+enum class BodyFraming {
+  kNone,
+  kLength,
+  kChunked,
+  /// Until the connection closes; responses only.
+  kUntilClose,
+};
+
+struct RequestHead {
+  std::string m_method;
+  /// Path and query, as sent.
+  std::string m_target;
+  Fields m_fields;
+  bool m_keep_alive = true;
+  BodyFraming m_framing = BodyFraming::kNone;
+  /// The body's length, with `kLength`.
+  std::uint64_t m_length = 0;
+
+  bool operator==(const RequestHead&) const = default;
+};
+
+struct ResponseHead {
+  int m_status = 200;
+  std::string m_reason;
+  Fields m_fields;
+  bool m_keep_alive = true;
+  BodyFraming m_framing = BodyFraming::kNone;
+  std::uint64_t m_length = 0;
+
+  bool operator==(const ResponseHead&) const = default;
+};
+
+/// Whether two header names or tokens are equal without regard to case.
+bool EqualNames(std::string_view a, std::string_view b);
+
+/// Removes the fields that concern one connection only (RFC 9110, 7.6.1):
+/// Connection and what it lists, Keep-Alive, TE, Trailer, Transfer-Encoding,
+/// Upgrade and the proxy fields. Content-Length goes too, since the serializer
+/// writes the framing.
+void RemoveHopByHopFields(Fields* fields);
+
+/// The usual reason phrase for a status.
+std::string_view ReasonPhrase(int status);
+
+/// Serializes a head, blank line included. Content-Length, Transfer-Encoding
+/// and Connection are written from the head's framing and keep-alive; such
+/// fields in `m_fields` are left out.
+std::string Serialize(const RequestHead& head);
+std::string Serialize(const ResponseHead& head);
+
+/// Frames a piece of a chunked body; `kLastChunk` ends the body.
+std::string ChunkHeader(std::size_t size);
+inline constexpr std::string_view kChunkEnd = "\r\n";
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+/// The value of a query parameter in `target`, percent-decoded, or nothing.
+std::optional<std::string> QueryParameter(std::string_view target,
+                                          std::string_view name);
+/// `target` without its query.
+std::string_view PathOf(std::string_view target);
+
+}  // namespace guavacross::http
+
+#endif  // GUAVACROSS_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/http/message_reader_test.cc
@@ -0,0 +1,181 @@
+#include "http/message_reader.h"
+
+#include <string>
+#include <vector>
+
+#include "util/handle.h"
+#include "util/story_test.h"
+
+namespace guavacross::http {
+
+namespace {
+
+using util::Section;
+
+// What a reader made of some bytes.
+struct Reading {
+  RequestHead m_request;
+  ResponseHead m_response;
+  std::string m_body;
+  bool m_done = false;
+  std::size_t m_taken = 0;
+  std::optional<Error> m_error;
+};
+
+// Feeds `bytes` in pieces of `step` bytes.
+Reading Read(bool request,
+             const std::string& bytes,
+             std::size_t step,
+             ReadLimits limits = {}) {
+  Reading reading;
+  MessageReader::Hooks hooks;
+  hooks.m_on_request = [&](const RequestHead& h) { reading.m_request = h; };
+  hooks.m_on_response = [&](const ResponseHead& h) { reading.m_response = h; };
+  hooks.m_on_body = [&](std::string_view b) { reading.m_body += b; };
+  MessageReader reader = request
+                             ? MessageReader::ForRequest(limits, hooks)
+                             : MessageReader::ForResponse(limits, false, hooks);
+  for (std::size_t at = 0; at < bytes.size() && !reader.done(); at += step) {
+    const auto piece = std::string_view(bytes).substr(at, step);
+    const auto taken = util::Catch([&] { return reader.Feed(piece); });
+    if (!taken) {
+      reading.m_error = taken.m_error;
+      return reading;
+    }
+    reading.m_taken += *taken.m_value;
+  }
+  reading.m_done = reader.done();
+  return reading;
+}
+
+// The kind of error that a request gives, whichever way it is cut into pieces.
+std::optional<ErrorKind> RequestError(const std::string& bytes) {
+  const Reading whole = Read(true, bytes, bytes.size());
+  const Reading pieces = Read(true, bytes, 1);
+  CPPUNIT_ASSERT_EQUAL(whole.m_error.has_value(), pieces.m_error.has_value());
+  if (!whole.m_error) {
+    return std::nullopt;
+  }
+  return whole.m_error->m_kind;
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(RequestReading) {
+  for (const std::size_t step :
+       {std::size_t{1}, std::size_t{7}, std::size_t{10000}}) {
+    Section("a request with a length, then a surplus byte", [&] {
+      const std::string bytes =
+          "POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhelloZ";
+      const Reading reading = Read(true, bytes, step);
+      CPPUNIT_ASSERT(reading.m_done);
+      CPPUNIT_ASSERT_EQUAL(std::string("hello"), reading.m_body);
+      CPPUNIT_ASSERT_EQUAL(std::string("/a?b=c"), reading.m_request.m_target);
+      CPPUNIT_ASSERT_EQUAL(bytes.size() - 1, reading.m_taken);
+    });
+    Section("a chunked request", [&] {
+      const Reading reading = Read(
+          true,
+          "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\nabc\r\n2;ext=1\r\nde\r\n0\r\n\r\n",
+          step);
+      CPPUNIT_ASSERT(!reading.m_error);
+      CPPUNIT_ASSERT(reading.m_done);
+      CPPUNIT_ASSERT_EQUAL(std::string("abcde"), reading.m_body);
+    });
+  }
+}
+
+GUAVACROSS_STORY(RequestsThatTwoProgramsCouldReadDifferently) {
+  const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"length with chunked",
+       start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"},
+      {"two lengths",
+       start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"},
+      {"two equal lengths",
+       start + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"},
+      {"a list of lengths", start + "Content-Length: 3, 3\r\n\r\nabc"},
+      {"a signed length", start + "Content-Length: +3\r\n\r\nabc"},
+      {"a negative length", start + "Content-Length: -1\r\n\r\n"},
+      {"another coding", start + "Transfer-Encoding: gzip, chunked\r\n\r\n"},
+      {"a misspelt coding", start + "Transfer-Encoding: xchunked\r\n\r\n"},
+      {"bare line feeds", "GET / HTTP/1.1\nHost: x\n\n"},
+      {"a folded line", start + "X: a\r\n b\r\n\r\n"},
+      {"a space before the colon", start + "X : a\r\n\r\n"},
+      {"a NUL byte", start + std::string("X: a\0b\r\n\r\n", 10)},
+      {"no host", "GET / HTTP/1.1\r\n\r\n"},
+      {"two hosts", start + "Host: y\r\n\r\n"},
+      {"a bad chunk size",
+       start + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"},
+  };
+  for (const auto& [name, bytes] : cases) {
+    Section(name + " is refused", [&bytes = bytes] {
+      CPPUNIT_ASSERT(RequestError(bytes) == ErrorKind::kBadRequest);
+    });
+  }
+}
+
+GUAVACROSS_STORY(ReaderLimits) {
+  Section("a long head is refused before it ends", [] {
+    const std::string head =
+        "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(20000, 'a');
+    CPPUNIT_ASSERT(RequestError(head) == ErrorKind::kHeaderTooLarge);
+  });
+  Section("a body over the limit is refused", [] {
+    const ReadLimits limits{.m_max_body_bytes = 4};
+    const Reading reading = Read(
+        true, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+        1000, limits);
+    CPPUNIT_ASSERT(reading.m_error.has_value());
+    CPPUNIT_ASSERT(reading.m_error->m_kind == ErrorKind::kBodyTooLarge);
+  });
+  Section("an endless chunk extension is refused", [] {
+    const std::string bytes =
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3;" +
+        std::string(40000, 'a');
+    CPPUNIT_ASSERT(RequestError(bytes).has_value());
+  });
+}
+
+GUAVACROSS_STORY(ResponseReading) {
+  Section("a response that runs until the close", [] {
+    std::string body;
+    MessageReader reader = MessageReader::ForResponse(
+        {}, false, {.m_on_body = [&body](std::string_view b) { body += b; }});
+    CPPUNIT_ASSERT(
+        util::Catch([&] { return reader.Feed("HTTP/1.1 200 OK\r\n\r\nabc"); }));
+    CPPUNIT_ASSERT(!reader.done());
+    const Error none = util::Handle(
+        [&]() -> Result<Error> {
+          BOOST_LEAF_CHECK(reader.FeedEnd());
+          return Error{};
+        },
+        [](const Error& error) { return error; });
+    CPPUNIT_ASSERT_EQUAL(std::string(), none.m_text);
+    CPPUNIT_ASSERT(reader.done());
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), body);
+  });
+  Section("a response that is cut short is an error", [] {
+    MessageReader reader = MessageReader::ForResponse({}, false, {});
+    CPPUNIT_ASSERT(util::Catch([&] {
+      return reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    }));
+    const Error error = util::Handle(
+        [&]() -> Result<Error> {
+          BOOST_LEAF_CHECK(reader.FeedEnd());
+          return Error{};
+        },
+        [](const Error& e) { return e; });
+    CPPUNIT_ASSERT(error.m_kind == ErrorKind::kBackendBadAnswer);
+  });
+  Section("surplus bytes after a response stay untaken", [] {
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+    const Reading reading = Read(false, bytes, bytes.size());
+    CPPUNIT_ASSERT(reading.m_done);
+    CPPUNIT_ASSERT(reading.m_taken < bytes.size());
+  });
+}
+
+}  // namespace guavacross::http
--- /dev/null
+++ b/src/include/guavacross/config_state.h
@@ -0,0 +1,130 @@
+#ifndef GUAVACROSS_CONFIG_STATE_H_
+#define GUAVACROSS_CONFIG_STATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "guavacross/error.h"
+#include "guavacross/time.h"
+
+/// Configuration as a deterministic fold over the log.
+///
+/// `ConfigFold` applies the records of the config stream in order; every
+/// instance that has applied the same prefix holds the same state.
+/// `ConfigInForce` holds, per section, the highest version known from the
+/// instance's own fold and from its peers, and never goes back.
+namespace guavacross {
+
+/// An edit of one section, as an operator publishes it.
+struct ConfigEdit {
+  int m_schema = 0;
+  std::string m_section;
+  std::string m_team;
+  /// The version that the edit replaces; 0 for a new section.
+  std::uint64_t m_based_on = 0;
+  /// Unique per edit and kept when the edit is appended again.
+  std::string m_edit_id;
+  /// The section's text; empty removes the section.
+  std::string m_toml;
+
+  bool operator==(const ConfigEdit&) const = default;
+};
+
+/// A section after an accepted edit.
+struct SectionState {
+  std::string m_section;
+  std::string m_team;
+  /// Offset of the accepted edit in the config stream, plus one.
+  std::uint64_t m_version = 0;
+  /// Empty for a section that has been removed.
+  std::string m_toml;
+  /// The schema of `m_toml`.
+  int m_schema = 0;
+
+  bool operator==(const SectionState&) const = default;
+};
+
+/// The verdict on one edit.
+struct EditVerdict {
+  std::string m_edit_id;
+  std::string m_section;
+  bool m_accepted = false;
+  /// The section's version after the verdict.
+  std::uint64_t m_version = 0;
+  /// Why the edit was refused.
+  std::string m_reason;
+
+  bool operator==(const EditVerdict&) const = default;
+};
+
+/// The fold's whole state as of an offset.
+struct ConfigSnapshot {
+  /// The first offset that has not been applied.
+  std::uint64_t m_as_of = 0;
+  std::map<std::string, SectionState> m_sections;
+  /// Verdicts of recent edits by edit id, so that a re-append after the
+  /// snapshot still has no effect.
+  std::map<std::string, EditVerdict> m_recent_edits;
+
+  bool operator==(const ConfigSnapshot&) const = default;
+};
+
+/// Serializes an edit for the config stream, and reads it back.
+/// Errors of the reader: `kBadMessage`.
+std::string EncodeEdit(const ConfigEdit& edit);
+Result<ConfigEdit> DecodeEdit(const std::string& data);
+std::string EncodeSnapshot(const ConfigSnapshot& snapshot);
+Result<ConfigSnapshot> DecodeSnapshot(const std::string& data);
+
+/// Applies the records of the config stream in order. Not thread safe.
+class ConfigFold {
+ public:
+  ConfigFold() = default;
+  explicit ConfigFold(ConfigSnapshot snapshot);
+
+  /// Applies the record at `offset`, which must not be less than the offset
+  /// after the last applied one. A record that can't be read, or is of another
+  /// release's schema, is handled alike on every instance.
+  EditVerdict Apply(std::uint64_t offset, const std::string& data);
+
+  const ConfigSnapshot& state() const { return m_state; }
+
+  /// A hash of the state, equal for equal states.
+  std::uint64_t Digest() const;
+
+ private:
+  ConfigSnapshot m_state;
+};
+
+/// Sections in force on this instance. Not thread safe: control thread only.
+class ConfigInForce {
+ public:
+  /// Called for each section whose version rose.
+  using ChangeHook = std::function<void(const SectionState&)>;
+
+  explicit ConfigInForce(ChangeHook on_change);
+
+  /// Takes the sections that are newer than those in force, ignores the rest.
+  ///
+  /// @return the number taken.
+  int Merge(const std::vector<SectionState>& sections);
+
+  const std::map<std::string, SectionState>& sections() const {
+    return m_sections;
+  }
+
+  /// A hash of section names and versions.
+  std::uint64_t Digest() const;
+
+ private:
+  ChangeHook m_on_change;
+  std::map<std::string, SectionState> m_sections;
+};
+
+}  // namespace guavacross
+
+#endif  // GUAVACROSS_CONFIG_STATE_H_
--- /dev/null
+++ b/src/include/guavacross/error.h
@@ -0,0 +1,103 @@
+#ifndef GUAVACROSS_ERROR_H_
+#define GUAVACROSS_ERROR_H_
+
+#include <boost/leaf/result.hpp>
+#include <compare>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "guavacross/outcome.h"
+
+/// Errors: one closed list of kinds, and one table from kind to answer.
+///
+/// Functions that can fail return `Result<T>` and fail with
+/// `return Fail(ErrorKind::kX, "text")`. Callers that must know the reason run
+/// them through `Handle`, which hands over the `Error`.
+namespace guavacross {
+
+/// Every way in which guavacross can fail.
+enum class ErrorKind {
+  // A caller's request is at fault.
+  kBadRequest,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  kSlowRequest,
+  kUnknownService,
+  kNoMatchingClass,
+  kKeyMissing,
+  kKeyConflict,
+  kKeyExpired,
+  kQuarantined,
+  // The system can't take the request now.
+  kNotReady,
+  kShuttingDown,
+  kQueueFull,
+  kQueueTimeout,
+  kNoTarget,
+  kStoreUnavailable,
+  kTooManyConnections,
+  // A backend server failed.
+  kConnectFailed,
+  kBackendRefused,
+  kBackendReset,
+  kBackendTimeout,
+  kBackendBadAnswer,
+  kDeadlineExpired,
+  // A non-repeatable request was seen before.
+  kKeyInProgress,
+  kOutcomeLost,
+  // Configuration, platform and peers.
+  kBadSettings,
+  kBadDocument,
+  kPublishConflict,
+  kLogUnavailable,
+  kLogExpired,
+  kAppendUnclear,
+  kPeerUnavailable,
+  kPeerIncompatible,
+  kBadMessage,
+  kCancelled,
+  kInternal,
+};
+
+/// An error's kind with the text that explains this case of it.
+struct Error {
+  ErrorKind m_kind = ErrorKind::kInternal;
+  std::string m_text;
+
+  bool operator==(const Error&) const = default;
+};
+
+/// How guavacross answers a caller for one kind of error.
+struct ErrorAnswer {
+  ErrorKind m_kind;
+  /// The stable name in headers, logs and metrics, for example `queue-full`.
+  std::string_view m_name;
+  /// The HTTP status.
+  int m_http_status;
+  /// What the caller may conclude, if nothing earlier in the request's life
+  /// says less.
+  Outcome m_outcome;
+  /// Seconds for `Retry-After`; 0 leaves the header out.
+  int m_retry_after_s;
+};
+
+/// The row of the table for `kind`. Thread safe.
+const ErrorAnswer& AnswerFor(ErrorKind kind);
+
+/// The whole table, one row for each kind in the order of the enumeration.
+std::span<const ErrorAnswer> AllErrorAnswers();
+
+/// A value or an error.
+template <class T>
+using Result = boost::leaf::result<T>;
+
+/// Makes a failed result: `return Fail(ErrorKind::kBadRequest, "no host");`
+boost::leaf::error_id Fail(ErrorKind kind, std::string text);
+boost::leaf::error_id Fail(Error error);
+
+}  // namespace guavacross
+
+#endif  // GUAVACROSS_ERROR_H_
--- /dev/null
+++ b/src/include/guavacross/membership.h
@@ -0,0 +1,44 @@
+#ifndef GUAVACROSS_MEMBERSHIP_H_
+#define GUAVACROSS_MEMBERSHIP_H_
+
+#include <string>
+#include <vector>
+
+#include "guavacross/identity.h"
+
+namespace guavacross {
+
+/// An entry instance as the platform's instance list shows it.
+struct ListedInstance {
+  std::string m_name;
+  std::string m_region;
+  std::string m_zone;
+  Endpoint m_callers;
+  Endpoint m_peers;
+  bool m_leaving = false;
+
+  bool operator==(const ListedInstance&) const = default;
+};
+
+enum class MemberState { kLive, kSuspect, kLeaving, kDead };
+
+/// An entry instance as this one sees it, from the list and heartbeats.
+struct Member {
+  InstanceId m_id;
+  std::string m_region;
+  std::string m_zone;
+  Endpoint m_callers;
+  Endpoint m_peers;
+  MemberState m_state = MemberState::kLive;
+  /// Share of the instance's slots in use, 0 to 1.
+  double m_load = 0;
+  /// Digest and highest version of the sections in force there.
+  std::uint64_t m_config_digest = 0;
+  std::uint64_t m_config_version = 0;
+
+  bool operator==(const Member&) const = default;
+};
+
+}  // namespace guavacross
+
+#endif  // GUAVACROSS_MEMBERSHIP_H_
--- /dev/null
+++ b/src/include/guavacross/settings.h
@@ -0,0 +1,53 @@
+#ifndef GUAVACROSS_SETTINGS_H_
+#define GUAVACROSS_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "guavacross/error.h"
+#include "guavacross/identity.h"
+#include "guavacross/time.h"
+
+namespace guavacross {
+
+/// Settings of one entry instance, read from TOML and overridden by flags.
+struct InstanceSettings {
+  std::string m_name;
+  std::string m_region;
+  std::string m_zone;
+  /// Where callers connect.
+  Endpoint m_callers;
+  /// Where operators read status and metrics.
+  Endpoint m_operators;
+  /// Where other instances connect (gRPC).
+  Endpoint m_peers;
+  /// The platform's log service and instance list (HTTP).
+  Endpoint m_log_service;
+  Endpoint m_instance_list;
+  /// Threads that carry callers' requests.
+  int m_workers = 2;
+  /// Connections from callers that may be open at one time.
+  int m_max_caller_connections = 10000;
+  /// Connections to one backend server that may be open at one time.
+  int m_max_target_connections = 64;
+  /// How long a caller may keep an address answer; a graceful shutdown goes on
+  /// accepting for this long.
+  Duration m_address_lifetime = std::chrono::seconds(5);
+  /// Longest graceful shutdown; zero means no bound.
+  Duration m_shutdown_limit = Duration::zero();
+  std::string m_log_level = "info";
+
+  bool operator==(const InstanceSettings&) const = default;
+};
+
+/// Reads and checks settings.
+///
+/// `toml` is the file's text; `overrides` holds `key=value` lines in TOML that
+/// go before it. Errors: `kBadSettings`, with line, column and key.
+Result<InstanceSettings> ParseSettings(
+    std::string_view toml,
+    const std::vector<std::string>& overrides);
+
+}  // namespace guavacross
+
+#endif  // GUAVACROSS_SETTINGS_H_
--- /dev/null
+++ b/src/include/guavacross/wire_names.h
@@ -0,0 +1,43 @@
+#ifndef GUAVACROSS_WIRE_NAMES_H_
+#define GUAVACROSS_WIRE_NAMES_H_
+
+/// HTTP header names and paths that callers, backend servers and guavacross
+/// agree on. Header names compare without regard to case.
+namespace guavacross {
+
+// From callers.
+inline constexpr char kServiceHeader[] = "Guavacross-Service";
+inline constexpr char kTenantHeader[] = "Guavacross-Tenant";
+inline constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
+/// Milliseconds that remain until the sender's deadline. Also sent to backend
+/// servers, which pass it on when they call further services.
+inline constexpr char kDeadlineHeader[] = "Guavacross-Deadline-Ms";
+/// Balancers passed so far. Also sent to backend servers, which pass it on.
+inline constexpr char kHopsHeader[] = "Guavacross-Hops";
+
+// To callers.
+/// `not-run`, `done` or `unknown`.
+inline constexpr char kOutcomeHeader[] = "Guavacross-Outcome";
+/// The error kind's name on answers that guavacross makes itself.
+inline constexpr char kReasonHeader[] = "Guavacross-Reason";
+/// `recorded` on an answer that was kept from an earlier run of the request.
+inline constexpr char kReplayHeader[] = "Guavacross-Replay";
+
+// From backend servers.
+/// Requests in flight on the backend server, a decimal number.
+inline constexpr char kInFlightHeader[] = "Guavacross-In-Flight";
+/// `1` while the backend server drains.
+inline constexpr char kDrainingHeader[] = "Guavacross-Draining";
+/// `1` on a 503 given before anything of the request was run.
+inline constexpr char kNotRunHeader[] = "Guavacross-Not-Run";
+/// Identifies one run of the backend server.
+inline constexpr char kIncarnationHeader[] = "Guavacross-Incarnation";
+
+// Paths.
+inline constexpr char kAddressesPath[] = "/v1/addresses";
+/// The backend servers' load endpoint, which probes ask.
+inline constexpr char kLoadPath[] = "/guavacross/load";
+
+}  // namespace guavacross
+
+#endif  // GUAVACROSS_WIRE_NAMES_H_
--- /dev/null
+++ b/src/standin/standin_main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/src/util/log.h
@@ -0,0 +1,39 @@
+#ifndef GUAVACROSS_UTIL_LOG_H_
+#define GUAVACROSS_UTIL_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+/// Structured log lines through log4cplus.
+///
+/// A line is one event with fields: `LogChange("peer", "state changed",
+/// {{"peer", name}, {"state", "suspect"}})`. Lines are for changes of state;
+/// what happens per request is counted in metrics.
+namespace guavacross::util {
+
+using LogField = std::pair<std::string_view, std::string>;
+
+/// Sends log lines to standard error. `level` is debug, info, warn or error.
+/// `instance` is added to each line. Call once, before threads start.
+void StartLogging(const std::string& instance, const std::string& level);
+
+/// Logs a change of state. Thread safe.
+void LogChange(std::string_view package,
+               std::string_view event,
+               std::initializer_list<LogField> fields = {});
+
+/// Logs a change of state that an operator should look at. Thread safe.
+void LogWarning(std::string_view package,
+                std::string_view event,
+                std::initializer_list<LogField> fields = {});
+
+/// The line's text: `event="..." key="value"`, with quotes and control
+/// characters escaped.
+std::string FormatLogLine(std::string_view event,
+                          std::initializer_list<LogField> fields);
+
+}  // namespace guavacross::util
+
+#endif  // GUAVACROSS_UTIL_LOG_H_
--- /dev/null
+++ b/src/util/settings.cc
@@ -0,0 +1,78 @@
+#include "guavacross/settings.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/leaf/error.hpp>
+
+#include "util/toml_reader.h"
+
+namespace guavacross {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info", "warn",
+                                                        "error"};
+
+// Removes the lines of `toml` that set a key which an override sets too, so
+// that the joined text has each key once. Settings have no tables.
+std::string ApplyOverrides(std::string_view toml,
+                           const std::vector<std::string>& overrides) {
+  std::string text;
+  std::size_t start = 0;
+  while (start < toml.size()) {
+    const std::size_t end = std::min(toml.find('\n', start), toml.size());
+    const std::string line(toml.substr(start, end - start));
+    const std::string key = line.substr(0, line.find_first_of(" \t="));
+    const bool overridden = std::any_of(
+        overrides.begin(), overrides.end(), [&key](const std::string& entry) {
+          return entry.substr(0, entry.find_first_of(" \t=")) == key;
+        });
+    // An emptied line keeps the numbers of the lines after it.
+    text += overridden && !key.empty() ? "\n" : line + "\n";
+    start = end + 1;
+  }
+  for (const std::string& entry : overrides) {
+    text += entry + "\n";
+  }
+  return text;
+}
+
+}  // namespace
+
+Result<InstanceSettings> ParseSettings(
+    std::string_view toml,
+    const std::vector<std::string>& overrides) {
+  using util::Presence;
+  InstanceSettings settings;
+  util::TomlReader reader = util::TomlReader::Parse(
+      ApplyOverrides(toml, overrides), ErrorKind::kBadSettings);
+  reader.ReadString("name", Presence::kRequired, &settings.m_name);
+  reader.ReadString("region", Presence::kRequired, &settings.m_region);
+  reader.ReadString("zone", Presence::kRequired, &settings.m_zone);
+  reader.ReadEndpoint("callers", Presence::kRequired, &settings.m_callers);
+  reader.ReadEndpoint("operators", Presence::kRequired, &settings.m_operators);
+  reader.ReadEndpoint("peers", Presence::kRequired, &settings.m_peers);
+  reader.ReadEndpoint("log_service", Presence::kRequired,
+                      &settings.m_log_service);
+  reader.ReadEndpoint("instance_list", Presence::kRequired,
+                      &settings.m_instance_list);
+  reader.ReadInt("workers", Presence::kOptional, 1, 256, &settings.m_workers);
+  reader.ReadInt("max_caller_connections", Presence::kOptional, 1, 1000000,
+                 &settings.m_max_caller_connections);
+  reader.ReadInt("max_target_connections", Presence::kOptional, 1, 10000,
+                 &settings.m_max_target_connections);
+  reader.ReadMilliseconds("address_lifetime_ms", Presence::kOptional, 100,
+                          600000, &settings.m_address_lifetime);
+  reader.ReadMilliseconds("shutdown_limit_ms", Presence::kOptional, 0, 86400000,
+                          &settings.m_shutdown_limit);
+  reader.ReadString("log_level", Presence::kOptional, &settings.m_log_level);
+  if (std::find(kLogLevels.begin(), kLogLevels.end(), settings.m_log_level) ==
+      kLogLevels.end()) {
+    reader.FailAt("log_level", "must be debug, info, warn or error");
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return settings;
+}
+
+}  // namespace guavacross
--- /dev/null
+++ b/src/util/toml_reader.h
@@ -0,0 +1,96 @@
+#ifndef GUAVACROSS_UTIL_TOML_READER_H_
+#define GUAVACROSS_UTIL_TOML_READER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "guavacross/error.h"
+#include "guavacross/identity.h"
+#include "guavacross/time.h"
+
+namespace guavacross::util {
+
+/// Whether a key must be there.
+enum class Presence { kOptional, kRequired };
+
+/// Reads checked values out of a TOML text.
+///
+/// Make one with `Parse`, call the `Read...` functions for every key that may
+/// be there, then call `Finish` on the root. Errors are kept until `Finish`,
+/// which reports the first by position: `line L, column C: KEY: what is wrong`.
+/// A key that was never read is an error. Each `Read...` leaves its target
+/// alone when the key is missing or wrong. Not thread safe.
+class TomlReader {
+ public:
+  /// Parses `text`; errors will be of `kind`.
+  static TomlReader Parse(std::string_view text, ErrorKind kind);
+
+  TomlReader(const TomlReader&);
+  TomlReader& operator=(const TomlReader&);
+  ~TomlReader();
+
+  void ReadString(const std::string& key, Presence presence, std::string* out);
+  void ReadInt(const std::string& key,
+               Presence presence,
+               std::int64_t min,
+               std::int64_t max,
+               std::int64_t* out);
+  void ReadInt(const std::string& key,
+               Presence presence,
+               int min,
+               int max,
+               int* out);
+  /// Also takes whole numbers; NaN and infinities are errors.
+  void ReadDouble(const std::string& key,
+                  Presence presence,
+                  double min,
+                  double max,
+                  double* out);
+  void ReadBool(const std::string& key, Presence presence, bool* out);
+  /// Whole milliseconds; the key should end in `_ms`.
+  void ReadMilliseconds(const std::string& key,
+                        Presence presence,
+                        std::int64_t min_ms,
+                        std::int64_t max_ms,
+                        Duration* out);
+  /// A string `ip:port`.
+  void ReadEndpoint(const std::string& key, Presence presence, Endpoint* out);
+  void ReadStrings(const std::string& key,
+                   Presence presence,
+                   std::vector<std::string>* out);
+
+  bool Has(const std::string& key) const;
+  /// The table under `key`; an empty one if it is missing.
+  TomlReader Table(const std::string& key, Presence presence);
+  /// The tables of the array of tables under `key`.
+  std::vector<TomlReader> Tables(const std::string& key, Presence presence);
+  /// The tables inside of the table under `key`, in the order of the text.
+  std::vector<std::pair<std::string, TomlReader>> NamedTables(
+      const std::string& key,
+      Presence presence);
+
+  /// Notes that the value of `key` is wrong.
+  void FailAt(const std::string& key, const std::string& what);
+
+  /// This table's content as TOML text.
+  std::string Text() const;
+
+  /// The first error, if any; unknown keys count.
+  Result<void> Finish();
+
+ private:
+  struct Document;
+  struct Node;
+  TomlReader(std::shared_ptr<Document> document, std::shared_ptr<Node> node);
+
+  std::shared_ptr<Document> m_document;
+  std::shared_ptr<Node> m_node;
+};
+
+}  // namespace guavacross::util
+
+#endif  // GUAVACROSS_UTIL_TOML_READER_H_
