load: an open-loop load generator that checks each answer

Latency counts from the moment a request was due (coordinated omission), and each answer must echo its request's id and match the hash of its body.

--- /dev/null
+++ b/src/load/load_generator.cc
@@ -0,0 +1,296 @@
+#include "load/load_generator.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+#include "guavacross/wire_names.h"
+
+namespace guavacross::load {
+
+namespace {
+
+constexpr char kRequestIdHeader[] = "X-Request-Id";
+constexpr char kBodyHashHeader[] = "X-Body-Hash";
+constexpr Duration kAddressTimeout = std::chrono::seconds(2);
+// Answers to a question for addresses that failed are asked for again after
+// this.
+constexpr Duration kAddressRetry = std::chrono::milliseconds(200);
+constexpr int kMaxAddressAttempts = 20;
+
+std::string Hex(std::uint64_t value) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016llx",
+                static_cast<unsigned long long>(value));
+  return text;
+}
+
+// Whether the answer is the one to this request, and whole.
+bool IsOwnAnswer(const ClientAnswer& answer, const std::string& request_id) {
+  const auto& fields = answer.m_head.m_fields;
+  if (fields.Find(kRequestIdHeader) != std::string_view(request_id)) {
+    return false;
+  }
+  const auto hash = fields.Find(kBodyHashHeader);
+  return !hash.has_value() || *hash == Hex(answer.m_body_hash);
+}
+
+}  // namespace
+
+// The answer to a question for a service's addresses.
+struct LoadGenerator::Addresses {
+  struct Weighted {
+    Endpoint m_endpoint;
+    double m_weight = 1;
+  };
+  std::vector<Weighted> m_list;
+  TimePoint m_keep_until{};
+  bool m_asking = false;
+  int m_failed_attempts = 0;
+  std::vector<std::function<void(const Endpoint&)>> m_waiting;
+  std::unique_ptr<Timer> m_retry;
+};
+
+// The next request of one class.
+struct LoadGenerator::Arrival {
+  TimePoint m_due;
+};
+
+double ClassResult::Percentile(double percentile) const {
+  if (m_latencies_ms.empty()) {
+    return 0;
+  }
+  std::vector<float> sorted = m_latencies_ms;
+  const double rank =
+      std::ceil(percentile / 100.0 * static_cast<double>(sorted.size()));
+  const std::size_t index = std::clamp<std::size_t>(
+      static_cast<std::size_t>(std::max(rank, 1.0)) - 1, 0, sorted.size() - 1);
+  std::nth_element(sorted.begin(),
+                   sorted.begin() + static_cast<std::ptrdiff_t>(index),
+                   sorted.end());
+  return sorted[index];
+}
+
+LoadGenerator::LoadGenerator(LoadPlan plan, Clock clock, OnDone on_done)
+    : m_plan(std::move(plan)),
+      m_clock(std::move(clock)),
+      m_on_done(std::move(on_done)),
+      m_random(m_plan.m_seed) {}
+
+LoadGenerator::~LoadGenerator() = default;
+
+void LoadGenerator::Start() {
+  m_started = m_clock.m_now();
+  m_arrivals.assign(m_plan.m_classes.size(), Arrival{m_started});
+  for (std::size_t i = 0; i < m_plan.m_classes.size(); ++i) {
+    m_results[m_plan.m_classes[i].m_name];
+    ScheduleNext(i);
+  }
+  SendDue();
+}
+
+void LoadGenerator::ScheduleNext(std::size_t class_index) {
+  std::exponential_distribution<double> gap(
+      m_plan.m_classes[class_index].m_rate);
+  m_arrivals[class_index].m_due += FromSeconds(gap(m_random));
+}
+
+void LoadGenerator::SendDue() {
+  const TimePoint end = m_started + m_plan.m_length;
+  const TimePoint now = m_clock.m_now();
+  TimePoint next = end;
+  for (std::size_t i = 0; i < m_arrivals.size(); ++i) {
+    Arrival& arrival = m_arrivals[i];
+    while (arrival.m_due <= now && arrival.m_due < end) {
+      SendOne(m_plan.m_classes[i], arrival.m_due);
+      ScheduleNext(i);
+    }
+    next = std::min(next, arrival.m_due);
+  }
+  if (now >= end) {
+    m_timer.reset();
+    FinishIfDone();
+    return;
+  }
+  // Timers count whole milliseconds and round up; rounding down here keeps
+  // requests on time, at the price of polling in the last millisecond.
+  const Duration delay = std::chrono::floor<std::chrono::milliseconds>(
+      std::max(next - now, Duration::zero()));
+  m_timer = m_clock.m_call_after(delay, [this] { SendDue(); });
+}
+
+void LoadGenerator::SendOne(const LoadClass& load_class, TimePoint due) {
+  ++m_open;
+  ++m_results[load_class.m_name].m_sent;
+  if (m_plan.m_direct) {
+    SendTo(m_plan.m_entries[m_next_entry++ % m_plan.m_entries.size()],
+           load_class, due);
+    return;
+  }
+  WithAddress(load_class, [this, &load_class, due](const Endpoint& to) {
+    SendTo(to, load_class, due);
+  });
+}
+
+void LoadGenerator::SendTo(const Endpoint& to,
+                           const LoadClass& load_class,
+                           TimePoint due) {
+  const std::string id =
+      "r" + std::to_string(m_plan.m_seed) + "-" + std::to_string(m_next_id++);
+  http::RequestHead head;
+  head.m_method = load_class.m_method;
+  head.m_target = load_class.m_target;
+  head.m_fields = {{"Host", load_class.m_service},
+                   {kServiceHeader, load_class.m_service},
+                   {kTenantHeader, load_class.m_tenant},
+                   {kRequestIdHeader, id}};
+  if (load_class.m_with_key) {
+    head.m_fields.Add(kIdempotencyKeyHeader, id);
+  }
+  m_client.Send(
+      to, std::move(head), std::string(load_class.m_body_bytes, 'b'),
+      load_class.m_timeout,
+      [this, &load_class, id, due](const util::Expected<ClientAnswer>& answer) {
+        Record(load_class, id, due, answer);
+      });
+}
+
+void LoadGenerator::WithAddress(const LoadClass& load_class,
+                                std::function<void(const Endpoint&)> use) {
+  auto& addresses = m_addresses[load_class.m_service];
+  if (addresses == nullptr) {
+    addresses = std::make_unique<Addresses>();
+  }
+  const bool fresh = m_clock.m_now() < addresses->m_keep_until;
+  if (!fresh && !addresses->m_asking) {
+    AskForAddresses(load_class.m_service);
+  }
+  if (!addresses->m_list.empty() && (fresh || addresses->m_asking)) {
+    // An expired list is used until the new one is here.
+    use(PickAddress(*addresses));
+    return;
+  }
+  addresses->m_waiting.push_back(std::move(use));
+}
+
+void LoadGenerator::AskForAddresses(const std::string& service) {
+  m_addresses[service]->m_asking = true;
+  const Endpoint& entry =
+      m_plan.m_entries[m_next_entry++ % m_plan.m_entries.size()];
+  http::RequestHead head;
+  head.m_method = "GET";
+  head.m_target = std::string(kAddressesPath) + "?service=" + service +
+                  "&zone=" + m_plan.m_zone;
+  m_client.Send(entry, std::move(head), "", kAddressTimeout,
+                [this, service](const util::Expected<ClientAnswer>& answer) {
+                  TakeAddresses(service, answer);
+                });
+}
+
+void LoadGenerator::TakeAddresses(const std::string& service,
+                                  const util::Expected<ClientAnswer>& answer) {
+  Addresses& addresses = *m_addresses[service];
+  std::vector<Addresses::Weighted> list;
+  QJsonObject root;
+  if (answer && answer.m_value->m_head.m_status == 200) {
+    root = QJsonDocument::fromJson(
+               QByteArray::fromStdString(answer.m_value->m_body))
+               .object();
+  }
+  for (const auto& value : root["addresses"].toArray()) {
+    const QJsonObject entry = value.toObject();
+    Addresses::Weighted weighted;
+    weighted.m_weight = entry["weight"].toDouble(1);
+    if (ParseEndpoint(entry["address"].toString().toStdString(),
+                      &weighted.m_endpoint)) {
+      list.push_back(weighted);
+    }
+  }
+  const bool failed = list.empty();
+  if (failed && ++addresses.m_failed_attempts < kMaxAddressAttempts) {
+    addresses.m_retry = m_clock.m_call_after(
+        kAddressRetry, [this, service] { AskForAddresses(service); });
+    return;
+  }
+  addresses.m_asking = false;
+  addresses.m_failed_attempts = 0;
+  if (failed) {
+    // The callers know no better than the entries they started with.
+    for (const Endpoint& entry : m_plan.m_entries) {
+      list.push_back({.m_endpoint = entry});
+    }
+  }
+  addresses.m_list = std::move(list);
+  addresses.m_keep_until =
+      m_clock.m_now() +
+      std::chrono::milliseconds(root["keep_for_ms"].toInt(1000));
+  const auto waiting = std::exchange(addresses.m_waiting, {});
+  for (const auto& use : waiting) {
+    use(PickAddress(addresses));
+  }
+}
+
+Endpoint LoadGenerator::PickAddress(const Addresses& addresses) {
+  double total = 0;
+  for (const auto& entry : addresses.m_list) {
+    total += entry.m_weight;
+  }
+  double point = std::uniform_real_distribution<double>(0, total)(m_random);
+  for (const auto& entry : addresses.m_list) {
+    point -= entry.m_weight;
+    if (point <= 0) {
+      return entry.m_endpoint;
+    }
+  }
+  return addresses.m_list.back().m_endpoint;
+}
+
+void LoadGenerator::Record(const LoadClass& load_class,
+                           const std::string& request_id,
+                           TimePoint due,
+                           const util::Expected<ClientAnswer>& answer) {
+  ClassResult& result = m_results[load_class.m_name];
+  std::string outcome = "unknown";
+  if (!answer) {
+    const bool unsent = answer.m_error.m_kind == ErrorKind::kConnectFailed;
+    outcome = unsent ? "not-run" : "unknown";
+    ++result.m_reasons["caller:" +
+                       std::string(AnswerFor(answer.m_error.m_kind).m_name)];
+  } else if (const auto reason =
+                 answer.m_value->m_head.m_fields.Find(kReasonHeader)) {
+    ++result.m_reasons[std::string(*reason)];
+    outcome = std::string(
+        answer.m_value->m_head.m_fields.Find(kOutcomeHeader).value_or(""));
+  } else {
+    outcome = "done";
+    ++result.m_answered;
+    result.m_wrong += IsOwnAnswer(*answer.m_value, request_id) ? 0 : 1;
+    result.m_server_errors += answer.m_value->m_head.m_status >= 500 ? 1 : 0;
+    if (due >= m_started + m_plan.m_warm_up) {
+      result.m_latencies_ms.push_back(
+          static_cast<float>(Milliseconds(m_clock.m_now() - due)));
+    }
+  }
+  result.m_not_run += outcome == "not-run" ? 1 : 0;
+  result.m_unknown += outcome == "unknown" ? 1 : 0;
+  if (load_class.m_with_key) {
+    result.m_outcomes[request_id] = outcome;
+  }
+  --m_open;
+  FinishIfDone();
+}
+
+void LoadGenerator::FinishIfDone() {
+  const bool over = m_timer == nullptr && m_open == 0;
+  if (!over || m_finished) {
+    return;
+  }
+  m_finished = true;
+  m_on_done();
+}
+
+}  // namespace guavacross::load
--- /dev/null
+++ b/src/load/load_generator.h
@@ -0,0 +1,135 @@
+#ifndef GUAVACROSS_LOAD_LOAD_GENERATOR_H_
+#define GUAVACROSS_LOAD_LOAD_GENERATOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "guavacross/identity.h"
+#include "guavacross/time.h"
+#include "load/http_client.h"
+
+namespace guavacross::load {
+
+/// One kind of request that the generator sends.
+struct LoadClass {
+  std::string m_name;
+  std::string m_service;
+  std::string m_tenant;
+  std::string m_method = "GET";
+  std::string m_target = "/";
+  /// Whether to send an `Idempotency-Key` with each request.
+  bool m_with_key = false;
+  std::size_t m_body_bytes = 0;
+  /// Requests a second; arrivals are a Poisson process.
+  double m_rate = 1;
+  Duration m_timeout = std::chrono::seconds(30);
+
+  bool operator==(const LoadClass&) const = default;
+};
+
+/// What to send, where to, for how long.
+struct LoadPlan {
+  /// Entry instances to ask for addresses; or, with `m_direct`, the servers to
+  /// which requests go in turn.
+  std::vector<Endpoint> m_entries;
+  bool m_direct = false;
+  /// The callers' availability zone, told when asking for addresses.
+  std::string m_zone;
+  std::vector<LoadClass> m_classes;
+  Duration m_length = std::chrono::seconds(5);
+  /// Answers to requests sent in this first part are not counted in latencies.
+  Duration m_warm_up = Duration::zero();
+  std::uint64_t m_seed = 1;
+
+  bool operator==(const LoadPlan&) const = default;
+};
+
+/// What became of one class's requests.
+struct ClassResult {
+  std::uint64_t m_sent = 0;
+  /// Complete answers of a backend server.
+  std::uint64_t m_answered = 0;
+  std::uint64_t m_not_run = 0;
+  std::uint64_t m_unknown = 0;
+  /// Answers that aren't the request's own, or are damaged.
+  std::uint64_t m_wrong = 0;
+  /// Status 500 and above among the backend servers' answers.
+  std::uint64_t m_server_errors = 0;
+  /// Reasons by name, for answers that guavacross made itself.
+  std::map<std::string, std::uint64_t> m_reasons;
+  /// Latency of each answered request, in milliseconds, from the moment at
+  /// which it was due, so that a slow client hides nothing (coordinated
+  /// omission, G. Tene).
+  std::vector<float> m_latencies_ms;
+  /// Request identities that were sent with a key, and their outcomes.
+  std::map<std::string, std::string> m_outcomes;
+
+  /// The given percentile, 0 to 100, of the latencies, or 0 if there are none.
+  double Percentile(double percentile) const;
+};
+
+/// Sends a plan's requests at their times, whether or not earlier ones have
+/// been answered, and checks each answer: it must echo `X-Request-Id`, and its
+/// body must match `X-Body-Hash` where the server sends one.
+///
+/// Lives on one thread with a Qt event loop. `Start` returns at once; `on_done`
+/// is called when every request has ended.
+class LoadGenerator {
+ public:
+  using OnDone = std::function<void()>;
+
+  LoadGenerator(LoadPlan plan, Clock clock, OnDone on_done);
+  ~LoadGenerator();
+  LoadGenerator(const LoadGenerator&) = delete;
+  LoadGenerator& operator=(const LoadGenerator&) = delete;
+
+  void Start();
+
+  const std::map<std::string, ClassResult>& results() const {
+    return m_results;
+  }
+
+ private:
+  struct Addresses;
+  struct Arrival;
+
+  void ScheduleNext(std::size_t class_index);
+  void SendDue();
+  void SendOne(const LoadClass& load_class, TimePoint due);
+  void SendTo(const Endpoint& to, const LoadClass& load_class, TimePoint due);
+  void WithAddress(const LoadClass& load_class,
+                   std::function<void(const Endpoint&)> use);
+  void AskForAddresses(const std::string& service);
+  void TakeAddresses(const std::string& service,
+                     const util::Expected<ClientAnswer>& answer);
+  Endpoint PickAddress(const Addresses& addresses);
+  void Record(const LoadClass& load_class,
+              const std::string& request_id,
+              TimePoint due,
+              const util::Expected<ClientAnswer>& answer);
+  void FinishIfDone();
+
+  LoadPlan m_plan;
+  Clock m_clock;
+  OnDone m_on_done;
+  HttpClient m_client;
+  std::mt19937_64 m_random;
+  TimePoint m_started;
+  bool m_finished = false;
+  std::uint64_t m_next_id = 0;
+  std::uint64_t m_open = 0;
+  std::size_t m_next_entry = 0;
+  std::vector<Arrival> m_arrivals;
+  std::map<std::string, std::unique_ptr<Addresses>> m_addresses;
+  std::map<std::string, ClassResult> m_results;
+  std::unique_ptr<Timer> m_timer;
+};
+
+}  // namespace guavacross::load
+
+#endif  // GUAVACROSS_LOAD_LOAD_GENERATOR_H_
