--- /dev/null
+++ b/src/backends/probe_runner.h
@@ -0,0 +1,40 @@
+#ifndef GUAVACROSS_BACKENDS_PROBE_RUNNER_H_
+#define GUAVACROSS_BACKENDS_PROBE_RUNNER_H_
+
+#include <memory>
+
+#include "guavacross/routing.h"
+#include "guavacross/time.h"
+
+namespace guavacross::util {
+class Metrics;
+}
+
+namespace guavacross::backends {
+
+/// Sends the probes that the router orders and reports their results.
+///
+/// Make one on the control thread, then call `Start`. Every two milliseconds
+/// it takes the due probes, sends each as one GET of the load endpoint on a
+/// connection of its own and reports the answer or its absence. It also lets
+/// the router expire its waiting requests. A probe is never sent twice.
+class ProbeRunner {
+ public:
+  /// `router` and `metrics` must outlive the runner.
+  ProbeRunner(Router* router, Clock clock, util::Metrics* metrics);
+  ~ProbeRunner();
+  ProbeRunner(const ProbeRunner&) = delete;
+  ProbeRunner& operator=(const ProbeRunner&) = delete;
+
+  void Start();
+  /// Abandons the probes in flight and reports them as failed.
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace guavacross::backends
+
+#endif  // GUAVACROSS_BACKENDS_PROBE_RUNNER_H_
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -11,6 +11,7 @@
 #include "guavacross/document.h"
 #include "guavacross/error.h"
 #include "guavacross/time.h"
+#include "util/handle.h"
 
 /// Where requests go: the policy of all services behind one thread-safe door.
 ///
@@ -183,8 +184,9 @@
   std::function<void(const SuspectNotice&)> m_on_suspect;
 };
 
-/// Called once with a grant or the reason for the refusal.
-using GrantCallback = std::function<void(Result<Grant>)>;
+/// Called once with a grant or the reason for the refusal; a plain value, since
+/// a `Result` made outside of the callback would lose its error.
+using GrantCallback = std::function<void(util::Expected<Grant>)>;
 
 /// The policy of all services of one instance. All functions are thread safe.
 class Router {
