Read and check the configuration document

One table of keys gives the parser its ranges; every error names line, column and key. A class that isn't limited to safe methods must say whether it is repeatable, because a charge taken for repeatable by mistake may run twice.

--- /dev/null
+++ b/src/document/section_reader.cc
@@ -0,0 +1,294 @@
+#include "document/section_reader.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "document/keys.h"
+
+namespace guavacross::document {
+
+namespace {
+
+using util::Presence;
+using util::TomlReader;
+
+constexpr std::size_t kMaxNameLength = 64;
+
+std::string NameOf(Key key) {
+  return std::string(Spec(key).m_name);
+}
+
+Presence PresenceOf(const KeySpec& spec) {
+  return spec.m_required ? Presence::kRequired : Presence::kOptional;
+}
+
+void ReadName(TomlReader& reader, Key key, std::string* out) {
+  const std::string name = NameOf(key);
+  reader.ReadString(name, PresenceOf(Spec(key)), out);
+  if (reader.Has(name) && !IsName(*out)) {
+    reader.FailAt(
+        name, "must be 1 to 64 letters, digits, dots, underscores or hyphens");
+  }
+}
+
+void ReadBool(TomlReader& reader, Key key, bool* out) {
+  reader.ReadBool(NameOf(key), PresenceOf(Spec(key)), out);
+}
+
+template <class Int>
+void ReadInt(TomlReader& reader, Key key, Int* out) {
+  const KeySpec& spec = Spec(key);
+  std::int64_t number = *out;
+  reader.ReadInt(NameOf(key), PresenceOf(spec),
+                 static_cast<std::int64_t>(spec.m_min),
+                 static_cast<std::int64_t>(spec.m_max), &number);
+  *out = static_cast<Int>(number);
+}
+
+void ReadReal(TomlReader& reader, Key key, double* out) {
+  const KeySpec& spec = Spec(key);
+  reader.ReadDouble(NameOf(key), PresenceOf(spec), spec.m_min, spec.m_max, out);
+}
+
+void ReadDuration(TomlReader& reader, Key key, Duration* out) {
+  const KeySpec& spec = Spec(key);
+  reader.ReadMilliseconds(NameOf(key), PresenceOf(spec),
+                          static_cast<std::int64_t>(spec.m_min),
+                          static_cast<std::int64_t>(spec.m_max), out);
+}
+
+// Reports a value that an earlier element of the array has too.
+void CheckUnique(TomlReader& reader,
+                 Key key,
+                 const std::string& value,
+                 const char* what,
+                 std::set<std::string>* seen) {
+  if (!value.empty() && !seen->insert(value).second) {
+    reader.FailAt(NameOf(key), std::string(what) + " is listed twice");
+  }
+}
+
+void ReadTargets(TomlReader& reader, std::vector<TargetConfig>* out) {
+  std::set<std::string> names;
+  std::set<std::string> addresses;
+  for (TomlReader& entry : reader.Tables("target", Presence::kRequired)) {
+    TargetConfig target;
+    ReadName(entry, Key::kTargetName, &target.m_name);
+    entry.ReadEndpoint(NameOf(Key::kTargetAddress), Presence::kRequired,
+                       &target.m_address);
+    ReadName(entry, Key::kTargetZone, &target.m_zone);
+    ReadInt(entry, Key::kTargetSlots, &target.m_slots);
+    CheckUnique(entry, Key::kTargetName, target.m_name, "the target", &names);
+    if (target.m_address.m_port != 0) {
+      CheckUnique(entry, Key::kTargetAddress, ToString(target.m_address),
+                  "the address", &addresses);
+    }
+    out->push_back(std::move(target));
+  }
+  if (out->empty() && reader.Has("target")) {
+    reader.FailAt("target", "must hold at least one target");
+  }
+}
+
+bool IsMethod(const std::string& method) {
+  constexpr std::size_t kMaxMethodLength = 20;
+  return !method.empty() && method.size() <= kMaxMethodLength &&
+         std::all_of(method.begin(), method.end(),
+                     [](char c) { return (c >= 'A' && c <= 'Z') || c == '-'; });
+}
+
+// The methods that RFC 9110, 9.2.1 calls safe, without TRACE.
+bool IsSafe(const std::string& method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+void ReadMethods(TomlReader& reader, ClassConfig* out) {
+  const std::string key = NameOf(Key::kClassMethods);
+  reader.ReadStrings(key, Presence::kOptional, &out->m_methods);
+  if (!std::all_of(out->m_methods.begin(), out->m_methods.end(), IsMethod)) {
+    reader.FailAt(key, "must be HTTP methods in capitals");
+  }
+  const std::set<std::string> distinct(out->m_methods.begin(),
+                                       out->m_methods.end());
+  if (distinct.size() != out->m_methods.size()) {
+    reader.FailAt(key, "lists a method twice");
+  }
+}
+
+void ReadPathPrefix(TomlReader& reader, std::string* out) {
+  const std::string key = NameOf(Key::kClassPathPrefix);
+  reader.ReadString(key, Presence::kOptional, out);
+  if (out->empty() || out->front() != '/') {
+    reader.FailAt(key, "must start with /");
+  }
+}
+
+void ReadRepeatable(TomlReader& reader, ClassConfig* out) {
+  const auto& methods = out->m_methods;
+  const bool only_safe =
+      !methods.empty() && std::all_of(methods.begin(), methods.end(), IsSafe);
+  // A charge that is taken for repeatable by mistake may run twice, so the
+  // default holds only where the methods themselves promise it.
+  reader.ReadBool(NameOf(Key::kClassRepeatable),
+                  only_safe ? Presence::kOptional : Presence::kRequired,
+                  &out->m_repeatable);
+  ReadBool(reader, Key::kClassHedge, &out->m_hedge);
+  if (out->m_hedge && !out->m_repeatable) {
+    reader.FailAt(NameOf(Key::kClassHedge),
+                  "a class that isn't repeatable can't be hedged");
+  }
+}
+
+void ReadQueue(TomlReader& reader, ClassConfig* out) {
+  ReadDuration(reader, Key::kClassDeadline, &out->m_deadline);
+  ReadInt(reader, Key::kClassQueueLimit, &out->m_queue_limit);
+  ReadDuration(reader, Key::kClassQueueWait, &out->m_queue_wait);
+  const std::string key = NameOf(Key::kClassQueueWait);
+  if (reader.Has(key) && out->m_deadline != Duration::zero() &&
+      out->m_queue_wait > out->m_deadline) {
+    reader.FailAt(key, "must not be more than deadline_ms");
+  }
+}
+
+ClassConfig ReadClass(TomlReader& reader) {
+  ClassConfig result;
+  ReadName(reader, Key::kClassName, &result.m_name);
+  ReadMethods(reader, &result);
+  ReadPathPrefix(reader, &result.m_path_prefix);
+  ReadRepeatable(reader, &result);
+  ReadBool(reader, Key::kClassBulk, &result.m_bulk);
+  ReadQueue(reader, &result);
+  ReadInt(reader, Key::kClassWeight, &result.m_weight);
+  ReadInt(reader, Key::kClassMaxBody, &result.m_max_body_bytes);
+  return result;
+}
+
+// Whether every request that `later` matches is matched by `earlier` too.
+bool Covers(const ClassConfig& earlier, const ClassConfig& later) {
+  if (!later.m_path_prefix.starts_with(earlier.m_path_prefix)) {
+    return false;
+  }
+  if (earlier.m_methods.empty()) {
+    return true;
+  }
+  const auto& methods = earlier.m_methods;
+  return !later.m_methods.empty() &&
+         std::all_of(later.m_methods.begin(), later.m_methods.end(),
+                     [&methods](const std::string& method) {
+                       return std::find(methods.begin(), methods.end(),
+                                        method) != methods.end();
+                     });
+}
+
+void ReadClasses(TomlReader& reader, std::vector<ClassConfig>* out) {
+  std::set<std::string> names;
+  for (TomlReader& entry : reader.Tables("class", Presence::kRequired)) {
+    const ClassConfig read = ReadClass(entry);
+    CheckUnique(entry, Key::kClassName, read.m_name, "the class", &names);
+    for (const ClassConfig& earlier : *out) {
+      if (Covers(earlier, read)) {
+        entry.FailAt(NameOf(Key::kClassName),
+                     "no request can reach the class: class " + earlier.m_name +
+                         " stands before it and matches the same");
+      }
+    }
+    out->push_back(read);
+  }
+  if (out->empty() && reader.Has("class")) {
+    reader.FailAt("class", "must hold at least one class");
+  }
+}
+
+void ReadTenants(TomlReader& reader, std::vector<TenantConfig>* out) {
+  std::set<std::string> names;
+  for (TomlReader& entry : reader.Tables("tenant", Presence::kOptional)) {
+    TenantConfig tenant;
+    ReadName(entry, Key::kTenantName, &tenant.m_name);
+    ReadInt(entry, Key::kTenantWeight, &tenant.m_weight);
+    CheckUnique(entry, Key::kTenantName, tenant.m_name, "the tenant", &names);
+    out->push_back(std::move(tenant));
+  }
+}
+
+void ReadProbe(TomlReader reader, ProbeConfig* out) {
+  ReadReal(reader, Key::kProbeRate, &out->m_probes_per_second);
+  ReadReal(reader, Key::kProbeTimeShare, &out->m_time_share);
+  ReadDuration(reader, Key::kProbeCost, &out->m_probe_cost);
+  ReadDuration(reader, Key::kProbeTimeout, &out->m_timeout);
+}
+
+void ReadRetry(TomlReader reader, RetryConfig* out) {
+  ReadReal(reader, Key::kRetryBudgetShare, &out->m_budget_share);
+  ReadInt(reader, Key::kRetryMaxAttempts, &out->m_max_attempts);
+}
+
+void ReadHedge(TomlReader reader, HedgeConfig* out) {
+  ReadReal(reader, Key::kHedgePercentile, &out->m_percentile);
+  ReadDuration(reader, Key::kHedgeMinDelay, &out->m_min_delay);
+}
+
+void ReadEjection(TomlReader reader, EjectionConfig* out) {
+  ReadInt(reader, Key::kEjectionErrors, &out->m_consecutive_errors);
+  ReadDuration(reader, Key::kEjectionBaseTime, &out->m_base_time);
+  ReadDuration(reader, Key::kEjectionMaxTime, &out->m_max_time);
+  ReadReal(reader, Key::kEjectionMaxShare, &out->m_max_share);
+  if (out->m_base_time > out->m_max_time) {
+    const bool has_base = reader.Has(NameOf(Key::kEjectionBaseTime));
+    reader.FailAt(
+        NameOf(has_base ? Key::kEjectionBaseTime : Key::kEjectionMaxTime),
+        "base_time_ms must not be more than max_time_ms");
+  }
+}
+
+void ReadSlowStart(TomlReader reader, SlowStartConfig* out) {
+  ReadDuration(reader, Key::kSlowStartWindow, &out->m_window);
+}
+
+void ReadProfile(TomlReader& reader, Profile* out) {
+  const std::string key = NameOf(Key::kProfile);
+  std::string text = "tail-first";
+  reader.ReadString(key, Presence::kOptional, &text);
+  if (text == "measuring-first") {
+    *out = Profile::kMeasuringFirst;
+  } else if (text != "tail-first") {
+    reader.FailAt(key, "must be \"measuring-first\" or \"tail-first\"");
+  }
+}
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
+}
+
+}  // namespace
+
+bool IsName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxNameLength &&
+         std::all_of(name.begin(), name.end(), IsNameCharacter);
+}
+
+ServiceConfig ReadSection(const std::string& name, TomlReader reader) {
+  ServiceConfig service;
+  service.m_name = name;
+  if (!IsName(name)) {
+    reader.Fail(
+        "the section's name must be 1 to 64 letters, digits, dots, underscores "
+        "or hyphens");
+  }
+  ReadName(reader, Key::kTeam, &service.m_team);
+  ReadProfile(reader, &service.m_profile);
+  ReadTargets(reader, &service.m_targets);
+  ReadClasses(reader, &service.m_classes);
+  ReadTenants(reader, &service.m_tenants);
+  ReadProbe(reader.Table("probe", Presence::kOptional), &service.m_probe);
+  ReadRetry(reader.Table("retry", Presence::kOptional), &service.m_retry);
+  ReadHedge(reader.Table("hedge", Presence::kOptional), &service.m_hedge);
+  ReadEjection(reader.Table("ejection", Presence::kOptional),
+               &service.m_ejection);
+  ReadSlowStart(reader.Table("slow_start", Presence::kOptional),
+                &service.m_slow_start);
+  return service;
+}
+
+}  // namespace guavacross::document
--- a/src/util/toml_reader.cc
+++ b/src/util/toml_reader.cc
@@ -106,6 +106,10 @@
   m_document->AddProblem(region, Join(m_node->m_path, key), what, missing);
 }
 
+void TomlReader::Fail(const std::string& what) {
+  m_document->AddProblem(m_node->m_table->source(), m_node->m_path, what);
+}
+
 // Finds a key's node, notes that the key was read, and leaves the function if
 // there is none, reporting it if it is required.
 #define GUAVACROSS_FIND_OR_RETURN(VALUE, RESULT)       \
@@ -309,7 +313,7 @@
   if (first == problems.end()) {
     return {};
   }
-  return Fail(m_document->m_kind, first->m_text);
+  return guavacross::Fail(m_document->m_kind, first->m_text);
 }
 
 }  // namespace guavacross::util
--- a/src/util/toml_reader.h
+++ b/src/util/toml_reader.h
@@ -75,6 +75,8 @@
 
   /// Notes that the value of `key` is wrong.
   void FailAt(const std::string& key, const std::string& what);
+  /// Notes that this table itself is wrong.
+  void Fail(const std::string& what);
 
   /// This table's content as TOML text.
   std::string Text() const;
