Route requests: slots, a bounded queue and probes by token bucket

A thin Router so that the rest of the path can be built on it: least in flight of two random targets, FIFO queue per service, probes charged to a token bucket that the largest recent instance count divides.

--- /dev/null
+++ b/src/routing/router.cc
@@ -0,0 +1,257 @@
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <shared_mutex>
+#include <utility>
+
+#include "guavacross/routing.h"
+#include "policy/probe_budget.h"
+#include "routing/due_times.h"
+#include "routing/effects.h"
+#include "routing/service_router.h"
+
+namespace guavacross {
+
+using routing::Effects;
+using routing::ServiceRouter;
+
+/// Lock order: the table of services, then one service; every other lock is a
+/// leaf. Callbacks and hooks are called with no lock held.
+class Router::Impl {
+ public:
+  Impl(RouterOptions options, RouterHooks hooks)
+      : m_options(std::move(options)), m_hooks(std::move(hooks)) {}
+
+  TimePoint Now() const { return m_options.m_clock.m_now(); }
+
+  std::shared_ptr<ServiceRouter> Find(const std::string& name) const {
+    const std::shared_lock lock(m_services_mutex);
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second;
+  }
+
+  std::vector<std::shared_ptr<ServiceRouter>> AllServices() const {
+    const std::shared_lock lock(m_services_mutex);
+    std::vector<std::shared_ptr<ServiceRouter>> services;
+    services.reserve(m_services.size());
+    for (const auto& [name, service] : m_services) {
+      services.push_back(service);
+    }
+    return services;
+  }
+
+  /// Carries out what a service's decision causes. Takes no service lock.
+  void Finish(const std::shared_ptr<ServiceRouter>& service, Effects effects) {
+    if (effects.m_expire_at) {
+      m_expiries.Add(*effects.m_expire_at, service);
+    }
+    if (effects.m_probe_at) {
+      m_probe_times.Add(*effects.m_probe_at, service);
+    }
+    routing::Deliver(std::move(effects.m_decisions));
+    for (const DrainNotice& notice : effects.m_drains) {
+      if (m_hooks.m_on_drain) {
+        m_hooks.m_on_drain(notice);
+      }
+    }
+  }
+
+  int Instances(TimePoint now) {
+    const std::lock_guard lock(m_instances_mutex);
+    return m_instances.Largest(now);
+  }
+
+  const RouterOptions m_options;
+  const RouterHooks m_hooks;
+  mutable std::shared_mutex m_services_mutex;
+  std::map<std::string, std::shared_ptr<ServiceRouter>> m_services;
+  routing::DueTimes<ServiceRouter> m_expiries;
+  routing::DueTimes<ServiceRouter> m_probe_times;
+  std::mutex m_instances_mutex;
+  policy::InstanceCountWindow m_instances;
+  std::atomic<std::uint64_t> m_next_ticket{1};
+};
+
+Router::Router(RouterOptions options, RouterHooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(options), std::move(hooks))) {}
+
+Router::~Router() = default;
+
+void Router::Configure(const ServiceConfig& config) {
+  auto shared = std::make_shared<const ServiceConfig>(config);
+  Effects effects;
+  std::shared_ptr<ServiceRouter> service = m_impl->Find(config.m_name);
+  if (service == nullptr) {
+    service = std::make_shared<ServiceRouter>(shared, m_impl->m_options);
+    const std::unique_lock lock(m_impl->m_services_mutex);
+    m_impl->m_services[config.m_name] = service;
+  } else {
+    service->Configure(std::move(shared), m_impl->Now(), &effects);
+  }
+  m_impl->Finish(service, std::move(effects));
+}
+
+void Router::Remove(const std::string& service) {
+  const std::shared_ptr<ServiceRouter> removed = m_impl->Find(service);
+  if (removed == nullptr) {
+    return;
+  }
+  {
+    const std::unique_lock lock(m_impl->m_services_mutex);
+    m_impl->m_services.erase(service);
+  }
+  Effects effects;
+  removed->Close(&effects);
+  m_impl->Finish(removed, std::move(effects));
+}
+
+std::shared_ptr<const ServiceConfig> Router::FindService(
+    const std::string& service) const {
+  const std::shared_ptr<ServiceRouter> found = m_impl->Find(service);
+  return found == nullptr ? nullptr : found->config();
+}
+
+std::uint64_t Router::Acquire(const RequestTraits& traits,
+                              const std::vector<std::string>& targets_to_avoid,
+                              GrantCallback on_grant) {
+  const std::uint64_t ticket = m_impl->m_next_ticket++;
+  Effects effects;
+  const std::shared_ptr<ServiceRouter> service = m_impl->Find(traits.m_service);
+  if (service == nullptr) {
+    effects.m_decisions.push_back(
+        {std::move(on_grant),
+         routing::Refuse(ErrorKind::kUnknownService,
+                         "no service " + traits.m_service)});
+  } else {
+    service->Acquire(traits, targets_to_avoid, ticket, std::move(on_grant),
+                     m_impl->Now(), &effects);
+  }
+  m_impl->Finish(service, std::move(effects));
+  return ticket;
+}
+
+void Router::CancelWait(const std::string& service, std::uint64_t ticket) {
+  if (const auto found = m_impl->Find(service)) {
+    found->CancelWait(ticket);
+  }
+}
+
+void Router::Release(const Grant& grant,
+                     const RequestTraits& /*traits*/,
+                     const AttemptReport& report) {
+  if (const auto service = m_impl->Find(grant.m_service)) {
+    Effects effects;
+    service->Release(grant, report, m_impl->Now(), &effects);
+    m_impl->Finish(service, std::move(effects));
+  }
+}
+
+void Router::ReportLoad(const Grant& grant,
+                        const LoadReport& load,
+                        Duration /*time_to_first_byte*/) {
+  if (const auto service = m_impl->Find(grant.m_service)) {
+    service->ReportLoad(grant, load, m_impl->Now());
+  }
+}
+
+bool Router::MayRetry(const RequestTraits& traits, int attempts_so_far) {
+  const auto service = m_impl->Find(traits.m_service);
+  return service != nullptr && service->MayRetry(traits, attempts_so_far);
+}
+
+std::optional<Duration> Router::HedgeDelay(const RequestTraits& traits) const {
+  const auto service = m_impl->Find(traits.m_service);
+  return service == nullptr ? std::nullopt : service->HedgeDelay(traits);
+}
+
+bool Router::MayHedge(const RequestTraits& traits, int attempts_so_far) {
+  const auto service = m_impl->Find(traits.m_service);
+  return service != nullptr && service->MayHedge(traits, attempts_so_far);
+}
+
+void Router::ExpireWaiters() {
+  const TimePoint now = m_impl->Now();
+  for (const auto& service : m_impl->m_expiries.TakeDue(now)) {
+    Effects effects;
+    service->ExpireWaiters(now, &effects);
+    m_impl->Finish(service, std::move(effects));
+  }
+}
+
+std::vector<ProbeOrder> Router::TakeDueProbes() {
+  const TimePoint now = m_impl->Now();
+  const int instances = m_impl->Instances(now);
+  std::vector<ProbeOrder> orders;
+  for (const auto& service : m_impl->m_probe_times.TakeDue(now)) {
+    Effects effects;
+    service->TakeProbes(now, instances, &orders, &effects);
+    m_impl->Finish(service, std::move(effects));
+  }
+  return orders;
+}
+
+void Router::ReportProbe(const ProbeReport& report) {
+  if (const auto service = m_impl->Find(report.m_service)) {
+    Effects effects;
+    service->ReportProbe(report, m_impl->Now(), &effects);
+    m_impl->Finish(service, std::move(effects));
+  }
+}
+
+void Router::SetInstanceCount(int live_instances) {
+  const TimePoint now = m_impl->Now();
+  const std::lock_guard lock(m_impl->m_instances_mutex);
+  m_impl->m_instances.Record(live_instances, now);
+}
+
+void Router::SetPeerInFlight(
+    const std::string& /*peer*/,
+    const std::string& /*service*/,
+    const std::vector<std::pair<std::string, int>>& /*counts*/) {}
+
+void Router::LearnDrain(const DrainNotice& notice) {
+  if (const auto service = m_impl->Find(notice.m_service)) {
+    service->LearnDrain(notice);
+  }
+}
+
+void Router::LearnQuarantine(const QuarantineNotice& /*notice*/) {}
+
+void Router::LearnSuspect(const SuspectNotice& /*notice*/) {}
+
+std::vector<DrainNotice> Router::Drains() const {
+  std::vector<DrainNotice> drains;
+  for (const auto& service : m_impl->AllServices()) {
+    const std::vector<DrainNotice> own = service->Drains();
+    drains.insert(drains.end(), own.begin(), own.end());
+  }
+  return drains;
+}
+
+std::vector<QuarantineNotice> Router::Quarantines() const {
+  return {};
+}
+
+std::vector<std::pair<std::string, std::vector<std::pair<std::string, int>>>>
+Router::InFlight() const {
+  std::vector<std::pair<std::string, std::vector<std::pair<std::string, int>>>>
+      counts;
+  for (const auto& service : m_impl->AllServices()) {
+    std::vector<std::pair<std::string, int>> own = service->InFlight();
+    if (!own.empty()) {
+      counts.emplace_back(service->config()->m_name, std::move(own));
+    }
+  }
+  return counts;
+}
+
+std::vector<ServiceStatus> Router::Status() const {
+  std::vector<ServiceStatus> statuses;
+  for (const auto& service : m_impl->AllServices()) {
+    statuses.push_back(service->Status(m_impl->Now()));
+  }
+  return statuses;
+}
+
+}  // namespace guavacross
