--- /dev/null
+++ b/src/ledger/ledger_messages.h
@@ -0,0 +1,111 @@
+#ifndef GUAVACROSS_LEDGER_LEDGER_MESSAGES_H_
+#define GUAVACROSS_LEDGER_LEDGER_MESSAGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "guavacross/identity.h"
+#include "guavacross/ledger.h"
+
+/// What the ledgers of two instances say to each other.
+///
+/// The peers package carries these values over gRPC.
+namespace guavacross::ledger {
+
+/// A 128-bit hash that stands for a `RequestKey` in the log, in tables and
+/// between instances.
+struct KeyHash {
+  std::uint64_t m_high = 0;
+  std::uint64_t m_low = 0;
+
+  auto operator<=>(const KeyHash&) const = default;
+};
+
+/// A question about one key.
+struct LedgerQuestion {
+  enum class Kind {
+    /// How did attempt `m_attempt`, held by the asked instance, end?
+    kHowEnded,
+    /// Does the asked instance know of any copy of the request?
+    kIsKnown,
+    /// May the asker run the request? For keys of an identity that the asked
+    /// instance minted or has inherited.
+    kMayRun,
+  };
+  Kind m_kind = Kind::kHowEnded;
+  /// The instance that asks.
+  InstanceId m_asker;
+  KeyHash m_key;
+  std::uint64_t m_fingerprint = 0;
+  std::uint32_t m_attempt = 0;
+  /// For `kMayRun`: the instance that minted the key's identity, and how long
+  /// after that instance's start it did so.
+  InstanceId m_minter;
+  std::uint64_t m_minted_ms = 0;
+
+  bool operator==(const LedgerQuestion&) const = default;
+};
+
+/// The answer to a question.
+struct LedgerReply {
+  enum class Status {
+    /// No answer came: the instance could not be reached in time.
+    kUnreachable,
+    /// The asked instance has no knowledge of this key and attempt and will
+    /// never run that attempt.
+    kNone,
+    /// A copy waits for its claim or runs.
+    kInProgress,
+    /// Ended with a complete answer, which is `m_answer`.
+    kDone,
+    /// The request ran, or may have run; its answer isn't kept.
+    kUnknown,
+    /// The attempt ended without a run.
+    kNotRun,
+    /// The same key came with another fingerprint.
+    kConflict,
+    /// For `kMayRun`: the asker holds attempt `m_attempt` from now on.
+    kGranted,
+    /// For `kMayRun`: the identity is older than the ledger remembers.
+    kExpired,
+    /// For `kMayRun`: the ledger is full and the request has run nowhere.
+    kFull,
+  };
+  Status m_status = Status::kUnreachable;
+  std::uint32_t m_attempt = 0;
+  RecordedAnswer m_answer;
+
+  bool operator==(const LedgerReply&) const = default;
+};
+
+/// One ended request of an instance that shuts down.
+struct HandedClaim {
+  KeyHash m_key;
+  std::uint64_t m_fingerprint = 0;
+  std::uint32_t m_attempt = 0;
+  ClaimEnd m_end;
+
+  bool operator==(const HandedClaim&) const = default;
+};
+
+/// A part of the table that an instance hands to a peer as it shuts down.
+struct LedgerHandover {
+  InstanceId m_from;
+  std::vector<HandedClaim> m_claims;
+  /// Set in the last part: the receiver holds the whole table and from now on
+  /// decides alone who may run requests of the identities that the named
+  /// incarnations minted.
+  bool m_last = false;
+  std::vector<InstanceId> m_minters;
+  /// Age of each incarnation in `m_minters`, so that the receiver can tell how
+  /// old an identity is.
+  std::vector<std::uint64_t> m_ages_ms;
+
+  bool operator==(const LedgerHandover&) const = default;
+};
+
+}  // namespace guavacross::ledger
+
+#endif  // GUAVACROSS_LEDGER_LEDGER_MESSAGES_H_
