--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -167,10 +168,27 @@
 /// with.
 enum class ChoicePolicy { kGuavacross, kRandom, kRoundRobin, kLeastInFlight };
 
+/// Parts of the policy that can be switched off one by one, to measure what
+/// each is worth.
+enum class Mechanism {
+  kReadings,
+  kSlowness,
+  kZonePreference,
+  kSlowStart,
+  kSlotShares,
+  kHedging,
+  kEjection,
+  kFairQueue,
+  kEarlyRefusal,
+  kProbes,
+};
+
 /// What a router is given at construction.
 struct RouterOptions {
   std::string m_zone;
   ChoicePolicy m_policy = ChoicePolicy::kGuavacross;
+  /// Mechanisms that are switched off; none in production.
+  std::set<Mechanism> m_disabled;
   std::uint64_t m_seed = 0;
   Clock m_clock;
 };
@@ -231,8 +249,12 @@
                   const LoadReport& load,
                   Duration time_to_first_byte);
 
-  /// Charges one retry to the service's budget, if there is room.
-  bool MayRetry(const RequestTraits& traits, int attempts_so_far);
+  /// Charges one retry to the service's budget, if there is room. `last_end` is
+  /// how the attempt before ended: repeating one that ran nowhere is cheaper in
+  /// a chain of calls than repeating one that may have run.
+  bool MayRetry(const RequestTraits& traits,
+                int attempts_so_far,
+                AttemptEnd last_end = AttemptEnd::kReset);
 
   /// When to hedge after sending, or nothing if the class isn't hedged.
   std::optional<Duration> HedgeDelay(const RequestTraits& traits) const;
--- /dev/null
+++ b/src/policy/draining.cc
@@ -0,0 +1,63 @@
+#include "policy/draining.h"
+
+#include <algorithm>
+
+namespace guavacross::policy {
+
+namespace {
+
+constexpr std::size_t kRememberedRuns = 4;
+
+bool Contains(const std::deque<std::string>& runs, const std::string& run) {
+  return std::find(runs.begin(), runs.end(), run) != runs.end();
+}
+
+void Remember(std::deque<std::string>* runs, const std::string& run) {
+  if (run.empty() || Contains(*runs, run)) {
+    return;
+  }
+  runs->push_back(run);
+  if (runs->size() > kRememberedRuns) {
+    runs->pop_front();
+  }
+}
+
+}  // namespace
+
+Draining::Change Draining::LearnFromTarget(bool draining,
+                                           const std::string& incarnation) {
+  Change change;
+  const bool was_draining = m_draining;
+  if (!incarnation.empty() && incarnation != m_incarnation) {
+    change.m_restarted = !m_incarnation.empty();
+    Remember(&m_past_runs, m_incarnation);
+    std::erase(m_past_runs, incarnation);
+    m_incarnation = incarnation;
+    m_draining = Contains(m_drained_runs, incarnation);
+  } else if (incarnation.empty() && m_connect_failed && !draining) {
+    change.m_restarted = m_draining;
+    m_draining = false;
+  }
+  m_connect_failed = false;
+  if (draining) {
+    m_draining = true;
+    Remember(&m_drained_runs, m_incarnation);
+  }
+  change.m_started_draining = m_draining && !was_draining;
+  return change;
+}
+
+Draining::Change Draining::LearnFromPeer(const std::string& incarnation) {
+  if (Contains(m_past_runs, incarnation)) {
+    return {};
+  }
+  Remember(&m_drained_runs, incarnation);
+  if (!incarnation.empty()) {
+    m_incarnation = incarnation;
+  }
+  const Change change{.m_started_draining = !m_draining};
+  m_draining = true;
+  return change;
+}
+
+}  // namespace guavacross::policy
--- /dev/null
+++ b/src/policy/quarantine.cc
@@ -0,0 +1,94 @@
+#include "policy/quarantine.h"
+
+#include <algorithm>
+
+namespace guavacross::policy {
+
+void ResetHistory::RecordReset(TimePoint now) {
+  while (!m_losses.empty() && m_losses.front() + kMemory < now) {
+    m_losses.pop_front();
+  }
+  if (!m_losses.empty() && now - m_losses.back() < kOneLoss) {
+    return;
+  }
+  m_losses.push_back(now);
+  if (m_losses.size() > kLosses) {
+    m_losses.pop_front();
+  }
+}
+
+bool ResetHistory::IsUnreliable(TimePoint now) const {
+  return m_losses.size() >= kLosses && m_losses.front() + kMemory >= now;
+}
+
+std::optional<QuarantineNotice> Quarantine::AddSuspect(
+    const SuspectNotice& suspect,
+    TimePoint now) {
+  ForgetOld(now);
+  Suspect& known = m_suspects[suspect.m_fingerprint];
+  if (now < known.m_cleared_until) {
+    return std::nullopt;
+  }
+  const std::string target = suspect.m_service + "/" + suspect.m_target;
+  if (std::find(known.m_lost_targets.begin(), known.m_lost_targets.end(),
+                target) == known.m_lost_targets.end()) {
+    known.m_lost_targets.push_back(target);
+  }
+  known.m_last_loss = now;
+  if (known.m_lost_targets.size() < kTargetsToQuarantine ||
+      IsQuarantined(suspect.m_fingerprint, now)) {
+    return std::nullopt;
+  }
+  m_quarantined_until[suspect.m_fingerprint] = now + kQuarantineTime;
+  m_suspects.erase(suspect.m_fingerprint);
+  return QuarantineNotice{.m_fingerprint = suspect.m_fingerprint,
+                          .m_remaining = kQuarantineTime};
+}
+
+void Quarantine::Answered(std::uint64_t fingerprint, TimePoint now) {
+  const auto found = m_suspects.find(fingerprint);
+  if (found != m_suspects.end()) {
+    found->second.m_lost_targets.clear();
+    found->second.m_cleared_until = now + kClearedTime;
+  }
+}
+
+void Quarantine::Learn(const QuarantineNotice& notice, TimePoint now) {
+  ForgetOld(now);
+  const Duration remaining = std::min(notice.m_remaining, kQuarantineTime);
+  TimePoint& until = m_quarantined_until[notice.m_fingerprint];
+  until = std::max(until, now + remaining);
+}
+
+bool Quarantine::IsQuarantined(std::uint64_t fingerprint, TimePoint now) const {
+  const auto found = m_quarantined_until.find(fingerprint);
+  return found != m_quarantined_until.end() && now < found->second;
+}
+
+std::vector<QuarantineNotice> Quarantine::Notices(TimePoint now) const {
+  std::vector<QuarantineNotice> notices;
+  for (const auto& [fingerprint, until] : m_quarantined_until) {
+    if (now < until) {
+      notices.push_back(
+          {.m_fingerprint = fingerprint, .m_remaining = until - now});
+    }
+  }
+  return notices;
+}
+
+void Quarantine::ForgetOld(TimePoint now) {
+  std::erase_if(m_quarantined_until,
+                [now](const auto& entry) { return entry.second <= now; });
+  std::erase_if(m_suspects, [now](const auto& entry) {
+    return entry.second.m_last_loss + kSuspectTime < now;
+  });
+  if (m_suspects.size() >= kMaxSuspects) {
+    const auto oldest = std::min_element(
+        m_suspects.begin(), m_suspects.end(), [](const auto& a, const auto& b) {
+          return a.second.m_last_loss < b.second.m_last_loss;
+        });
+    m_suspects.erase(oldest);
+  }
+}
+
+}  // namespace guavacross::policy
--- /dev/null
+++ b/src/policy/slot_shares.cc
@@ -0,0 +1,43 @@
+#include "policy/slot_shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavacross::policy {
+
+namespace {
+
+// Part of the slots that bulk transfers leave free even when nobody else asks,
+// for requests that come while the transfers run.
+constexpr double kKeptFromBulk = 0.25;
+
+}  // namespace
+
+bool MaySend(const SlotView& view) {
+  if (view.m_instances <= 1) {
+    return view.m_own < view.m_slots;
+  }
+  if (view.m_own == 0) {
+    return true;
+  }
+  if (view.m_fresh) {
+    return view.m_own + view.m_others + 1 <= view.m_slots;
+  }
+  if (view.m_unused_by_peers) {
+    return view.m_own < view.m_slots;
+  }
+  return view.m_own < view.m_slots / view.m_instances;
+}
+
+int BulkLimit(int total_slots,
+              int instances,
+              double weight_share,
+              bool others_idle) {
+  const double share =
+      others_idle ? std::max(weight_share, 1 - kKeptFromBulk) : weight_share;
+  const double own_slots =
+      static_cast<double>(total_slots) / std::max(1, instances);
+  return std::max(1, static_cast<int>(std::ceil(own_slots * share)));
+}
+
+}  // namespace guavacross::policy
--- /dev/null
+++ b/src/policy/target_choice.cc
@@ -0,0 +1,27 @@
+#include "policy/target_choice.h"
+
+#include <algorithm>
+
+namespace guavacross::policy {
+
+namespace {
+
+// Prefers the emptier of two cold targets.
+constexpr double kOccupancyCost = 0.25;
+
+// A hop to another availability zone takes about this part of a short request.
+// A target in this zone loses its advantage when it is half busier.
+constexpr double kZoneCost = 0.12;
+
+}  // namespace
+
+double Cost(const Candidate& candidate) {
+  const double slots = std::max(1.0, candidate.m_slots);
+  const double occupancy = (candidate.m_load + 1) / slots;
+  const double queueing = std::max(1.0, occupancy);
+  const double zone = candidate.m_other_zone ? kZoneCost : 0;
+  return candidate.m_slowness * queueing +
+         kOccupancyCost * std::min(1.0, occupancy) + zone;
+}
+
+}  // namespace guavacross::policy
--- /dev/null
+++ b/src/policy/target_load.cc
@@ -0,0 +1,91 @@
+#include "policy/target_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavacross::policy {
+
+namespace {
+
+// Peers tell their counts several times a second.
+constexpr Duration kPeersLife = std::chrono::seconds(2);
+
+// The part of a new latency in the average.
+constexpr double kSlownessGain = 0.3;
+constexpr double kMaxSlowness = 20;
+
+}  // namespace
+
+void TargetLoad::Sent() {
+  ++m_own;
+  ++m_uses;
+}
+
+void TargetLoad::Ended() {
+  m_own = std::max(0, m_own - 1);
+}
+
+void TargetLoad::Report(int in_flight, TimePoint at) {
+  if (at < m_reported_at) {
+    return;
+  }
+  m_others = std::max(0, in_flight - m_own);
+  m_reported_at = at;
+  m_uses = 0;
+}
+
+void TargetLoad::PeersReport(int in_flight, TimePoint at) {
+  m_peers = std::max(0, in_flight);
+  m_peers_at = at;
+}
+
+void TargetLoad::RecordSlowness(double ratio,
+                                const LoadAging& aging,
+                                TimePoint now) {
+  const double faded = Slowness(aging, now);
+  m_slowness =
+      faded + kSlownessGain * (std::clamp(ratio, 0.0, kMaxSlowness) - faded);
+  m_slowness_at = now;
+}
+
+bool TargetLoad::IsFresh(const LoadAging& aging, TimePoint now) const {
+  return ReadingAge(now) < aging.m_reading_life &&
+         m_uses < aging.m_uses_per_reading;
+}
+
+Duration TargetLoad::ReadingAge(TimePoint now) const {
+  return m_reported_at == TimePoint::min() ? Duration::max()
+                                           : now - m_reported_at;
+}
+
+bool TargetLoad::IsUnusedByPeers(TimePoint now) const {
+  return m_peers == 0 && m_peers_at != TimePoint::min() &&
+         now - m_peers_at < kPeersLife;
+}
+
+double TargetLoad::Others(const LoadAging& aging,
+                          double usual,
+                          TimePoint now) const {
+  const bool peers_known =
+      m_peers_at != TimePoint::min() && now - m_peers_at < kPeersLife;
+  const double fallback = peers_known ? m_peers : usual;
+  const Duration age = ReadingAge(now);
+  if (age >= aging.m_reading_life) {
+    return fallback;
+  }
+  const double trust = 1 - Seconds(age) / Seconds(aging.m_reading_life);
+  const double used_up = m_uses >= aging.m_uses_per_reading ? 0.5 : 1;
+  const double weight = std::clamp(trust * used_up, 0.0, 1.0);
+  return weight * m_others + (1 - weight) * fallback;
+}
+
+double TargetLoad::Slowness(const LoadAging& aging, TimePoint now) const {
+  if (m_slowness_at == TimePoint::min()) {
+    return 1;
+  }
+  const double half_lives =
+      Seconds(now - m_slowness_at) / Seconds(aging.m_slowness_half_life);
+  return 1 + (m_slowness - 1) * std::exp2(-std::max(0.0, half_lives));
+}
+
+}  // namespace guavacross::policy
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -1,12 +1,13 @@
 #include <algorithm>
 #include <atomic>
-#include <map>
 #include <mutex>
 #include <shared_mutex>
+#include <unordered_map>
 #include <utility>
 
 #include "guavacross/routing.h"
 #include "policy/probe_budget.h"
+#include "policy/quarantine.h"
 #include "routing/due_times.h"
 #include "routing/effects.h"
 #include "routing/service_router.h"
@@ -55,21 +56,77 @@
         m_hooks.m_on_drain(notice);
       }
     }
+    for (const SuspectNotice& notice : effects.m_suspects) {
+      TellOfSuspect(notice);
+    }
+  }
+
+  void TellOfSuspect(const SuspectNotice& suspect) {
+    if (m_hooks.m_on_suspect) {
+      m_hooks.m_on_suspect(suspect);
+    }
+    const std::optional<QuarantineNotice> quarantine = AddSuspect(suspect);
+    if (quarantine && m_hooks.m_on_quarantine) {
+      m_hooks.m_on_quarantine(*quarantine);
+    }
+  }
+
+  std::optional<QuarantineNotice> AddSuspect(const SuspectNotice& suspect) {
+    const TimePoint now = Now();
+    const std::lock_guard lock(m_quarantine_mutex);
+    m_any_quarantine = true;
+    return m_quarantine.AddSuspect(suspect, now);
+  }
+
+  void LearnQuarantine(const QuarantineNotice& notice) {
+    const TimePoint now = Now();
+    const std::lock_guard lock(m_quarantine_mutex);
+    m_any_quarantine = true;
+    m_quarantine.Learn(notice, now);
+  }
+
+  void RecordAnswered(std::uint64_t fingerprint) {
+    if (!m_any_quarantine) {
+      return;
+    }
+    const TimePoint now = Now();
+    const std::lock_guard lock(m_quarantine_mutex);
+    m_quarantine.Answered(fingerprint, now);
+  }
+
+  bool IsQuarantined(std::uint64_t fingerprint) {
+    if (!m_any_quarantine) {
+      return false;
+    }
+    const TimePoint now = Now();
+    const std::lock_guard lock(m_quarantine_mutex);
+    return m_quarantine.IsQuarantined(fingerprint, now);
   }
 
-  int Instances(TimePoint now) {
+  /// The largest recent number of live instances. Refreshed by
+  /// `SetInstanceCount` and `TakeDueProbes`, read without a lock.
+  int instances() const { return m_largest_instances; }
+
+  void RefreshInstances() {
+    const TimePoint now = Now();
     const std::lock_guard lock(m_instances_mutex);
-    return m_instances.Largest(now);
+    m_largest_instances = m_instances.Largest(now);
   }
 
   const RouterOptions m_options;
   const RouterHooks m_hooks;
   mutable std::shared_mutex m_services_mutex;
-  std::map<std::string, std::shared_ptr<ServiceRouter>> m_services;
+  std::unordered_map<std::string, std::shared_ptr<ServiceRouter>> m_services;
   routing::DueTimes<ServiceRouter> m_expiries;
   routing::DueTimes<ServiceRouter> m_probe_times;
   std::mutex m_instances_mutex;
   policy::InstanceCountWindow m_instances;
+  std::atomic<int> m_largest_instances{1};
+  mutable std::mutex m_quarantine_mutex;
+  policy::Quarantine m_quarantine;
+  // Whether any fingerprint has ever been suspected or quarantined: spares
+  // requests the lock.
+  std::atomic<bool> m_any_quarantine{false};
   std::atomic<std::uint64_t> m_next_ticket{1};
 };
 
@@ -125,7 +182,7 @@
                          "no service " + traits.m_service)});
   } else {
     service->Acquire(traits, targets_to_avoid, ticket, std::move(on_grant),
-                     m_impl->Now(), &effects);
+                     m_impl->instances(), m_impl->Now(), &effects);
   }
   m_impl->Finish(service, std::move(effects));
   return ticket;
@@ -138,26 +195,35 @@
 }
 
 void Router::Release(const Grant& grant,
-                     const RequestTraits& /*traits*/,
+                     const RequestTraits& traits,
                      const AttemptReport& report) {
+  if (report.m_end == AttemptEnd::kAnswered) {
+    m_impl->RecordAnswered(traits.m_fingerprint);
+  }
   if (const auto service = m_impl->Find(grant.m_service)) {
     Effects effects;
-    service->Release(grant, report, m_impl->Now(), &effects);
+    service->Release(grant, traits, report, m_impl->Now(), &effects);
     m_impl->Finish(service, std::move(effects));
   }
 }
 
 void Router::ReportLoad(const Grant& grant,
                         const LoadReport& load,
-                        Duration /*time_to_first_byte*/) {
+                        Duration time_to_first_byte) {
   if (const auto service = m_impl->Find(grant.m_service)) {
-    service->ReportLoad(grant, load, m_impl->Now());
+    Effects effects;
+    service->ReportLoad(grant, load, time_to_first_byte, m_impl->Now(),
+                        &effects);
+    m_impl->Finish(service, std::move(effects));
   }
 }
 
-bool Router::MayRetry(const RequestTraits& traits, int attempts_so_far) {
+bool Router::MayRetry(const RequestTraits& traits,
+                      int attempts_so_far,
+                      AttemptEnd last_end) {
   const auto service = m_impl->Find(traits.m_service);
-  return service != nullptr && service->MayRetry(traits, attempts_so_far);
+  return service != nullptr &&
+         service->MayRetry(traits, attempts_so_far, last_end);
 }
 
 std::optional<Duration> Router::HedgeDelay(const RequestTraits& traits) const {
@@ -181,11 +247,11 @@
 
 std::vector<ProbeOrder> Router::TakeDueProbes() {
   const TimePoint now = m_impl->Now();
-  const int instances = m_impl->Instances(now);
+  m_impl->RefreshInstances();
   std::vector<ProbeOrder> orders;
   for (const auto& service : m_impl->m_probe_times.TakeDue(now)) {
     Effects effects;
-    service->TakeProbes(now, instances, &orders, &effects);
+    service->TakeProbes(now, m_impl->instances(), &orders, &effects);
     m_impl->Finish(service, std::move(effects));
   }
   return orders;
@@ -201,14 +267,23 @@
 
 void Router::SetInstanceCount(int live_instances) {
   const TimePoint now = m_impl->Now();
-  const std::lock_guard lock(m_impl->m_instances_mutex);
-  m_impl->m_instances.Record(live_instances, now);
+  {
+    const std::lock_guard lock(m_impl->m_instances_mutex);
+    m_impl->m_instances.Record(live_instances, now);
+  }
+  m_impl->RefreshInstances();
 }
 
 void Router::SetPeerInFlight(
-    const std::string& /*peer*/,
-    const std::string& /*service*/,
-    const std::vector<std::pair<std::string, int>>& /*counts*/) {}
+    const std::string& peer,
+    const std::string& service,
+    const std::vector<std::pair<std::string, int>>& counts) {
+  if (const auto found = m_impl->Find(service)) {
+    Effects effects;
+    found->SetPeerInFlight(peer, counts, m_impl->Now(), &effects);
+    m_impl->Finish(found, std::move(effects));
+  }
+}
 
 void Router::LearnDrain(const DrainNotice& notice) {
   if (const auto service = m_impl->Find(notice.m_service)) {
@@ -216,9 +291,13 @@
   }
 }
 
-void Router::LearnQuarantine(const QuarantineNotice& /*notice*/) {}
+void Router::LearnQuarantine(const QuarantineNotice& notice) {
+  m_impl->LearnQuarantine(notice);
+}
 
-void Router::LearnSuspect(const SuspectNotice& /*notice*/) {}
+void Router::LearnSuspect(const SuspectNotice& notice) {
+  m_impl->AddSuspect(notice);
+}
 
 std::vector<DrainNotice> Router::Drains() const {
   std::vector<DrainNotice> drains;
@@ -230,7 +309,9 @@
 }
 
 std::vector<QuarantineNotice> Router::Quarantines() const {
-  return {};
+  const TimePoint now = m_impl->Now();
+  const std::lock_guard lock(m_impl->m_quarantine_mutex);
+  return m_impl->m_quarantine.Notices(now);
 }
 
 std::vector<std::pair<std::string, std::vector<std::pair<std::string, int>>>>
--- /dev/null
+++ b/src/routing/service_feedback.cc
@@ -0,0 +1,304 @@
+// What a service learns from ended attempts, probes and peers.
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/service_router.h"
+
+namespace guavacross::routing {
+
+namespace {
+
+// A service without requests for this long isn't probed.
+constexpr Duration kProbeIdleAfter = std::chrono::seconds(10);
+
+// What a peer has told holds for this long.
+constexpr Duration kPeerCountsLife = std::chrono::seconds(2);
+
+// A probe whose result never comes is given up after this many timeouts.
+constexpr int kProbeTimeoutsToForget = 4;
+
+// The part of a new time in the averages of slot times.
+constexpr double kSlotTimeGain = 0.05;
+
+policy::Verdict VerdictOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+    case AttemptEnd::kCancelled:
+      return policy::Verdict::kGood;
+    case AttemptEnd::kRefusedNotRun:
+      return policy::Verdict::kRefused;
+    case AttemptEnd::kServerError:
+    case AttemptEnd::kConnectFailed:
+    case AttemptEnd::kReset:
+    case AttemptEnd::kTimeout:
+      break;
+  }
+  return policy::Verdict::kBad;
+}
+
+void Average(Duration* average, Duration value) {
+  *average =
+      *average == Duration::zero()
+          ? value
+          : *average + FromSeconds(kSlotTimeGain * Seconds(value - *average));
+}
+
+}  // namespace
+
+void ServiceRouter::Release(const Grant& grant,
+                            const RequestTraits& traits,
+                            const AttemptReport& report,
+                            TimePoint now,
+                            Effects* effects) {
+  const std::lock_guard lock(m_mutex);
+  Target* const target = m_pool.FindByAttempt(grant.m_target, grant.m_id);
+  if (target == nullptr) {
+    return;
+  }
+  // The answer was begun when the report was made, with this attempt in flight.
+  const TimePoint reported_at =
+      std::min(now, grant.m_granted_at + report.m_latency);
+  Learn(target, report.m_load, reported_at, now, effects);
+  const Attempt attempt = *m_pool.Ended(target, grant.m_id);
+  m_bulk_in_flight -= attempt.m_counted_as_bulk ? 1 : 0;
+  if (report.m_end == AttemptEnd::kAnswered) {
+    Average(&m_slot_time, now - attempt.m_sent_at);
+    Average(&attempt.m_class->m_slot_time, now - attempt.m_sent_at);
+    if (!attempt.m_first_byte_seen) {
+      RecordFirstByte(target, attempt.m_class, report.m_latency, now);
+    }
+    m_pool.Judge(target, policy::Verdict::kGood, now);
+  } else if (report.m_end == AttemptEnd::kCancelled) {
+    RecordGivenUp(target, attempt, now);
+  } else {
+    RecordFailure(target, report.m_end, traits, now, effects);
+  }
+  ServeWaiters(now, effects);
+}
+
+void ServiceRouter::ReportLoad(const Grant& grant,
+                               const LoadReport& load,
+                               Duration time_to_first_byte,
+                               TimePoint now,
+                               Effects* effects) {
+  const std::lock_guard lock(m_mutex);
+  Target* const target = m_pool.FindByAttempt(grant.m_target, grant.m_id);
+  if (target == nullptr) {
+    return;
+  }
+  for (Attempt& attempt : target->m_attempts) {
+    if (attempt.m_id == grant.m_id && !attempt.m_first_byte_seen) {
+      attempt.m_first_byte_seen = true;
+      attempt.m_slow_at = TimePoint::max();
+      RecordFirstByte(target, attempt.m_class, time_to_first_byte, now);
+    }
+  }
+  Learn(target, load, now, now, effects);
+  ServeWaiters(now, effects);
+}
+
+void ServiceRouter::TakeProbes(TimePoint now,
+                               int instances,
+                               std::vector<ProbeOrder>* orders,
+                               Effects* effects) {
+  const std::lock_guard lock(m_mutex);
+  if (m_last_request + kProbeIdleAfter < now || m_pool.targets().empty() ||
+      !IsEnabled(Mechanism::kProbes) ||
+      m_options.m_policy != ChoicePolicy::kGuavacross) {
+    m_probes_scheduled = false;
+    return;
+  }
+  const double rate =
+      policy::AllowedProbeRate(m_config->m_probe, m_pool.total_slots());
+  m_probe_budget.SetRate(rate / instances, now);
+  TimePoint next_stale = TimePoint::max();
+  Target* const target = NextToProbe(now, &next_stale);
+  if (target != nullptr && m_probe_budget.Take(now)) {
+    target->m_probed_at = now;
+    target->m_probe_in_flight = true;
+    ++m_probes_sent;
+    orders->push_back({.m_service = m_config->m_name,
+                       .m_target = target->m_config.m_name,
+                       .m_address = target->m_config.m_address,
+                       .m_timeout = m_config->m_probe.m_timeout});
+  }
+  const TimePoint affordable = m_probe_budget.NextAt(now);
+  const TimePoint next =
+      target == nullptr ? std::max(affordable, next_stale) : affordable;
+  // An idle service is noticed even if no probe is due for long.
+  effects->m_probe_at = std::min(next, now + kProbeIdleAfter);
+}
+
+void ServiceRouter::ReportProbe(const ProbeReport& report,
+                                TimePoint now,
+                                Effects* effects) {
+  const std::lock_guard lock(m_mutex);
+  Target* const target = m_pool.Find(report.m_target);
+  if (target == nullptr) {
+    return;
+  }
+  target->m_probe_in_flight = false;
+  if (report.m_load.has_value()) {
+    Learn(target, *report.m_load, now, now, effects);
+    ServeWaiters(now, effects);
+  }
+}
+
+void ServiceRouter::SetPeerInFlight(
+    const std::string& peer,
+    const std::vector<std::pair<std::string, int>>& counts,
+    TimePoint now,
+    Effects* effects) {
+  const std::lock_guard lock(m_mutex);
+  m_peers[peer] = {.m_counts = counts, .m_told_at = now};
+  std::erase_if(m_peers, [now](const auto& entry) {
+    return entry.second.m_told_at + kPeerCountsLife < now;
+  });
+  SumPeers(now);
+  ServeWaiters(now, effects);
+}
+
+void ServiceRouter::LearnDrain(const DrainNotice& notice) {
+  const std::lock_guard lock(m_mutex);
+  if (Target* const target = m_pool.Find(notice.m_target)) {
+    target->m_draining.LearnFromPeer(notice.m_incarnation);
+  }
+}
+
+std::vector<DrainNotice> ServiceRouter::Drains() const {
+  const std::lock_guard lock(m_mutex);
+  std::vector<DrainNotice> drains;
+  for (const auto& target : m_pool.targets()) {
+    if (target->m_draining.is_draining() && !target->m_removed) {
+      drains.push_back({.m_service = m_config->m_name,
+                        .m_target = target->m_config.m_name,
+                        .m_incarnation = target->m_draining.incarnation()});
+    }
+  }
+  return drains;
+}
+
+std::vector<std::pair<std::string, int>> ServiceRouter::InFlight() const {
+  const std::lock_guard lock(m_mutex);
+  std::vector<std::pair<std::string, int>> counts;
+  if (m_pool.own_in_flight() == 0) {
+    return counts;
+  }
+  for (const auto& target : m_pool.targets()) {
+    if (target->m_load.own() > 0) {
+      counts.emplace_back(target->m_config.m_name, target->m_load.own());
+    }
+  }
+  return counts;
+}
+
+void ServiceRouter::Learn(Target* target,
+                          const LoadReport& load,
+                          TimePoint reported_at,
+                          TimePoint now,
+                          Effects* effects) {
+  if (load.m_in_flight.has_value()) {
+    m_pool.ReportInFlight(target, *load.m_in_flight, reported_at);
+  }
+  const bool told_of_run = load.m_in_flight.has_value() || load.m_draining ||
+                           !load.m_incarnation.empty();
+  if (told_of_run && m_pool.LearnRun(target, load, now)) {
+    effects->m_drains.push_back(
+        {.m_service = m_config->m_name,
+         .m_target = target->m_config.m_name,
+         .m_incarnation = target->m_draining.incarnation()});
+  }
+}
+
+void ServiceRouter::RecordFirstByte(Target* target,
+                                    ClassState* state,
+                                    Duration latency,
+                                    TimePoint now) {
+  if (state->m_latency.is_ready()) {
+    // Judged against what is usual at the target's load, so that a full target
+    // isn't taken for a slow one as well.
+    const double load = target->m_load.own() + target->m_load.reported_others();
+    const double crowding =
+        std::max(1.0, load / std::max(1, target->m_config.m_slots));
+    const double usual_s = Seconds(state->m_latency.median()) * crowding;
+    target->m_load.RecordSlowness(Seconds(latency) / usual_s,
+                                  m_pool.parameters().m_aging, now);
+  }
+  state->m_latency.Record(latency);
+}
+
+void ServiceRouter::RecordFailure(Target* target,
+                                  AttemptEnd end,
+                                  const RequestTraits& traits,
+                                  TimePoint now,
+                                  Effects* effects) {
+  m_pool.Judge(target, VerdictOf(end), now);
+  target->m_load.RecordSlowness(policy::TargetLoad::kFailureSlowness,
+                                m_pool.parameters().m_aging, now);
+  if (end == AttemptEnd::kConnectFailed) {
+    target->m_draining.ConnectFailed();
+  }
+  if (end == AttemptEnd::kReset) {
+    if (!target->m_resets.IsUnreliable(now) && traits.m_fingerprint != 0) {
+      effects->m_suspects.push_back({.m_fingerprint = traits.m_fingerprint,
+                                     .m_service = m_config->m_name,
+                                     .m_target = target->m_config.m_name});
+    }
+    target->m_resets.RecordReset(now);
+  }
+}
+
+void ServiceRouter::RecordGivenUp(Target* target,
+                                  const Attempt& attempt,
+                                  TimePoint now) {
+  // Its latency isn't known, but is at least the time that it was given.
+  if (attempt.m_first_byte_seen || now < attempt.m_slow_at) {
+    return;
+  }
+  const double usual_s = Seconds(attempt.m_class->m_latency.median());
+  target->m_load.RecordSlowness(Seconds(now - attempt.m_sent_at) / usual_s,
+                                m_pool.parameters().m_aging, now);
+}
+
+Target* ServiceRouter::NextToProbe(TimePoint now, TimePoint* next_at) {
+  const Duration forget_after =
+      kProbeTimeoutsToForget * m_config->m_probe.m_timeout;
+  const Duration stale_after = m_pool.parameters().m_probe_after;
+  Target* stalest = nullptr;
+  TimePoint oldest = TimePoint::max();
+  for (const auto& target : m_pool.targets()) {
+    const bool is_probed =
+        target->m_probe_in_flight && now < target->m_probed_at + forget_after;
+    if (target->m_removed || is_probed) {
+      continue;
+    }
+    const TimePoint known_at =
+        std::max(target->m_load.reported_at(), target->m_probed_at);
+    if (known_at < oldest) {
+      oldest = known_at;
+      stalest = target.get();
+    }
+  }
+  const bool is_stale = stalest != nullptr && (oldest == TimePoint::min() ||
+                                               now - oldest >= stale_after);
+  *next_at =
+      is_stale || stalest == nullptr ? now + stale_after : oldest + stale_after;
+  return is_stale ? stalest : nullptr;
+}
+
+void ServiceRouter::SumPeers(TimePoint now) {
+  std::unordered_map<std::string, int> sums;
+  for (const auto& [peer, told] : m_peers) {
+    for (const auto& [target, count] : told.m_counts) {
+      sums[target] += count;
+    }
+  }
+  for (const auto& target : m_pool.targets()) {
+    const auto found = sums.find(target->m_config.m_name);
+    m_pool.PeersReport(target.get(), found == sums.end() ? 0 : found->second,
+                       now);
+  }
+}
+
+}  // namespace guavacross::routing
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -3,41 +3,26 @@
 #include <algorithm>
 #include <utility>
 
+#include "policy/slot_shares.h"
 #include "util/hash.h"
 
 namespace guavacross::routing {
 
 namespace {
 
-constexpr Duration kIdleAfter = std::chrono::seconds(10);
+// While requests wait, the queue is looked at this often, since readings that
+// age can open a target without any event.
+constexpr Duration kQueueTick = std::chrono::milliseconds(5);
 
-bool Contains(const std::vector<std::string>& names, const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
-
-const ClassConfig* FindClassByName(const ServiceConfig& config,
-                                   const std::string& name) {
-  for (const ClassConfig& candidate : config.m_classes) {
-    if (candidate.m_name == name) {
-      return &candidate;
-    }
-  }
-  return nullptr;
-}
-
-int TotalSlots(const ServiceConfig& config) {
-  int total = 0;
-  for (const TargetConfig& target : config.m_targets) {
-    total += target.m_slots;
-  }
-  return total;
-}
+// A class that has had no request for this long leaves its slots to others.
+constexpr Duration kClassIdleAfter = std::chrono::seconds(5);
 
 }  // namespace
 
 ServiceRouter::ServiceRouter(std::shared_ptr<const ServiceConfig> config,
                              const RouterOptions& options)
-    : m_options(options), m_random(util::Hash(config->m_name, options.m_seed)) {
+    : m_options(options),
+      m_pool(options, util::Hash(config->m_name, options.m_seed)) {
   Effects none;
   Configure(std::move(config), options.m_clock.m_now(), &none);
 }
@@ -47,21 +32,19 @@
                               Effects* effects) {
   const std::lock_guard lock(m_mutex);
   m_config = std::move(config);
-  for (const auto& target : m_targets) {
-    target->m_removed = true;
+  m_pool.Configure(m_config, now);
+  double bulk_weight = 0;
+  double all_weights = 0;
+  for (const ClassConfig& wanted : m_config->m_classes) {
+    ClassOf(wanted.m_name)->m_config = wanted;
+    all_weights += wanted.m_weight;
+    bulk_weight += wanted.m_bulk ? wanted.m_weight : 0;
   }
-  for (const TargetConfig& wanted : m_config->m_targets) {
-    Target* target = FindTarget(wanted.m_name);
-    if (target == nullptr) {
-      m_targets.push_back(std::make_unique<Target>());
-      target = m_targets.back().get();
-    }
-    target->m_config = wanted;
-    target->m_removed = false;
+  m_bulk_weight_share = all_weights > 0 ? bulk_weight / all_weights : 1;
+  m_tenant_weights.clear();
+  for (const TenantConfig& tenant : m_config->m_tenants) {
+    m_tenant_weights[tenant.m_name] = tenant.m_weight;
   }
-  std::erase_if(m_targets, [](const std::unique_ptr<Target>& target) {
-    return target->m_removed && target->m_in_flight == 0;
-  });
   ServeWaiters(now, effects);
 }
 
@@ -72,236 +55,216 @@
 
 void ServiceRouter::Close(Effects* effects) {
   const std::lock_guard lock(m_mutex);
-  for (Waiter& waiter : m_waiters) {
+  for (auto& [ticket, waiter] : m_waiters) {
     effects->m_decisions.push_back(
         {std::move(waiter.m_on_grant),
          Refuse(ErrorKind::kUnknownService, "the service has been removed")});
   }
   m_waiters.clear();
+  m_queue = policy::FairQueue();
 }
 
 void ServiceRouter::Acquire(const RequestTraits& traits,
                             const std::vector<std::string>& targets_to_avoid,
                             std::uint64_t ticket,
                             GrantCallback on_grant,
+                            int instances,
                             TimePoint now,
                             Effects* effects) {
   const std::lock_guard lock(m_mutex);
-  ++m_requests;
+  m_instances = instances;
+  m_pool.SetInstances(instances);
   m_last_request = now;
+  // Retries and hedges avoid a target; a new request has none to avoid.
+  if (targets_to_avoid.empty()) {
+    ++m_requests;
+    m_retry_budget.Earn(m_config->m_retry.m_budget_share);
+  }
   if (!m_probes_scheduled) {
     m_probes_scheduled = true;
     effects->m_probe_at = now;
   }
-  const ClassConfig* const request_class =
-      FindClassByName(*m_config, traits.m_class_name);
-  const ClassConfig fallback;
-  const ClassConfig& limits =
-      request_class == nullptr ? fallback : *request_class;
-  Target* const target = m_waiters.empty() ? Choose(targets_to_avoid) : nullptr;
-  if (target != nullptr) {
+  if (traits.m_deadline <= now) {
     effects->m_decisions.push_back(
-        {std::move(on_grant), {MakeGrant(target, ticket, now)}});
+        {std::move(on_grant),
+         Refuse(ErrorKind::kDeadlineExpired, "the deadline has passed")});
     return;
   }
-  if (static_cast<int>(m_waiters.size()) >= limits.m_queue_limit) {
-    effects->m_decisions.push_back(
-        {std::move(on_grant), Refuse(ErrorKind::kQueueFull, "queue is full")});
-    return;
+  ClassState* const state = ClassOf(traits.m_class_name);
+  state->m_last_request = now;
+  Waiter waiter{.m_class = state,
+                .m_flow = FlowOf(traits),
+                .m_deadline = traits.m_deadline,
+                .m_avoid = targets_to_avoid,
+                .m_on_grant = std::move(on_grant)};
+  if (!TryGrantAtOnce(ticket, &waiter, now, effects)) {
+    Enqueue(ticket, std::move(waiter), now, effects);
   }
-  const TimePoint expires =
-      std::min(now + limits.m_queue_wait, traits.m_deadline);
-  m_waiters.push_back({ticket, expires, targets_to_avoid, std::move(on_grant)});
-  effects->m_expire_at = expires;
 }
 
 void ServiceRouter::CancelWait(std::uint64_t ticket) {
   const std::lock_guard lock(m_mutex);
-  std::erase_if(m_waiters, [ticket](const Waiter& waiter) {
-    return waiter.m_ticket == ticket;
-  });
+  if (m_waiters.erase(ticket) > 0) {
+    m_queue.Remove(ticket);
+  }
 }
 
-void ServiceRouter::Release(const Grant& grant,
-                            const AttemptReport& report,
-                            TimePoint now,
-                            Effects* effects) {
+void ServiceRouter::ExpireWaiters(TimePoint now, Effects* effects) {
   const std::lock_guard lock(m_mutex);
-  Target* const target = FindTarget(grant.m_target);
-  if (target == nullptr) {
-    return;
+  for (const policy::QueuedRequest& expired : m_queue.TakeExpired(now)) {
+    const auto found = m_waiters.find(expired.m_ticket);
+    const bool by_deadline = found->second.m_deadline <= now;
+    RefuseWaiter(
+        expired.m_ticket,
+        by_deadline ? ErrorKind::kDeadlineExpired : ErrorKind::kQueueTimeout,
+        "no slot became free in time", effects);
   }
-  --target->m_in_flight;
-  Learn(target, report.m_load, effects);
   ServeWaiters(now, effects);
 }
 
-void ServiceRouter::ReportLoad(const Grant& grant,
-                               const LoadReport& load,
-                               TimePoint /*now*/) {
-  Effects ignored;
+bool ServiceRouter::MayRetry(const RequestTraits& traits,
+                             int attempts_so_far,
+                             AttemptEnd last_end) {
   const std::lock_guard lock(m_mutex);
-  if (Target* const target = FindTarget(grant.m_target)) {
-    Learn(target, load, &ignored);
+  if (attempts_so_far >= m_config->m_retry.m_max_attempts) {
+    return false;
   }
-}
-
-bool ServiceRouter::MayRetry(const RequestTraits& /*traits*/,
-                             int attempts_so_far) {
-  const std::lock_guard lock(m_mutex);
-  const RetryConfig& retry = m_config->m_retry;
+  const bool not_run = last_end == AttemptEnd::kConnectFailed ||
+                       last_end == AttemptEnd::kRefusedNotRun;
   const bool allowed =
-      attempts_so_far < retry.m_max_attempts &&
-      static_cast<double>(m_retries + m_hedges + 1) <=
-          1 + retry.m_budget_share * static_cast<double>(m_requests);
+      m_retry_budget.Spend(not_run ? policy::AttemptReach::kNotRun
+                                   : policy::AttemptReach::kMayHaveRun,
+                           traits.m_hops);
   m_retries += allowed ? 1 : 0;
   return allowed;
 }
 
 std::optional<Duration> ServiceRouter::HedgeDelay(
-    const RequestTraits& /*traits*/) const {
-  return std::nullopt;
-}
-
-bool ServiceRouter::MayHedge(const RequestTraits& /*traits*/,
-                             int /*attempts_so_far*/) {
-  return false;
-}
-
-void ServiceRouter::ExpireWaiters(TimePoint now, Effects* effects) {
+    const RequestTraits& traits) const {
   const std::lock_guard lock(m_mutex);
-  std::deque<Waiter> kept;
-  for (Waiter& waiter : m_waiters) {
-    if (waiter.m_expires <= now) {
-      effects->m_decisions.push_back(
-          {std::move(waiter.m_on_grant),
-           Refuse(ErrorKind::kQueueTimeout, "no slot became free in time")});
-    } else {
-      kept.push_back(std::move(waiter));
-    }
+  const ClassState* const state = FindClassState(traits.m_class_name);
+  if (state == nullptr || !state->m_config.m_hedge ||
+      !state->m_config.m_repeatable || !state->m_latency.is_ready() ||
+      m_options.m_policy != ChoicePolicy::kGuavacross ||
+      !IsEnabled(Mechanism::kHedging)) {
+    return std::nullopt;
   }
-  m_waiters = std::move(kept);
+  const double percentile =
+      std::max(m_config->m_hedge.m_percentile,
+               m_pool.parameters().m_least_hedge_percentile);
+  return std::max(m_config->m_hedge.m_min_delay,
+                  state->m_latency.Percentile(percentile));
 }
 
-void ServiceRouter::TakeProbes(TimePoint now,
-                               int instances,
-                               std::vector<ProbeOrder>* orders,
-                               Effects* effects) {
+bool ServiceRouter::MayHedge(const RequestTraits& traits, int attempts_so_far) {
   const std::lock_guard lock(m_mutex);
-  if (m_last_request + kIdleAfter < now || m_targets.empty()) {
-    m_probes_scheduled = false;
-    return;
-  }
-  const double rate =
-      policy::AllowedProbeRate(m_config->m_probe, TotalSlots(*m_config)) /
-      instances;
-  m_probe_budget.SetRate(rate, now);
-  if (m_probe_budget.Take(now)) {
-    const Target& target = *m_targets[m_next_probe++ % m_targets.size()];
-    orders->push_back({m_config->m_name, target.m_config.m_name,
-                       target.m_config.m_address, m_config->m_probe.m_timeout});
-    ++m_probes_sent;
-  }
-  effects->m_probe_at = m_probe_budget.NextAt(now);
+  // With requests waiting, a slot is worth more to them than to a second copy.
+  const bool allowed =
+      attempts_so_far < m_config->m_retry.m_max_attempts &&
+      m_queue.size() == 0 &&
+      m_retry_budget.Spend(policy::AttemptReach::kMayHaveRun, traits.m_hops);
+  m_hedges += allowed ? 1 : 0;
+  return allowed;
 }
 
-void ServiceRouter::ReportProbe(const ProbeReport& report,
-                                TimePoint now,
-                                Effects* effects) {
+ServiceStatus ServiceRouter::Status(TimePoint now) const {
   const std::lock_guard lock(m_mutex);
-  Target* const target = FindTarget(report.m_target);
-  if (target != nullptr && report.m_load.has_value()) {
-    Learn(target, *report.m_load, effects);
-    ServeWaiters(now, effects);
+  ServiceStatus status{.m_name = m_config->m_name,
+                       .m_queued = m_queue.size(),
+                       .m_requests = m_requests,
+                       .m_retries = m_retries,
+                       .m_hedges = m_hedges,
+                       .m_probes_sent = m_probes_sent,
+                       .m_probes_allowed = m_probe_budget.Allowed(now),
+                       .m_panic = m_pool.IsPanic(now)};
+  for (const auto& target : m_pool.targets()) {
+    if (target->m_removed) {
+      continue;
+    }
+    status.m_targets.push_back(
+        {.m_name = target->m_config.m_name,
+         .m_zone = target->m_config.m_zone,
+         .m_address = target->m_config.m_address,
+         .m_slots = target->m_config.m_slots,
+         .m_in_flight = target->m_load.own(),
+         .m_reported_in_flight = target->m_reported_in_flight,
+         .m_ejected = target->m_ejection.IsEjected(now),
+         .m_draining = target->m_draining.is_draining(),
+         .m_slow_start = m_pool.IsSlowStart(*target, now)});
   }
+  return status;
 }
 
-void ServiceRouter::LearnDrain(const DrainNotice& notice) {
-  const std::lock_guard lock(m_mutex);
-  Target* const target = FindTarget(notice.m_target);
-  if (target != nullptr) {
-    target->m_draining = true;
-    target->m_incarnation = notice.m_incarnation;
-  }
+bool ServiceRouter::IsEnabled(Mechanism mechanism) const {
+  return !m_options.m_disabled.contains(mechanism);
 }
 
-std::vector<DrainNotice> ServiceRouter::Drains() const {
-  const std::lock_guard lock(m_mutex);
-  std::vector<DrainNotice> drains;
-  for (const auto& target : m_targets) {
-    if (target->m_draining) {
-      drains.push_back(
-          {m_config->m_name, target->m_config.m_name, target->m_incarnation});
+ClassState* ServiceRouter::ClassOf(const std::string& name) {
+  for (const auto& state : m_classes) {
+    if (state->m_config.m_name == name) {
+      return state.get();
     }
   }
-  return drains;
+  m_classes.push_back(std::make_unique<ClassState>());
+  m_classes.back()->m_config.m_name = name;
+  return m_classes.back().get();
 }
 
-std::vector<std::pair<std::string, int>> ServiceRouter::InFlight() const {
-  const std::lock_guard lock(m_mutex);
-  std::vector<std::pair<std::string, int>> counts;
-  for (const auto& target : m_targets) {
-    if (target->m_in_flight > 0) {
-      counts.emplace_back(target->m_config.m_name, target->m_in_flight);
+const ClassState* ServiceRouter::FindClassState(const std::string& name) const {
+  for (const auto& state : m_classes) {
+    if (state->m_config.m_name == name) {
+      return state.get();
     }
   }
-  return counts;
+  return nullptr;
 }
 
-ServiceStatus ServiceRouter::Status(TimePoint now) const {
-  const std::lock_guard lock(m_mutex);
-  ServiceStatus status;
-  status.m_name = m_config->m_name;
-  status.m_queued = static_cast<int>(m_waiters.size());
-  status.m_requests = m_requests;
-  status.m_retries = m_retries;
-  status.m_hedges = m_hedges;
-  status.m_probes_sent = m_probes_sent;
-  status.m_probes_allowed = m_probe_budget.Allowed(now);
-  for (const auto& target : m_targets) {
-    status.m_targets.push_back(
-        {.m_name = target->m_config.m_name,
-         .m_zone = target->m_config.m_zone,
-         .m_address = target->m_config.m_address,
-         .m_slots = target->m_config.m_slots,
-         .m_in_flight = target->m_in_flight,
-         .m_reported_in_flight = target->m_reported_in_flight,
-         .m_draining = target->m_draining});
+policy::FlowKey ServiceRouter::FlowOf(const RequestTraits& traits) const {
+  if (!IsEnabled(Mechanism::kFairQueue)) {
+    return {};
   }
-  return status;
+  return {.m_class_name = traits.m_class_name, .m_tenant = traits.m_tenant};
 }
 
-ServiceRouter::Target* ServiceRouter::FindTarget(const std::string& name) {
-  for (const auto& target : m_targets) {
-    if (target->m_config.m_name == name) {
-      return target.get();
-    }
-  }
-  return nullptr;
+double ServiceRouter::WeightOf(const policy::FlowKey& flow) const {
+  const ClassState* const state = FindClassState(flow.m_class_name);
+  const auto tenant = m_tenant_weights.find(flow.m_tenant);
+  const int class_weight = state == nullptr ? 1 : state->m_config.m_weight;
+  const int tenant_weight =
+      tenant == m_tenant_weights.end() ? 1 : tenant->second;
+  return std::max(1, class_weight) * std::max(1, tenant_weight);
 }
 
-ServiceRouter::Target* ServiceRouter::Choose(
-    const std::vector<std::string>& avoid) {
-  std::vector<Target*> free;
-  for (const auto& target : m_targets) {
-    if (!target->m_removed && !target->m_draining &&
-        target->m_in_flight < target->m_config.m_slots &&
-        !Contains(avoid, target->m_config.m_name)) {
-      free.push_back(target.get());
-    }
+double ServiceRouter::SlotCostOf(const ClassState& state) const {
+  // One millisecond stands for a class that isn't known yet.
+  return std::max(1.0, Milliseconds(state.m_slot_time));
+}
+
+bool ServiceRouter::MayServe(const ClassState& state, TimePoint now) const {
+  if (!state.m_config.m_bulk || !IsEnabled(Mechanism::kFairQueue)) {
+    return true;
   }
-  if (free.empty()) {
-    return nullptr;
+  bool others_idle = true;
+  for (const auto& other : m_classes) {
+    const bool is_active = other->m_last_request != TimePoint::min() &&
+                           now - other->m_last_request < kClassIdleAfter;
+    others_idle = others_idle && (other->m_config.m_bulk || !is_active);
   }
-  Target* const first = free[m_random.Below(free.size())];
-  Target* const second = free[m_random.Below(free.size())];
-  return first->m_in_flight <= second->m_in_flight ? first : second;
+  return m_bulk_in_flight < policy::BulkLimit(m_pool.total_slots(), m_instances,
+                                              m_bulk_weight_share, others_idle);
 }
 
 Grant ServiceRouter::MakeGrant(Target* target,
+                               ClassState* state,
                                std::uint64_t ticket,
                                TimePoint now) {
-  ++target->m_in_flight;
+  Attempt attempt{.m_id = ticket, .m_class = state, .m_sent_at = now};
+  if (state->m_latency.is_ready()) {
+    attempt.m_slow_at = now + state->m_latency.p99();
+  }
+  m_bulk_in_flight += state->m_config.m_bulk ? 1 : 0;
+  attempt.m_counted_as_bulk = state->m_config.m_bulk;
+  m_pool.Sent(target, attempt);
   return {.m_id = ticket,
           .m_service = m_config->m_name,
           .m_target = target->m_config.m_name,
@@ -309,35 +272,126 @@
           .m_granted_at = now};
 }
 
-void ServiceRouter::Learn(Target* target,
-                          const LoadReport& load,
-                          Effects* effects) {
-  if (load.m_in_flight.has_value()) {
-    target->m_reported_in_flight = load.m_in_flight;
+bool ServiceRouter::TryGrantAtOnce(std::uint64_t ticket,
+                                   Waiter* waiter,
+                                   TimePoint now,
+                                   Effects* effects) {
+  if (m_queue.size() > 0 || !MayServe(*waiter->m_class, now)) {
+    return false;
   }
-  if (!load.m_incarnation.empty() &&
-      load.m_incarnation != target->m_incarnation) {
-    target->m_incarnation = load.m_incarnation;
-    target->m_draining = false;
+  const Choice choice = m_pool.Choose(waiter->m_avoid, now);
+  if (choice.m_target == nullptr && choice.m_worth_waiting) {
+    return false;
   }
-  if (load.m_draining && !target->m_draining) {
-    target->m_draining = true;
-    effects->m_drains.push_back(
-        {m_config->m_name, target->m_config.m_name, target->m_incarnation});
+  if (choice.m_target == nullptr) {
+    effects->m_decisions.push_back(
+        {std::move(waiter->m_on_grant),
+         Refuse(ErrorKind::kNoTarget, "no target takes new requests")});
+    return true;
   }
+  m_queue.Charge(waiter->m_flow, WeightOf(waiter->m_flow),
+                 SlotCostOf(*waiter->m_class));
+  effects->m_decisions.push_back(
+      {std::move(waiter->m_on_grant),
+       {MakeGrant(choice.m_target, waiter->m_class, ticket, now)}});
+  return true;
+}
+
+void ServiceRouter::Enqueue(std::uint64_t ticket,
+                            Waiter waiter,
+                            TimePoint now,
+                            Effects* effects) {
+  const ClassConfig& limits = waiter.m_class->m_config;
+  const policy::FlowKey flow = waiter.m_flow;
+  const double weight = WeightOf(flow);
+  const TimePoint expires =
+      std::min(now + limits.m_queue_wait, waiter.m_deadline);
+  if (IsEnabled(Mechanism::kEarlyRefusal) &&
+      !CanBeServedBy(waiter, expires, now)) {
+    effects->m_decisions.push_back(
+        {std::move(waiter.m_on_grant),
+         Refuse(ErrorKind::kQueueTimeout, "the wait would be too long")});
+    return;
+  }
+  if (m_queue.SizeOfClass(flow.m_class_name) >= limits.m_queue_limit) {
+    const std::optional<std::uint64_t> displaced =
+        m_queue.Displace(flow, weight);
+    if (!displaced) {
+      effects->m_decisions.push_back(
+          {std::move(waiter.m_on_grant),
+           Refuse(ErrorKind::kQueueFull, "the queue is full")});
+      return;
+    }
+    RefuseWaiter(*displaced, ErrorKind::kQueueFull,
+                 "the queue is full and others had less of it", effects);
+  }
+  m_queue.Push(flow, weight, SlotCostOf(*waiter.m_class),
+               {.m_ticket = ticket, .m_expires = expires});
+  m_waiters.emplace(ticket, std::move(waiter));
+  ServeWaiters(now, effects);
+}
+
+bool ServiceRouter::CanBeServedBy(const Waiter& waiter,
+                                  TimePoint time,
+                                  TimePoint now) const {
+  const int in_flight = m_pool.own_in_flight();
+  if (in_flight == 0 || m_slot_time <= Duration::zero()) {
+    return true;
+  }
+  // Little's law gives the rate at which this instance's slots become free.
+  const double freed_per_second = in_flight / Seconds(m_slot_time);
+  const double ahead =
+      m_queue.Ahead(waiter.m_flow, WeightOf(waiter.m_flow)) + 1;
+  return now + FromSeconds(ahead / freed_per_second) <= time;
+}
+
+void ServiceRouter::RefuseWaiter(std::uint64_t ticket,
+                                 ErrorKind kind,
+                                 const std::string& text,
+                                 Effects* effects) {
+  const auto found = m_waiters.find(ticket);
+  effects->m_decisions.push_back(
+      {std::move(found->second.m_on_grant), Refuse(kind, text)});
+  m_waiters.erase(found);
 }
 
 void ServiceRouter::ServeWaiters(TimePoint now, Effects* effects) {
-  for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
-    Target* const target = Choose(waiter->m_avoid);
-    if (target == nullptr) {
+  const auto may_serve = [this, now](const std::string& class_name) {
+    const ClassState* const state = FindClassState(class_name);
+    return state == nullptr || MayServe(*state, now);
+  };
+  while (m_queue.size() > 0) {
+    const std::optional<policy::QueuedRequest> next = m_queue.Pop(may_serve);
+    if (!next) {
+      break;
+    }
+    const auto found = m_waiters.find(next->m_ticket);
+    Waiter& waiter = found->second;
+    const Choice choice = m_pool.Choose(waiter.m_avoid, now);
+    if (choice.m_target == nullptr && choice.m_worth_waiting) {
+      m_queue.UndoPop();
       break;
     }
+    if (choice.m_target == nullptr) {
+      RefuseWaiter(next->m_ticket, ErrorKind::kNoTarget,
+                   "no target takes new requests", effects);
+      continue;
+    }
     effects->m_decisions.push_back(
-        {std::move(waiter->m_on_grant),
-         {MakeGrant(target, waiter->m_ticket, now)}});
-    waiter = m_waiters.erase(waiter);
+        {std::move(waiter.m_on_grant),
+         {MakeGrant(choice.m_target, waiter.m_class, next->m_ticket, now)}});
+    m_waiters.erase(found);
+  }
+  WakeForWaiters(now, effects);
+}
+
+void ServiceRouter::WakeForWaiters(TimePoint now, Effects* effects) {
+  if (m_queue.size() == 0 ||
+      (m_wake_at > now && m_wake_at <= now + kQueueTick)) {
+    return;
   }
+  m_wake_at = now + kQueueTick;
+  effects->m_expire_at = m_wake_at;
 }
 
 }  // namespace guavacross::routing
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -2,17 +2,19 @@
 #define GUAVACROSS_ROUTING_SERVICE_ROUTER_H_
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "guavacross/routing.h"
+#include "policy/fair_queue.h"
 #include "policy/probe_budget.h"
-#include "policy/random.h"
+#include "policy/retry_budget.h"
 #include "routing/effects.h"
+#include "routing/target_pool.h"
 
 namespace guavacross::routing {
 
@@ -22,6 +24,7 @@
 /// called while it is held; what has to be called is returned as `Effects`.
 class ServiceRouter {
  public:
+  /// `options` must outlive the router.
   ServiceRouter(std::shared_ptr<const ServiceConfig> config,
                 const RouterOptions& options);
 
@@ -33,20 +36,29 @@
   /// Refuses every waiter: the service is gone.
   void Close(Effects* effects);
 
+  /// As for `Router::Acquire`. `instances` is the number of live instances.
   void Acquire(const RequestTraits& traits,
                const std::vector<std::string>& targets_to_avoid,
                std::uint64_t ticket,
                GrantCallback on_grant,
+               int instances,
                TimePoint now,
                Effects* effects);
   void CancelWait(std::uint64_t ticket);
   void Release(const Grant& grant,
+               const RequestTraits& traits,
                const AttemptReport& report,
                TimePoint now,
                Effects* effects);
-  void ReportLoad(const Grant& grant, const LoadReport& load, TimePoint now);
+  void ReportLoad(const Grant& grant,
+                  const LoadReport& load,
+                  Duration time_to_first_byte,
+                  TimePoint now,
+                  Effects* effects);
 
-  bool MayRetry(const RequestTraits& traits, int attempts_so_far);
+  bool MayRetry(const RequestTraits& traits,
+                int attempts_so_far,
+                AttemptEnd last_end);
   std::optional<Duration> HedgeDelay(const RequestTraits& traits) const;
   bool MayHedge(const RequestTraits& traits, int attempts_so_far);
 
@@ -56,43 +68,98 @@
                   std::vector<ProbeOrder>* orders,
                   Effects* effects);
   void ReportProbe(const ProbeReport& report, TimePoint now, Effects* effects);
+
+  void SetPeerInFlight(const std::string& peer,
+                       const std::vector<std::pair<std::string, int>>& counts,
+                       TimePoint now,
+                       Effects* effects);
   void LearnDrain(const DrainNotice& notice);
   std::vector<DrainNotice> Drains() const;
   std::vector<std::pair<std::string, int>> InFlight() const;
   ServiceStatus Status(TimePoint now) const;
 
  private:
-  struct Target {
-    TargetConfig m_config;
-    int m_in_flight = 0;
-    std::optional<int> m_reported_in_flight;
-    std::string m_incarnation;
-    bool m_draining = false;
-    bool m_removed = false;
-  };
+  // A request that waits, beside its place in the fair queue.
   struct Waiter {
-    std::uint64_t m_ticket = 0;
-    TimePoint m_expires;
+    ClassState* m_class = nullptr;
+    policy::FlowKey m_flow;
+    TimePoint m_deadline;
     std::vector<std::string> m_avoid;
     GrantCallback m_on_grant;
   };
+  struct PeerCounts {
+    std::vector<std::pair<std::string, int>> m_counts;
+    TimePoint m_told_at;
+  };
 
-  Target* FindTarget(const std::string& name);
-  Target* Choose(const std::vector<std::string>& avoid);
-  Grant MakeGrant(Target* target, std::uint64_t ticket, TimePoint now);
-  void Learn(Target* target, const LoadReport& load, Effects* effects);
+  bool IsEnabled(Mechanism mechanism) const;
+  ClassState* ClassOf(const std::string& name);
+  const ClassState* FindClassState(const std::string& name) const;
+  policy::FlowKey FlowOf(const RequestTraits& traits) const;
+  double WeightOf(const policy::FlowKey& flow) const;
+  double SlotCostOf(const ClassState& state) const;
+  bool MayServe(const ClassState& state, TimePoint now) const;
+
+  Grant MakeGrant(Target* target,
+                  ClassState* state,
+                  std::uint64_t ticket,
+                  TimePoint now);
+  /// Grants at once if nothing waits and a target is free.
+  bool TryGrantAtOnce(std::uint64_t ticket,
+                      Waiter* waiter,
+                      TimePoint now,
+                      Effects* effects);
+  /// Queues a request, or refuses it if that is hopeless.
+  void Enqueue(std::uint64_t ticket,
+               Waiter waiter,
+               TimePoint now,
+               Effects* effects);
+  bool CanBeServedBy(const Waiter& waiter, TimePoint time, TimePoint now) const;
+  void RefuseWaiter(std::uint64_t ticket,
+                    ErrorKind kind,
+                    const std::string& text,
+                    Effects* effects);
   void ServeWaiters(TimePoint now, Effects* effects);
+  void WakeForWaiters(TimePoint now, Effects* effects);
+
+  void Learn(Target* target,
+             const LoadReport& load,
+             TimePoint reported_at,
+             TimePoint now,
+             Effects* effects);
+  void RecordFirstByte(Target* target,
+                       ClassState* state,
+                       Duration latency,
+                       TimePoint now);
+  void RecordFailure(Target* target,
+                     AttemptEnd end,
+                     const RequestTraits& traits,
+                     TimePoint now,
+                     Effects* effects);
+  void RecordGivenUp(Target* target, const Attempt& attempt, TimePoint now);
+  Target* NextToProbe(TimePoint now, TimePoint* next_at);
+  void SumPeers(TimePoint now);
 
-  const RouterOptions m_options;
+  const RouterOptions& m_options;
   mutable std::mutex m_mutex;
   std::shared_ptr<const ServiceConfig> m_config;
-  std::vector<std::unique_ptr<Target>> m_targets;
-  std::deque<Waiter> m_waiters;
+  TargetPool m_pool;
+  std::vector<std::unique_ptr<ClassState>> m_classes;
+  std::unordered_map<std::string, int> m_tenant_weights;
+  double m_bulk_weight_share = 1;
+  int m_bulk_in_flight = 0;
+  int m_instances = 1;
+  policy::FairQueue m_queue;
+  // When the queue is to be looked at next.
+  TimePoint m_wake_at = TimePoint::min();
+  std::unordered_map<std::uint64_t, Waiter> m_waiters;
+  // Average time for which a request of any class holds its slot.
+  Duration m_slot_time{};
+  policy::RetryBudget m_retry_budget;
   policy::ProbeBudget m_probe_budget;
-  policy::Random m_random;
   bool m_probes_scheduled = false;
-  TimePoint m_last_request{};
-  std::size_t m_next_probe = 0;
+  TimePoint m_last_request = TimePoint::min();
+  std::unordered_map<std::string, PeerCounts> m_peers;
   std::uint64_t m_requests = 0;
   std::uint64_t m_retries = 0;
   std::uint64_t m_hedges = 0;
--- /dev/null
+++ b/src/routing/target_pool.cc
@@ -0,0 +1,338 @@
+#include "routing/target_pool.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "policy/slot_shares.h"
+
+namespace guavacross::routing {
+
+namespace {
+
+// The part of a new reading in the average over targets.
+constexpr double kUsualGain = 0.05;
+
+// Slow start begins at this part of a target's slots.
+constexpr double kColdestShare = 0.1;
+
+// Above this part of cold targets slow start is overlooked: there are no warm
+// ones to carry the load meanwhile.
+constexpr double kMaxColdShare = 0.5;
+
+// How much a late answer counts against a target while it is still awaited.
+constexpr double kLateSlowness = 2;
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+TargetPool::TargetPool(const RouterOptions& options, std::uint64_t seed)
+    : m_options(options), m_random(seed) {}
+
+void TargetPool::Configure(std::shared_ptr<const ServiceConfig> config,
+                           TimePoint now) {
+  const bool is_first = m_targets.empty();
+  m_config = std::move(config);
+  m_parameters = policy::ParametersOf(m_config->m_profile);
+  m_total_slots = 0;
+  for (const auto& target : m_targets) {
+    target->m_removed = true;
+  }
+  for (const TargetConfig& wanted : m_config->m_targets) {
+    Target* target = Find(wanted.m_name);
+    if (target == nullptr || target->m_config.m_address != wanted.m_address) {
+      // Another address under the same name is another server. The old one
+      // keeps its attempts, without its name, until they have ended.
+      m_targets.push_back(std::make_unique<Target>());
+      target = m_targets.back().get();
+      target->m_cold_since = is_first ? TimePoint::min() : now;
+      m_cold_until = is_first ? m_cold_until : TimePoint::max();
+      m_by_name[wanted.m_name] = target;
+    }
+    target->m_config = wanted;
+    target->m_removed = false;
+    target->m_other_zone =
+        !m_options.m_zone.empty() && wanted.m_zone != m_options.m_zone;
+    m_total_slots += wanted.m_slots;
+  }
+  std::erase_if(m_targets, [this](const std::unique_ptr<Target>& target) {
+    const bool is_gone = target->m_removed && target->m_attempts.empty();
+    const auto named = m_by_name.find(target->m_config.m_name);
+    if (is_gone && named != m_by_name.end() && named->second == target.get()) {
+      m_by_name.erase(named);
+    }
+    return is_gone;
+  });
+}
+
+Choice TargetPool::Choose(const std::vector<std::string>& avoid,
+                          TimePoint now) {
+  if (m_targets.empty()) {
+    return {};
+  }
+  if (m_options.m_policy != ChoicePolicy::kGuavacross) {
+    return ChooseBaseline();
+  }
+  RefreshExceptions(now);
+  const Offer sampled = BestOfSample(avoid, now);
+  if (sampled.m_target != nullptr && sampled.m_cost <= policy::kGoodCost) {
+    return {.m_target = sampled.m_target};
+  }
+  return BestOfAll(avoid, now);
+}
+
+TargetPool::Offer TargetPool::BestOfSample(
+    const std::vector<std::string>& avoid,
+    TimePoint now) {
+  Offer best;
+  for (int i = 0; i < m_parameters.m_samples; ++i) {
+    Target* const target = m_targets[m_random.Below(m_targets.size())].get();
+    if (target == best.m_target || !IsEligible(*target, now) ||
+        Contains(avoid, target->m_config.m_name) ||
+        m_random.Uniform() >= Warmth(*target, now)) {
+      continue;
+    }
+    const std::optional<double> cost = CostOf(*target, now);
+    if (cost && (best.m_target == nullptr || *cost < best.m_cost)) {
+      best = {.m_target = target, .m_cost = *cost};
+    }
+  }
+  return best;
+}
+
+Choice TargetPool::BestOfAll(const std::vector<std::string>& avoid,
+                             TimePoint now) {
+  Offer best;
+  Offer best_avoided;
+  bool any_eligible = false;
+  // A random start, so that equal costs don't favour the first target.
+  const std::size_t start = m_random.Below(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    Target* const target = m_targets[(start + i) % m_targets.size()].get();
+    if (!IsEligible(*target, now)) {
+      continue;
+    }
+    const bool is_avoided = Contains(avoid, target->m_config.m_name);
+    any_eligible = any_eligible || !is_avoided;
+    const std::optional<double> cost = CostOf(*target, now);
+    Offer& offer = is_avoided ? best_avoided : best;
+    if (cost && (offer.m_target == nullptr || *cost < offer.m_cost)) {
+      offer = {.m_target = target, .m_cost = *cost};
+    }
+  }
+  if (!any_eligible) {
+    best = best_avoided;
+  }
+  const bool wait_instead =
+      best.m_cost > policy::kWaitCost && m_own_in_flight > 0;
+  if (best.m_target == nullptr || wait_instead) {
+    return {.m_worth_waiting = any_eligible || best.m_target != nullptr};
+  }
+  return {.m_target = best.m_target};
+}
+
+Choice TargetPool::ChooseBaseline() {
+  if (m_options.m_policy == ChoicePolicy::kRoundRobin) {
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+      Target* const target =
+          m_targets[m_next_in_turn++ % m_targets.size()].get();
+      if (!target->m_removed) {
+        return {.m_target = target};
+      }
+    }
+    return {};
+  }
+  const bool by_load = m_options.m_policy == ChoicePolicy::kLeastInFlight;
+  Target* best = nullptr;
+  const std::size_t start = m_random.Below(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    Target* const target = m_targets[(start + i) % m_targets.size()].get();
+    if (!target->m_removed &&
+        (best == nullptr ||
+         (by_load && target->m_load.own() < best->m_load.own()))) {
+      best = target;
+    }
+  }
+  return {.m_target = best};
+}
+
+void TargetPool::Sent(Target* target, Attempt attempt) {
+  target->m_attempts.push_back(attempt);
+  target->m_load.Sent();
+  ++m_own_in_flight;
+}
+
+std::optional<Attempt> TargetPool::Ended(Target* target,
+                                         std::uint64_t attempt_id) {
+  const auto found = std::find_if(
+      target->m_attempts.begin(), target->m_attempts.end(),
+      [&](const Attempt& attempt) { return attempt.m_id == attempt_id; });
+  if (found == target->m_attempts.end()) {
+    return std::nullopt;
+  }
+  const Attempt ended = *found;
+  target->m_attempts.erase(found);
+  target->m_load.Ended();
+  --m_own_in_flight;
+  return ended;
+}
+
+void TargetPool::ReportInFlight(Target* target, int in_flight, TimePoint at) {
+  target->m_reported_in_flight = in_flight;
+  if (IsEnabled(Mechanism::kReadings)) {
+    target->m_load.Report(in_flight, at);
+    m_usual_others +=
+        kUsualGain * (target->m_load.reported_others() - m_usual_others);
+  }
+}
+
+bool TargetPool::LearnRun(Target* target,
+                          const LoadReport& load,
+                          TimePoint now) {
+  const policy::Draining::Change change =
+      target->m_draining.LearnFromTarget(load.m_draining, load.m_incarnation);
+  if (change.m_restarted) {
+    target->m_ejection.Reset();
+    target->m_cold_since = now;
+    m_cold_until = TimePoint::max();
+  }
+  return change.m_started_draining;
+}
+
+void TargetPool::PeersReport(Target* target, int in_flight, TimePoint now) {
+  if (IsEnabled(Mechanism::kReadings)) {
+    target->m_load.PeersReport(in_flight, now);
+  }
+}
+
+void TargetPool::Judge(Target* target, policy::Verdict verdict, TimePoint now) {
+  if (target->m_ejection.Record(verdict, m_config->m_ejection, now)) {
+    m_ejections_until = std::max(m_ejections_until, target->m_ejection.until());
+  }
+}
+
+Target* TargetPool::Find(const std::string& name) {
+  const auto found = m_by_name.find(name);
+  return found == m_by_name.end() ? nullptr : found->second;
+}
+
+Target* TargetPool::FindByAttempt(const std::string& name,
+                                  std::uint64_t attempt_id) {
+  const auto carries = [attempt_id](const Target& target) {
+    return std::any_of(target.m_attempts.begin(), target.m_attempts.end(),
+                       [attempt_id](const Attempt& attempt) {
+                         return attempt.m_id == attempt_id;
+                       });
+  };
+  Target* const named = Find(name);
+  if (named != nullptr && carries(*named)) {
+    return named;
+  }
+  for (const auto& target : m_targets) {
+    if (target->m_removed && carries(*target)) {
+      return target.get();
+    }
+  }
+  return nullptr;
+}
+
+bool TargetPool::IsPanic(TimePoint now) const {
+  int ejected = 0;
+  int present = 0;
+  for (const auto& target : m_targets) {
+    if (!target->m_removed && !target->m_draining.is_draining()) {
+      ++present;
+      ejected += target->m_ejection.IsEjected(now) ? 1 : 0;
+    }
+  }
+  return policy::IsPanic(ejected, present, m_config->m_ejection);
+}
+
+bool TargetPool::IsSlowStart(const Target& target, TimePoint now) const {
+  return target.m_cold_since != TimePoint::min() &&
+         now < target.m_cold_since + m_config->m_slow_start.m_window;
+}
+
+bool TargetPool::IsEnabled(Mechanism mechanism) const {
+  return !m_options.m_disabled.contains(mechanism);
+}
+
+void TargetPool::RefreshExceptions(TimePoint now) {
+  m_panic = now < m_ejections_until && IsPanic(now);
+  if (now >= m_cold_until) {
+    m_all_cold = false;
+    return;
+  }
+  int cold = 0;
+  m_cold_until = TimePoint::min();
+  for (const auto& target : m_targets) {
+    if (IsSlowStart(*target, now)) {
+      ++cold;
+      m_cold_until = std::max(
+          m_cold_until, target->m_cold_since + m_config->m_slow_start.m_window);
+    }
+  }
+  m_all_cold = cold > kMaxColdShare * static_cast<double>(m_targets.size());
+}
+
+bool TargetPool::IsEligible(const Target& target, TimePoint now) const {
+  if (target.m_removed || target.m_draining.is_draining()) {
+    return false;
+  }
+  return m_panic || now >= m_ejections_until ||
+         !IsEnabled(Mechanism::kEjection) || !target.m_ejection.IsEjected(now);
+}
+
+double TargetPool::Warmth(const Target& target, TimePoint now) const {
+  if (m_all_cold || now >= m_cold_until || !IsSlowStart(target, now) ||
+      !IsEnabled(Mechanism::kSlowStart)) {
+    return 1;
+  }
+  const double passed = Seconds(now - target.m_cold_since) /
+                        Seconds(m_config->m_slow_start.m_window);
+  return kColdestShare + (1 - kColdestShare) * passed;
+}
+
+double TargetPool::SlownessOf(const Target& target, TimePoint now) const {
+  if (!IsEnabled(Mechanism::kSlowness)) {
+    return 1;
+  }
+  double slowness = target.m_load.Slowness(m_parameters.m_aging, now);
+  for (const Attempt& attempt : target.m_attempts) {
+    if (now > attempt.m_slow_at) {
+      const double lateness = Seconds(now - attempt.m_sent_at) /
+                              Seconds(attempt.m_slow_at - attempt.m_sent_at);
+      slowness = std::max(slowness, 1 + kLateSlowness * lateness);
+    }
+  }
+  return slowness;
+}
+
+std::optional<double> TargetPool::CostOf(const Target& target,
+                                         TimePoint now) const {
+  const policy::TargetLoad& load = target.m_load;
+  const policy::LoadAging& aging = m_parameters.m_aging;
+  const double others = load.Others(aging, m_usual_others, now);
+  const double slots =
+      std::max(1.0, Warmth(target, now) * target.m_config.m_slots);
+  const policy::SlotView view{
+      .m_slots = static_cast<int>(slots),
+      .m_instances = IsEnabled(Mechanism::kSlotShares) ? m_instances : 1,
+      .m_own = load.own(),
+      .m_others = others,
+      .m_fresh = load.IsFresh(aging, now),
+      .m_unused_by_peers = load.IsUnusedByPeers(now)};
+  if (!policy::MaySend(view)) {
+    return std::nullopt;
+  }
+  return policy::Cost({.m_load = load.own() + others,
+                       .m_slots = slots,
+                       .m_slowness = SlownessOf(target, now),
+                       .m_other_zone = target.m_other_zone &&
+                                       IsEnabled(Mechanism::kZonePreference)});
+}
+
+}  // namespace guavacross::routing
