--- a/src/load/load_generator.cc
+++ b/src/load/load_generator.cc
@@ -5,30 +5,21 @@
 #include <QJsonObject>
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <utility>
 
 #include "guavacross/wire_names.h"
+#include "load/answer_body.h"
 
 namespace guavacross::load {
 
 namespace {
 
-constexpr char kRequestIdHeader[] = "X-Request-Id";
-constexpr char kBodyHashHeader[] = "X-Body-Hash";
 constexpr Duration kAddressTimeout = std::chrono::seconds(2);
 // Answers to a question for addresses that failed are asked for again after
 // this.
 constexpr Duration kAddressRetry = std::chrono::milliseconds(200);
 constexpr int kMaxAddressAttempts = 20;
 
-std::string Hex(std::uint64_t value) {
-  char text[17];
-  std::snprintf(text, sizeof(text), "%016llx",
-                static_cast<unsigned long long>(value));
-  return text;
-}
-
 // Whether the answer is the one to this request, and whole.
 bool IsOwnAnswer(const ClientAnswer& answer, const std::string& request_id) {
   const auto& fields = answer.m_head.m_fields;
@@ -36,7 +27,7 @@
     return false;
   }
   const auto hash = fields.Find(kBodyHashHeader);
-  return !hash.has_value() || *hash == Hex(answer.m_body_hash);
+  return !hash.has_value() || *hash == FormatHash(answer.m_body_hash);
 }
 
 }  // namespace
--- /dev/null
+++ b/src/log_service/placeholder.cc
@@ -0,0 +1,1 @@
+// placeholder
--- /dev/null
+++ b/src/standin/backend_server.cc
@@ -0,0 +1,593 @@
+#include "standin/backend_server.h"
+
+#include <QJsonArray>
+#include <QTimer>
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include "guavacross/wire_names.h"
+#include "load/answer_body.h"
+#include "standin/fault_table.h"
+
+namespace guavacross::standin {
+
+namespace {
+
+// Size of an answer whose request names none.
+constexpr std::uint64_t kDefaultAnswerBytes = 256;
+// Larger answers are streamed.
+constexpr std::uint64_t kStreamOverBytes = 256 << 10;
+// Bytes of a streamed answer that may wait in the socket.
+constexpr std::int64_t kUnsentLimit = 256 << 10;
+constexpr std::size_t kPieceBytes = 64 << 10;
+// How often an answer with a rate sends a piece.
+constexpr int kRateIntervalMs = 20;
+// How long earlier load is kept for lagging health.
+constexpr Duration kHealthHistory = std::chrono::minutes(1);
+
+const std::vector<FaultField<BackendFaults>>& FaultFields() {
+  using F = BackendFaults;
+  static const std::vector<FaultField<F>> kFields = {
+      {"draining", &F::m_draining},
+      {"lying_health", &F::m_lying_health},
+      {"health_lag_ms", &F::m_health_lag_ms},
+      {"shed_over", &F::m_shed_over},
+      {"straggle_factor", &F::m_straggle_factor},
+      {"straggle_for_ms", &F::m_straggle_for_ms},
+      {"fail_fast", &F::m_fail_fast},
+      {"black_hole", &F::m_black_hole},
+      {"refuse", &F::m_refuse},
+      {"reset_before_run", &F::m_reset_before_run},
+      {"reset_after_run", &F::m_reset_after_run},
+      {"truncate", &F::m_truncate},
+      {"reset_midway", &F::m_reset_midway},
+      {"answer_late_ms", &F::m_answer_late_ms},
+      {"surplus_bytes", &F::m_surplus_bytes},
+      {"answer_twice", &F::m_answer_twice},
+      {"answer_early", &F::m_answer_early},
+      {"crash_ms", &F::m_crash_ms},
+      {"ignore_cancel", &F::m_ignore_cancel},
+  };
+  return kFields;
+}
+
+std::optional<std::uint64_t> ReadNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto end = text.data() + text.size();
+  if (text.empty() || std::from_chars(text.data(), end, number).ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<std::uint64_t> QueryNumber(const Exchange& exchange,
+                                         std::string_view name) {
+  const auto text = http::QueryParameter(exchange.m_head.m_target, name);
+  return text.has_value() ? ReadNumber(*text) : std::nullopt;
+}
+
+std::string IdentityOf(const http::RequestHead& head) {
+  if (const auto key = head.m_fields.Find(kIdempotencyKeyHeader)) {
+    return std::string(*key);
+  }
+  return std::string(
+      head.m_fields.Find(load::kRequestIdHeader).value_or("no-id"));
+}
+
+bool HasCrashMark(const http::RequestHead& head) {
+  return head.m_fields.Find(kCrashHeader).has_value() ||
+         http::PathOf(head.m_target).find(kCrashPath) != std::string_view::npos;
+}
+
+}  // namespace
+
+/// A request in the server.
+struct BackendServer::Job {
+  std::shared_ptr<Exchange> m_exchange;
+  std::string m_identity;
+  bool m_probe = false;
+  bool m_left = false;
+  bool m_running = false;
+  TimePoint m_arrived_at;
+  // The answer's body, and how much of it is sent.
+  std::uint64_t m_total = 0;
+  std::uint64_t m_sent = 0;
+  std::uint64_t m_rate = 0;
+};
+
+BackendServer::BackendServer(BackendOptions options, Clock clock)
+    : m_options(std::move(options)),
+      m_clock(std::move(clock)),
+      m_service([this](const std::shared_ptr<Exchange>& e) { Handle(e); },
+                this),
+      m_random(m_options.m_seed),
+      m_started_at(m_clock.m_now()),
+      m_incarnation(static_cast<std::uint64_t>(
+          m_clock.m_wall_now().time_since_epoch().count())) {
+  m_service.m_on_connect = [this](QTcpSocket* socket) {
+    if (m_faults.m_answer_early) {
+      socket->write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly");
+    }
+  };
+}
+
+BackendServer::~BackendServer() = default;
+
+bool BackendServer::Start() {
+  return CallOn(this, [this] {
+    m_started_at = m_clock.m_now();
+    NoteHealth();
+    return m_service.Listen(m_options.m_listen);
+  });
+}
+
+QJsonObject BackendServer::Faults() {
+  return CallOn(this, [this] { return FaultsToJson(m_faults, FaultFields()); });
+}
+
+QString BackendServer::SetFaults(const QJsonObject& json) {
+  return CallOn(this, [this, rest = QJsonObject(json)]() mutable {
+    if (!ReadServiceTimes(&rest)) {
+      return QString("wrong service_times");
+    }
+    QString refusal = FaultsFromJson(rest, FaultFields(), &m_faults);
+    ApplyFaults();
+    return refusal;
+  });
+}
+
+// Takes the key `service_times`: a list of objects with `path_prefix`, `kind`,
+// `mean_ms`, `slow_share` and `slow_ms`.
+bool BackendServer::ReadServiceTimes(QJsonObject* json) {
+  if (!json->contains("service_times")) {
+    return true;
+  }
+  std::vector<ServiceTime> times;
+  for (const QJsonValue entry : json->take("service_times").toArray()) {
+    ServiceTime time;
+    time.m_path_prefix = entry["path_prefix"].toString("/").toStdString();
+    time.m_mean_ms = entry["mean_ms"].toDouble();
+    time.m_slow_share = entry["slow_share"].toDouble();
+    time.m_slow_ms = entry["slow_ms"].toDouble();
+    const QString kind = entry["kind"].toString("fixed");
+    if (kind == "fixed") {
+      time.m_kind = ServiceTime::Kind::kFixed;
+    } else if (kind == "bimodal") {
+      time.m_kind = ServiceTime::Kind::kBimodal;
+    } else if (kind != "exponential") {
+      return false;
+    }
+    times.push_back(time);
+  }
+  m_options.m_service_times = times;
+  return true;
+}
+
+void BackendServer::ApplyFaults() {
+  if (m_faults.m_refuse) {
+    m_service.StopListening();
+    m_service.ResetAll();
+  } else if (!m_down && m_service.endpoint().m_port != 0) {
+    m_service.ListenAgain();
+  }
+  m_straggle_until = m_faults.m_straggle_for_ms > 0
+                         ? m_clock.m_now() + std::chrono::milliseconds(
+                                                 m_faults.m_straggle_for_ms)
+                         : TimePoint::max();
+  NoteHealth();
+}
+
+QJsonObject BackendServer::Counters() {
+  return CallOn(this, [this] {
+    const auto number = [](std::uint64_t n) { return static_cast<qint64>(n); };
+    const CounterSet& c = m_counters;
+    return QJsonObject{{"requests", number(c.m_requests)},
+                       {"runs", number(c.m_runs)},
+                       {"shed", number(c.m_shed)},
+                       {"deadline_missed", number(c.m_late)},
+                       {"cancelled_queued", number(c.m_cancelled_queued)},
+                       {"cancelled_running", number(c.m_cancelled_running)},
+                       {"answered", number(c.m_answered)},
+                       {"probes", number(c.m_probes)},
+                       {"probe_ms", number(c.m_probe_ms)},
+                       {"crashes", number(c.m_crashes)},
+                       {"running", static_cast<int>(m_running.size())},
+                       {"waiting", static_cast<int>(m_waiting.size())},
+                       {"max_running", c.m_max_running},
+                       {"max_waiting", c.m_max_waiting},
+                       {"connections", m_service.connections()},
+                       {"accepted", number(m_service.accepted())},
+                       {"incarnation", QString::number(m_incarnation)}};
+  });
+}
+
+QJsonObject BackendServer::Runs() {
+  return CallOn(this, [this] {
+    QJsonObject runs;
+    for (const auto& [identity, count] : m_runs) {
+      runs[QString::fromStdString(identity)] = count;
+    }
+    return runs;
+  });
+}
+
+void BackendServer::Handle(const std::shared_ptr<Exchange>& exchange) {
+  const auto job = std::make_shared<Job>();
+  job->m_exchange = exchange;
+  job->m_arrived_at = m_clock.m_now();
+  job->m_probe = http::PathOf(exchange->m_head.m_target) == kLoadPath;
+  job->m_identity = IdentityOf(exchange->m_head);
+  ++(job->m_probe ? m_counters.m_probes : m_counters.m_requests);
+  if (HandleFault(exchange)) {
+    return;
+  }
+  const bool shed = !job->m_probe && m_faults.m_shed_over >= 0 &&
+                    static_cast<int>(m_waiting.size()) > m_faults.m_shed_over;
+  if (shed) {
+    ++m_counters.m_shed;
+    Refuse(exchange, /*not_run=*/true);
+    return;
+  }
+  Enqueue(job);
+}
+
+// Whether a fault keeps the request from being run.
+bool BackendServer::HandleFault(const std::shared_ptr<Exchange>& exchange) {
+  if (m_faults.m_black_hole) {
+    // Kept so that the connection takes no further request.
+    exchange->m_on_gone = [] {};
+    return true;
+  }
+  if (m_faults.m_reset_before_run) {
+    exchange->Reset();
+    return true;
+  }
+  if (m_faults.m_fail_fast) {
+    exchange->Answer(HeadFor(*exchange, 500), "fails fast");
+    return true;
+  }
+  return false;
+}
+
+void BackendServer::Refuse(const std::shared_ptr<Exchange>& exchange,
+                           bool not_run) {
+  http::ResponseHead head = HeadFor(*exchange, 503);
+  if (not_run) {
+    head.m_fields.Set(kNotRunHeader, "1");
+  }
+  exchange->Answer(std::move(head), "refused");
+}
+
+void BackendServer::Enqueue(const JobPointer& job) {
+  // The exchange holds the hook, so the hook must not hold the exchange.
+  job->m_exchange->m_on_gone = [this, weak = std::weak_ptr<Job>(job)] {
+    if (const JobPointer left = weak.lock()) {
+      Leave(left);
+    }
+  };
+  if (job->m_probe) {
+    m_waiting.push_front(job);
+  } else {
+    m_waiting.push_back(job);
+  }
+  StartWaiting();
+  m_counters.m_max_waiting =
+      std::max(m_counters.m_max_waiting, static_cast<int>(m_waiting.size()));
+  NoteHealth();
+}
+
+void BackendServer::StartWaiting() {
+  while (!m_waiting.empty() &&
+         static_cast<int>(m_running.size()) < m_options.m_slots) {
+    const JobPointer job = m_waiting.front();
+    m_waiting.pop_front();
+    const auto deadline =
+        job->m_exchange->m_head.m_fields.Find(kDeadlineHeader);
+    const auto left_ms =
+        deadline.has_value() ? ReadNumber(*deadline) : std::nullopt;
+    if (left_ms.has_value() && m_clock.m_now() - job->m_arrived_at >
+                                   std::chrono::milliseconds(*left_ms)) {
+      ++m_counters.m_late;
+      Refuse(job->m_exchange, /*not_run=*/true);
+      continue;
+    }
+    Run(job);
+  }
+}
+
+void BackendServer::Run(const JobPointer& job) {
+  job->m_running = true;
+  m_running.insert(job);
+  m_counters.m_max_running =
+      std::max(m_counters.m_max_running, static_cast<int>(m_running.size()));
+  int service_ms = m_options.m_probe_ms;
+  if (job->m_probe) {
+    m_counters.m_probe_ms += static_cast<std::uint64_t>(service_ms);
+  } else {
+    ++m_counters.m_runs;
+    ++m_runs[job->m_identity];
+    if (m_faults.m_crash_ms > 0 && HasCrashMark(job->m_exchange->m_head)) {
+      // Not from inside of a connection's own call.
+      QTimer::singleShot(0, this, [this] { Crash(); });
+      return;
+    }
+    service_ms = ServiceMs(*job->m_exchange);
+  }
+  if (service_ms <= 0) {
+    RunEnded(job);
+    return;
+  }
+  QTimer::singleShot(service_ms, Qt::PreciseTimer, this,
+                     [this, job] { RunEnded(job); });
+}
+
+void BackendServer::RunEnded(const JobPointer& job) {
+  if (!job->m_running) {
+    return;
+  }
+  if (m_faults.m_answer_late_ms > 0 && !job->m_probe) {
+    FreeSlot(job);
+    QTimer::singleShot(m_faults.m_answer_late_ms, this,
+                       [this, job] { AnswerJob(job); });
+    return;
+  }
+  AnswerJob(job);
+}
+
+// The caller has left.
+void BackendServer::Leave(const JobPointer& job) {
+  job->m_left = true;
+  const auto waiting = std::find(m_waiting.begin(), m_waiting.end(), job);
+  if (waiting != m_waiting.end()) {
+    m_waiting.erase(waiting);
+    ++m_counters.m_cancelled_queued;
+    NoteHealth();
+    return;
+  }
+  if (job->m_running) {
+    ++m_counters.m_cancelled_running;
+    const bool streaming = job->m_total > 0;
+    if (!m_faults.m_ignore_cancel || streaming) {
+      FreeSlot(job);
+    }
+  }
+}
+
+void BackendServer::FreeSlot(const JobPointer& job) {
+  if (!job->m_running) {
+    return;
+  }
+  job->m_running = false;
+  m_running.erase(job);
+  StartWaiting();
+  NoteHealth();
+}
+
+void BackendServer::AnswerJob(const JobPointer& job) {
+  if (job->m_left || job->m_exchange->gone()) {
+    FreeSlot(job);
+    return;
+  }
+  if (job->m_probe) {
+    AnswerProbe(job);
+    return;
+  }
+  if (m_faults.m_reset_after_run) {
+    job->m_exchange->Reset();
+    FreeSlot(job);
+    return;
+  }
+  SendBody(job);
+}
+
+void BackendServer::AnswerProbe(const JobPointer& job) {
+  FreeSlot(job);
+  const Health health = ShownHealth();
+  http::ResponseHead head = HeadFor(*job->m_exchange, 200);
+  head.m_fields.Set(kInFlightHeader, std::to_string(health.m_in_flight));
+  head.m_fields.Remove(kDrainingHeader);
+  if (health.m_draining && !m_faults.m_lying_health) {
+    head.m_fields.Set(kDrainingHeader, "1");
+  }
+  job->m_exchange->Answer(std::move(head), "");
+}
+
+void BackendServer::SendBody(const JobPointer& job) {
+  Exchange& exchange = *job->m_exchange;
+  job->m_total = QueryNumber(exchange, "bytes").value_or(kDefaultAnswerBytes);
+  job->m_rate = QueryNumber(exchange, "rate").value_or(0);
+  http::ResponseHead head = HeadFor(exchange, 200);
+  head.m_keep_alive = exchange.m_head.m_keep_alive;
+  head.m_framing = http::BodyFraming::kLength;
+  head.m_length = job->m_total;
+  head.m_reason = http::ReasonPhrase(200);
+  const std::string head_bytes = http::Serialize(head);
+  if (exchange.m_head.m_method == "HEAD") {
+    exchange.Write(head_bytes);
+    FreeSlot(job);
+    exchange.Finish(exchange.m_head.m_keep_alive);
+    return;
+  }
+  if (m_faults.m_truncate || m_faults.m_reset_midway) {
+    exchange.m_on_gone = nullptr;
+    exchange.Write(head_bytes + load::AnswerBytes(job->m_identity, job->m_total,
+                                                  0, job->m_total / 2));
+    FreeSlot(job);
+    const bool reset = m_faults.m_reset_midway;
+    // The bytes get time to leave before the connection ends.
+    QTimer::singleShot(5, this, [job, reset] {
+      reset ? job->m_exchange->Reset() : job->m_exchange->Close();
+    });
+    return;
+  }
+  if (job->m_total > kStreamOverBytes || job->m_rate > 0) {
+    exchange.Write(head_bytes);
+    exchange.m_on_written = [this, weak = std::weak_ptr<Job>(job)] {
+      const JobPointer streaming = weak.lock();
+      if (streaming != nullptr && streaming->m_rate == 0) {
+        Stream(streaming);
+      }
+    };
+    Stream(job);
+    return;
+  }
+  const std::string body =
+      load::AnswerBytes(job->m_identity, job->m_total, 0, job->m_total);
+  head.m_fields.Add(load::kBodyHashHeader, load::BodyHash(body));
+  std::string whole = http::Serialize(head) + body;
+  if (m_faults.m_answer_twice) {
+    whole += whole;
+  }
+  if (m_faults.m_surplus_bytes) {
+    whole += "surplus";
+  }
+  ++m_counters.m_answered;
+  exchange.Write(whole);
+  FreeSlot(job);
+  exchange.Finish(exchange.m_head.m_keep_alive);
+}
+
+// Sends further pieces of a large or slow answer, as far as there is room.
+void BackendServer::Stream(const JobPointer& job) {
+  if (job->m_left || !job->m_running) {
+    return;
+  }
+  Exchange& exchange = *job->m_exchange;
+  const std::size_t piece =
+      job->m_rate > 0
+          ? std::max<std::size_t>(1, job->m_rate * kRateIntervalMs / 1000)
+          : kPieceBytes;
+  while (job->m_sent < job->m_total && exchange.Unsent() < kUnsentLimit) {
+    const std::string bytes =
+        load::AnswerBytes(job->m_identity, job->m_total, job->m_sent, piece);
+    job->m_sent += bytes.size();
+    exchange.Write(bytes);
+    if (job->m_rate > 0) {
+      break;
+    }
+  }
+  if (job->m_sent == job->m_total) {
+    ++m_counters.m_answered;
+    FreeSlot(job);
+    exchange.Finish(exchange.m_head.m_keep_alive);
+    return;
+  }
+  if (job->m_rate > 0) {
+    QTimer::singleShot(kRateIntervalMs, this, [this, job] { Stream(job); });
+  }
+}
+
+http::ResponseHead BackendServer::HeadFor(const Exchange& exchange,
+                                          int status) const {
+  http::ResponseHead head{.m_status = status};
+  head.m_fields.Add(
+      load::kRequestIdHeader,
+      std::string(exchange.m_head.m_fields.Find(load::kRequestIdHeader)
+                      .value_or(IdentityOf(exchange.m_head))));
+  head.m_fields.Add(kInFlightHeader, std::to_string(InFlight()));
+  head.m_fields.Add(kIncarnationHeader, std::to_string(m_incarnation));
+  head.m_fields.Add("X-Backend", m_options.m_name);
+  if (m_faults.m_draining) {
+    head.m_fields.Add(kDrainingHeader, "1");
+  }
+  return head;
+}
+
+void BackendServer::Crash() {
+  if (m_down) {
+    return;
+  }
+  m_down = true;
+  ++m_counters.m_crashes;
+  m_service.StopListening();
+  const auto running = std::exchange(m_running, {});
+  const auto waiting = std::exchange(m_waiting, {});
+  for (const JobPointer& job : running) {
+    job->m_running = false;
+  }
+  m_service.ResetAll();
+  QTimer::singleShot(m_faults.m_crash_ms, this, [this] { Restart(); });
+}
+
+void BackendServer::Restart() {
+  m_down = false;
+  ++m_incarnation;
+  m_started_at = m_clock.m_now();
+  m_health.clear();
+  NoteHealth();
+  if (!m_faults.m_refuse) {
+    m_service.ListenAgain();
+  }
+}
+
+int BackendServer::ServiceMs(const Exchange& exchange) {
+  double ms = 0;
+  const std::string_view path = http::PathOf(exchange.m_head.m_target);
+  if (const auto asked = QueryNumber(exchange, "ms")) {
+    ms = static_cast<double>(*asked);
+  } else {
+    for (const ServiceTime& time : m_options.m_service_times) {
+      if (!path.starts_with(time.m_path_prefix)) {
+        continue;
+      }
+      ms = time.m_mean_ms;
+      if (time.m_kind == ServiceTime::Kind::kExponential && ms > 0) {
+        ms = std::exponential_distribution<double>(1 / ms)(m_random);
+      } else if (time.m_kind == ServiceTime::Kind::kBimodal &&
+                 std::uniform_real_distribution<double>()(m_random) <
+                     time.m_slow_share) {
+        ms = time.m_slow_ms;
+      }
+      break;
+    }
+  }
+  // Rounded up or down at random, so that the mean holds.
+  const double whole = std::floor(
+      ms * SlowFactor() + std::uniform_real_distribution<double>()(m_random));
+  return static_cast<int>(whole);
+}
+
+double BackendServer::SlowFactor() {
+  const TimePoint now = m_clock.m_now();
+  double factor = now < m_straggle_until ? m_faults.m_straggle_factor : 1;
+  const double warm = Milliseconds(now - m_started_at);
+  if (warm < m_options.m_cold_ms) {
+    factor *=
+        1 + (m_options.m_cold_factor - 1) * (1 - warm / m_options.m_cold_ms);
+  }
+  return factor;
+}
+
+int BackendServer::InFlight() const {
+  return static_cast<int>(m_running.size() + m_waiting.size());
+}
+
+// Keeps the load's history, if probes are to lag behind it.
+void BackendServer::NoteHealth() {
+  const TimePoint now = m_clock.m_now();
+  if (m_faults.m_health_lag_ms == 0) {
+    m_health.clear();
+  }
+  m_health.push_back({.m_since = now,
+                      .m_in_flight = InFlight(),
+                      .m_draining = m_faults.m_draining});
+  while (m_health.size() > 1 && m_health[1].m_since < now - kHealthHistory) {
+    m_health.pop_front();
+  }
+}
+
+BackendServer::Health BackendServer::ShownHealth() const {
+  const TimePoint as_of =
+      m_clock.m_now() - std::chrono::milliseconds(m_faults.m_health_lag_ms);
+  for (auto health = m_health.rbegin(); health != m_health.rend(); ++health) {
+    if (health->m_since <= as_of) {
+      return *health;
+    }
+  }
+  return m_health.front();
+}
+
+}  // namespace guavacross::standin
--- /dev/null
+++ b/src/standin/backend_server.h
@@ -0,0 +1,187 @@
+#ifndef GUAVACROSS_STANDIN_BACKEND_SERVER_H_
+#define GUAVACROSS_STANDIN_BACKEND_SERVER_H_
+
+#include <QObject>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "guavacross/time.h"
+#include "standin/component.h"
+#include "standin/http_service.h"
+
+namespace guavacross::standin {
+
+/// How long requests take on a slot.
+struct ServiceTime {
+  enum class Kind { kFixed, kExponential, kBimodal };
+  /// Paths that it applies to start with this.
+  std::string m_path_prefix = "/";
+  Kind m_kind = Kind::kExponential;
+  double m_mean_ms = 2;
+  /// With `kBimodal`: the share of slow requests, and their time.
+  double m_slow_share = 0;
+  double m_slow_ms = 0;
+
+  bool operator==(const ServiceTime&) const = default;
+};
+
+/// What can go wrong with a backend server. Times are in milliseconds.
+struct BackendFaults {
+  /// Says that it drains, on answers and probes; goes on serving.
+  bool m_draining = false;
+  /// Probes never say that it drains; answers to requests do.
+  bool m_lying_health = false;
+  /// Probes show load and draining as they were this long ago.
+  int m_health_lag_ms = 0;
+  /// Refuses with the not-run mark when this many wait; -1 never.
+  int m_shed_over = -1;
+  /// Service times are multiplied by this, for `m_straggle_for_ms` if not 0.
+  double m_straggle_factor = 1;
+  int m_straggle_for_ms = 0;
+  /// Answers 500 at once.
+  bool m_fail_fast = false;
+  /// Reads requests, runs none, answers nothing.
+  bool m_black_hole = false;
+  /// Connections are refused, open ones are reset when it is switched on.
+  bool m_refuse = false;
+  /// Resets the connection on each request, before or after running it.
+  bool m_reset_before_run = false;
+  bool m_reset_after_run = false;
+  /// Sends half of the body, then closes.
+  bool m_truncate = false;
+  /// Sends half of the body, then resets.
+  bool m_reset_midway = false;
+  /// Answers this much later than the run ends.
+  int m_answer_late_ms = 0;
+  /// Sends bytes after the end of each answer.
+  bool m_surplus_bytes = false;
+  /// Sends each answer twice.
+  bool m_answer_twice = false;
+  /// Sends an answer as soon as a connection opens, before any request.
+  bool m_answer_early = false;
+  /// A request with the crash mark takes the server down for this long; 0
+  /// ignores the mark.
+  int m_crash_ms = 1000;
+  /// Goes on with a request whose caller has left.
+  bool m_ignore_cancel = false;
+
+  bool operator==(const BackendFaults&) const = default;
+};
+
+struct BackendOptions {
+  std::string m_name = "backend";
+  Endpoint m_listen;
+  int m_slots = 4;
+  std::vector<ServiceTime> m_service_times = {ServiceTime{}};
+  /// After a start, service times are multiplied by a factor that falls from
+  /// `m_cold_factor` to 1 over this time; 0 means warm at once.
+  int m_cold_ms = 0;
+  double m_cold_factor = 3;
+  /// Time of a slot that one probe takes.
+  int m_probe_ms = 6;
+  std::uint64_t m_seed = 1;
+
+  bool operator==(const BackendOptions&) const = default;
+};
+
+/// A header or a part of the path that marks a request as one that crashes the
+/// backend server which runs it.
+inline constexpr char kCrashHeader[] = "X-Crash";
+inline constexpr char kCrashPath[] = "/crash";
+
+/// A backend server: it runs requests on a few slots, lets the others wait, and
+/// misbehaves as it is told.
+///
+/// A request's query may hold `bytes` (size of the answer), `ms` (service time)
+/// and `rate` (bytes a second of the answer). The answer's body is
+/// `load::AnswerBytes` of the request's identity: its `Idempotency-Key`, or
+/// else its `X-Request-Id`. Every start of a run is counted by that identity.
+///
+/// Make it, move it to its thread, call `Start`.
+class BackendServer : public QObject, public Component {
+ public:
+  BackendServer(BackendOptions options, Clock clock);
+  ~BackendServer() override;
+
+  /// Listens. Returns false if the address can't be had. Thread safe.
+  bool Start();
+  Endpoint endpoint() const { return m_service.endpoint(); }
+
+  std::string name() const override { return m_options.m_name; }
+  QJsonObject Faults() override;
+  QString SetFaults(const QJsonObject& json) override;
+  QJsonObject Counters() override;
+  QJsonObject Runs() override;
+
+ private:
+  struct Job;
+  using JobPointer = std::shared_ptr<Job>;
+  struct Health {
+    TimePoint m_since;
+    int m_in_flight = 0;
+    bool m_draining = false;
+  };
+  struct CounterSet {
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_runs = 0;
+    std::uint64_t m_shed = 0;
+    std::uint64_t m_late = 0;
+    std::uint64_t m_cancelled_queued = 0;
+    std::uint64_t m_cancelled_running = 0;
+    std::uint64_t m_answered = 0;
+    std::uint64_t m_probes = 0;
+    std::uint64_t m_probe_ms = 0;
+    std::uint64_t m_crashes = 0;
+    int m_max_running = 0;
+    int m_max_waiting = 0;
+  };
+
+  void Handle(const std::shared_ptr<Exchange>& exchange);
+  bool HandleFault(const std::shared_ptr<Exchange>& exchange);
+  void Enqueue(const JobPointer& job);
+  void StartWaiting();
+  void Run(const JobPointer& job);
+  void RunEnded(const JobPointer& job);
+  void Leave(const JobPointer& job);
+  void FreeSlot(const JobPointer& job);
+  void AnswerJob(const JobPointer& job);
+  void AnswerProbe(const JobPointer& job);
+  void SendBody(const JobPointer& job);
+  void Stream(const JobPointer& job);
+  void Refuse(const std::shared_ptr<Exchange>& exchange, bool not_run);
+  http::ResponseHead HeadFor(const Exchange& exchange, int status) const;
+  void Crash();
+  void Restart();
+  void ApplyFaults();
+  int ServiceMs(const Exchange& exchange);
+  double SlowFactor();
+  int InFlight() const;
+  void NoteHealth();
+  Health ShownHealth() const;
+  bool ReadServiceTimes(QJsonObject* json);
+
+  BackendOptions m_options;
+  Clock m_clock;
+  BackendFaults m_faults;
+  HttpService m_service;
+  std::deque<JobPointer> m_waiting;
+  std::unordered_set<JobPointer> m_running;
+  std::unordered_map<std::string, int> m_runs;
+  std::deque<Health> m_health;
+  std::mt19937_64 m_random;
+  CounterSet m_counters;
+  TimePoint m_started_at;
+  TimePoint m_straggle_until = TimePoint::max();
+  std::uint64_t m_incarnation;
+  bool m_down = false;
+};
+
+}  // namespace guavacross::standin
+
+#endif  // GUAVACROSS_STANDIN_BACKEND_SERVER_H_
--- /dev/null
+++ b/src/standin/log_service.h
@@ -0,0 +1,114 @@
+#ifndef GUAVACROSS_STANDIN_LOG_SERVICE_H_
+#define GUAVACROSS_STANDIN_LOG_SERVICE_H_
+
+#include <QObject>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "guavacross/time.h"
+#include "standin/component.h"
+#include "standin/fault_table.h"
+#include "standin/http_service.h"
+
+namespace guavacross::standin {
+
+/// What can go wrong with the log service.
+struct LogServiceFaults {
+  /// Records kept of each stream; 0 keeps all.
+  int m_keep_records = 0;
+  /// Age at which records go; 0 keeps them.
+  int m_keep_ms = 0;
+  /// Appends a second over all streams.
+  double m_appends_per_second = 300;
+  /// Empty, or how an outage shows: `refuse` (connections are refused, open
+  /// ones reset), `reset` (each request resets its connection) or
+  /// `unavailable` (503).
+  std::string m_outage;
+  /// Every answer waits for this long.
+  int m_delay_ms = 0;
+  /// Appends that take effect, but whose answer is replaced by a reset.
+  int m_lose_answers = 0;
+  /// Appends that don't take effect and are answered by a reset.
+  int m_lose_appends = 0;
+  /// Appends that are answered by a reset and take effect later.
+  int m_apply_late = 0;
+  int m_late_ms = 1000;
+
+  bool operator==(const LogServiceFaults&) const = default;
+};
+
+/// The platform's log service, in memory.
+///
+///     POST /streams/STREAM/records                  201 {"offset":N}
+///     GET  /streams/STREAM/records?from=&max=&wait_ms=
+///          200 {"first":F,"end":E,"records":[{"offset":N,"data":"base64"}]}
+///
+/// Over the rate limit an append gets 429 and isn't done. A read waits up to
+/// `wait_ms` for the first record, and one from an expired offset is answered
+/// from the first kept record on. The counts `lose_answers`, `lose_appends` and
+/// `apply_late` go down as appends use them up; -1 means every append.
+class LogService : public QObject, public Component {
+ public:
+  LogService(std::string name, Clock clock);
+
+  bool Listen(const Endpoint& endpoint) { return m_service.Listen(endpoint); }
+  Endpoint endpoint() const { return m_service.endpoint(); }
+
+  std::string name() const override { return m_name; }
+  QJsonObject Faults() override;
+  QString SetFaults(const QJsonObject& json) override;
+  QJsonObject Counters() override;
+
+ private:
+  struct Record {
+    std::string m_data;
+    TimePoint m_appended_at;
+  };
+  struct Stream {
+    std::uint64_t m_first = 0;
+    std::deque<Record> m_records;
+    std::uint64_t end() const { return m_first + m_records.size(); }
+  };
+  struct Reader {
+    std::string m_stream;
+    std::uint64_t m_from = 0;
+    std::uint64_t m_max = 0;
+    std::shared_ptr<Exchange> m_exchange;
+    TimePoint m_until;
+  };
+  using Exchanges = std::shared_ptr<Exchange>;
+
+  void Handle(const Exchanges& exchange);
+  void HandleNow(const Exchanges& exchange);
+  void HandleAppend(const std::string& stream, const Exchanges& exchange);
+  void HandleRead(const std::string& stream, const Exchanges& exchange);
+  std::uint64_t Append(const std::string& stream, const std::string& data);
+  void Expire(Stream* stream);
+  void AnswerRead(const Reader& reader);
+  void AnswerWaitingReaders(bool sweep);
+  bool TakeAppendToken();
+  void ApplyOutage();
+
+  std::string m_name;
+  Clock m_clock;
+  LogServiceFaults m_faults;
+  HttpService m_service;
+  std::map<std::string, Stream> m_streams;
+  std::list<Reader> m_waiting;
+  double m_tokens = 0;
+  TimePoint m_tokens_at;
+  std::unique_ptr<Timer> m_sweep;
+  std::uint64_t m_appends = 0;
+  std::uint64_t m_rate_limited = 0;
+  std::uint64_t m_reads = 0;
+  std::uint64_t m_answers_lost = 0;
+};
+
+}  // namespace guavacross::standin
+
+#endif  // GUAVACROSS_STANDIN_LOG_SERVICE_H_
