--- a/src/document/section_reader.cc
+++ b/src/document/section_reader.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "document/keys.h"
+#include "document/names.h"
 
 namespace guavacross::document {
 
@@ -13,7 +14,7 @@
 using util::Presence;
 using util::TomlReader;
 
-constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kMaxMethodLength = 20;
 
 std::string NameOf(Key key) {
   return std::string(Spec(key).m_name);
@@ -92,7 +93,6 @@
 }
 
 bool IsMethod(const std::string& method) {
-  constexpr std::size_t kMaxMethodLength = 20;
   return !method.empty() && method.size() <= kMaxMethodLength &&
          std::all_of(method.begin(), method.end(),
                      [](char c) { return (c >= 'A' && c <= 'Z') || c == '-'; });
@@ -256,18 +256,8 @@
   }
 }
 
-bool IsNameCharacter(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
-}
-
 }  // namespace
 
-bool IsName(std::string_view name) {
-  return !name.empty() && name.size() <= kMaxNameLength &&
-         std::all_of(name.begin(), name.end(), IsNameCharacter);
-}
-
 ServiceConfig ReadSection(const std::string& name, TomlReader reader) {
   ServiceConfig service;
   service.m_name = name;
--- a/src/document/section_reader.h
+++ b/src/document/section_reader.h
@@ -8,10 +8,6 @@
 
 namespace guavacross::document {
 
-/// Whether `name` may name a section, team, target, class or tenant: 1 to 64
-/// letters, digits, `.`, `_` or `-`. Thread safe.
-bool IsName(std::string_view name);
-
 /// Reads one section from its table; errors are kept in the reader.
 ServiceConfig ReadSection(const std::string& name, util::TomlReader reader);
 
--- a/src/include/guavacross/config_state.h
+++ b/src/include/guavacross/config_state.h
@@ -2,12 +2,15 @@
 #define GUAVACROSS_CONFIG_STATE_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "guavacross/document.h"
 #include "guavacross/error.h"
 #include "guavacross/time.h"
 
@@ -30,6 +33,9 @@
   std::string m_edit_id;
   /// The section's text; empty removes the section.
   std::string m_toml;
+  /// The team that owns the section afterwards; empty means `m_team`. The
+  /// owning team hands a section over by naming another here.
+  std::string m_owner;
 
   bool operator==(const ConfigEdit&) const = default;
 };
@@ -44,6 +50,9 @@
   std::string m_toml;
   /// The schema of `m_toml`.
   int m_schema = 0;
+  /// The newest text of each lower schema, for instances of older releases.
+  /// The state is the same on every release; `ServiceInForce` picks the text.
+  std::map<int, std::string> m_fallbacks;
 
   bool operator==(const SectionState&) const = default;
 };
@@ -57,6 +66,8 @@
   std::uint64_t m_version = 0;
   /// Why the edit was refused.
   std::string m_reason;
+  /// The offset of the edit's first record.
+  std::uint64_t m_offset = 0;
 
   bool operator==(const EditVerdict&) const = default;
 };
@@ -73,12 +84,27 @@
   bool operator==(const ConfigSnapshot&) const = default;
 };
 
+/// Verdicts are kept for this many offsets of the config stream after their
+/// edit. A later re-append of an accepted edit is refused by its version.
+inline constexpr std::uint64_t kRememberedOffsets = 4096;
+
+/// The largest text of one section, in bytes.
+inline constexpr std::size_t kMaxSectionBytes = std::size_t{1} << 20;
+
 /// Serializes an edit for the config stream, and reads it back.
 /// Errors of the reader: `kBadMessage`.
 std::string EncodeEdit(const ConfigEdit& edit);
 Result<ConfigEdit> DecodeEdit(const std::string& data);
 std::string EncodeSnapshot(const ConfigSnapshot& snapshot);
 Result<ConfigSnapshot> DecodeSnapshot(const std::string& data);
+/// Serializes sections for other instances, and reads them back.
+std::string EncodeSections(const std::vector<SectionState>& sections);
+Result<std::vector<SectionState>> DecodeSections(const std::string& data);
+
+/// The service that a section's state puts in force on this release: its
+/// newest text of a schema that this release knows. Nothing for a section that
+/// has been removed or has no such text. Thread safe.
+std::optional<ServiceConfig> ServiceInForce(const SectionState& section);
 
 /// Applies the records of the config stream in order. Not thread safe.
 class ConfigFold {
@@ -97,7 +123,17 @@
   std::uint64_t Digest() const;
 
  private:
+  std::string Judge(const ConfigEdit& edit) const;
+  void Accept(std::uint64_t offset, const ConfigEdit& edit);
+  void Remember(const EditVerdict& verdict);
+  void ForgetOldVerdicts();
+
   ConfigSnapshot m_state;
+  /// Sum of the hashes of all sections and verdicts, kept up to date because
+  /// the digest is asked for after every record.
+  std::uint64_t m_content_hash = 0;
+  /// Offsets and ids of the remembered edits, oldest first.
+  std::deque<std::pair<std::uint64_t, std::string>> m_edit_order;
 };
 
 /// Sections in force on this instance. Not thread safe: control thread only.
--- a/src/include/guavacross/log_service.h
+++ b/src/include/guavacross/log_service.h
@@ -63,8 +63,10 @@
                      std::function<void(AppendResult)>)>
       m_append;
   /// Reads records from offset `from` on, waiting up to `wait` for the first
-  /// if there is none yet. Errors: `kLogUnavailable`. An expired offset is no
-  /// error: the batch starts at `m_first_kept`.
+  /// if there is none yet. Errors: `kLogUnavailable`, always, so the callback
+  /// need only look whether there is a batch. An expired offset is no error:
+  /// the batch starts at `m_first_kept`. A read from beyond the end waits for
+  /// nothing older and is answered with no records.
   std::function<void(const std::string& stream,
                      std::uint64_t from,
                      Duration wait,
