--- a/src/instance_list/instance_poller.cc
+++ b/src/instance_list/instance_poller.cc
@@ -52,7 +52,7 @@
     return Fail(ErrorKind::kBadMessage, "no list of instances");
   }
   std::vector<ListedInstance> instances;
-  for (const QJsonValue& entry : document["instances"].toArray()) {
+  for (const QJsonValue entry : document["instances"].toArray()) {
     BOOST_LEAF_AUTO(instance, ParseInstance(entry));
     instances.push_back(std::move(instance));
   }
--- /dev/null
+++ b/src/log_service/config_follower.h
@@ -0,0 +1,143 @@
+#ifndef GUAVACROSS_LOG_SERVICE_CONFIG_FOLLOWER_H_
+#define GUAVACROSS_LOG_SERVICE_CONFIG_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "guavacross/config_state.h"
+#include "guavacross/log_service.h"
+#include "guavacross/time.h"
+#include "log_service/backoff.h"
+#include "log_service/snapshot_parts.h"
+
+namespace guavacross::log_service {
+
+struct FollowerOptions {
+  /// How long a read waits for the next record.
+  Duration m_wait = std::chrono::seconds(10);
+  Duration m_first_backoff = std::chrono::milliseconds(100);
+  Duration m_max_backoff = std::chrono::seconds(2);
+  std::uint64_t m_seed = 1;
+};
+
+struct FollowerHooks {
+  /// Sections that changed, or all of them after a snapshot was loaded.
+  std::function<void(const std::vector<SectionState>&)> m_on_sections;
+  /// The verdict on each record that was read, in order.
+  std::function<void(const EditVerdict&)> m_on_verdict;
+  /// The log was read to its end, or a read failed.
+  std::function<void()> m_on_progress;
+};
+
+/// Where a follower stands.
+struct FollowerStatus {
+  /// Whether the log has been read to its end at least once.
+  bool m_caught_up = false;
+  /// Whether the last read was answered.
+  bool m_store_answers = false;
+  /// Whether records expired that neither the state nor a snapshot holds.
+  bool m_records_lost = false;
+  /// Whether the log ends before what has been applied: the service has lost
+  /// records that it had acknowledged.
+  bool m_log_shrank = false;
+  /// The first offset that has not been applied.
+  std::uint64_t m_as_of = 0;
+  std::uint64_t m_log_end = 0;
+  std::uint64_t m_first_kept = 0;
+  /// Times that the state was built anew from a snapshot.
+  int m_rebuilds = 0;
+
+  bool operator==(const FollowerStatus&) const = default;
+};
+
+/// Keeps a fold of the config stream up to date: loads the newest snapshot,
+/// folds the records after it and waits for more.
+///
+/// Make one, call `Start`, and read `fold()` or listen to the hooks. If the
+/// offset to read has expired, it starts over from the newest snapshot. The
+/// state never goes back: a snapshot with a smaller as-of offset is not taken.
+/// Used on one thread.
+class ConfigFollower {
+ public:
+  ConfigFollower(FollowerOptions options,
+                 LogAccess access,
+                 Clock clock,
+                 FollowerHooks hooks);
+  ConfigFollower(const ConfigFollower&) = delete;
+  ConfigFollower& operator=(const ConfigFollower&) = delete;
+
+  void Start();
+
+  /// Builds the state anew from the newest snapshot and the records after it,
+  /// or keeps the present one if the log no longer holds enough for that.
+  void Rebuild();
+
+  /// Calls `done` once a read that begins after this call has reached the
+  /// log's end.
+  void CatchUp(std::function<void()> done);
+
+  const ConfigFold& fold() const { return m_fold; }
+  const FollowerStatus& status() const { return m_status; }
+  /// When the newest snapshot that was loaded was written, by its writer's
+  /// wall clock in milliseconds since 1970; 0 if none was.
+  std::uint64_t snapshot_written_at_ms() const { return m_snapshot_written_at; }
+  /// The as-of offset of that snapshot.
+  std::uint64_t snapshot_as_of() const { return m_snapshot_as_of; }
+
+ private:
+  struct CatchUpWaiter {
+    std::uint64_t m_after_read;
+    std::function<void()> m_done;
+  };
+
+  void Read(const std::string& stream,
+            std::uint64_t from,
+            Duration wait,
+            std::function<void(const LogBatch&)> on_batch);
+  void Retry();
+  void LoadSnapshot();
+  void ReadParts(std::uint64_t from, std::uint64_t first, std::uint64_t end);
+  void TakeParts(const LogBatch& batch, std::uint64_t first, std::uint64_t end);
+  void EndOfParts(std::uint64_t window_from, std::uint64_t first);
+  void UseFold(ConfigFold fold);
+  void ReadTail();
+  void TakeTail(const LogBatch& batch, std::uint64_t read_number);
+  void HandleExpired();
+  void NoteLogLength(const LogBatch& batch);
+  void Apply(const LogBatch& batch);
+  void TellCaughtUp(std::uint64_t read_number);
+
+  FollowerOptions m_options;
+  LogAccess m_access;
+  Clock m_clock;
+  FollowerHooks m_hooks;
+  ConfigFold m_fold;
+  FollowerStatus m_status;
+  Backoff m_backoff;
+  SnapshotAssembler m_assembler;
+  std::uint64_t m_window;
+  std::uint64_t m_window_from = 0;
+  bool m_whole_stream_seen = false;
+  /// Whether the newest snapshot is to be taken even if it is older.
+  bool m_rebuilding = false;
+  /// The state before a rebuild that has not reached the log's end.
+  std::optional<ConfigFold> m_before_rebuild;
+  std::uint64_t m_snapshot_written_at = 0;
+  std::uint64_t m_snapshot_as_of = 0;
+  std::uint64_t m_reads = 0;
+  /// Distinguishes the current chain of reads from one that `Rebuild` left.
+  std::uint64_t m_generation = 0;
+  std::vector<CatchUpWaiter> m_waiters;
+  std::unique_ptr<Timer> m_timer;
+  /// Expires with the object; a read's answer may come later.
+  std::shared_ptr<char> m_alive = std::make_shared<char>();
+};
+
+}  // namespace guavacross::log_service
+
+#endif  // GUAVACROSS_LOG_SERVICE_CONFIG_FOLLOWER_H_
--- /dev/null
+++ b/src/log_service/config_reader_test.cc
@@ -0,0 +1,243 @@
+#include "log_service/config_reader.h"
+
+#include <memory>
+
+#include "log_service/fake_log.h"
+#include "log_service/publisher.h"
+#include "log_service/testing.h"
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::log_service {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using util::Section;
+
+// A log, a clock and instances that read the log.
+struct World {
+  struct Instance {
+    util::Metrics m_metrics;
+    int m_changes = 0;
+    std::unique_ptr<ConfigReader> m_reader;
+  };
+
+  util::ManualClock m_clock;
+  FakeLog m_log{m_clock.clock()};
+  std::uint64_t m_next_edit = 0;
+
+  std::unique_ptr<Instance> Start(const std::string& name,
+                                  Duration retention = minutes(60)) {
+    auto instance = std::make_unique<Instance>();
+    ConfigReaderOptions options;
+    options.m_follower.m_seed = static_cast<unsigned char>(name.back());
+    options.m_snapshots.m_seed = static_cast<unsigned char>(name.back());
+    options.m_snapshots.m_retention = retention;
+    instance->m_reader = std::make_unique<ConfigReader>(
+        options, m_log.access(name), m_clock.clock(), instance->m_metrics,
+        ConfigReaderHooks{
+            .m_on_change = [raw = instance.get()](const SectionState&) {
+              ++raw->m_changes;
+            }});
+    instance->m_reader->Start();
+    return instance;
+  }
+
+  // Appends an edit that is accepted if `based_on` is right.
+  std::uint64_t Append(const std::string& section, std::uint64_t based_on) {
+    const std::string id = "e" + std::to_string(m_next_edit++);
+    return m_log.Append(kConfigStream, EncodeEdit(MakeEdit(section, "imaging",
+                                                           based_on, id))) +
+           1;
+  }
+};
+
+std::uint64_t VersionAt(const World::Instance& instance,
+                        const std::string& section) {
+  const auto& sections = instance.m_reader->in_force().sections();
+  const auto found = sections.find(section);
+  return found == sections.end() ? 0 : found->second.m_version;
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(ConfigReaderFollows) {
+  World world;
+  const auto a = world.Start("a");
+  Section("is ready once it has read an empty log", [&] {
+    CPPUNIT_ASSERT(!a->m_reader->ready());
+    world.m_clock.Advance(milliseconds(10));
+    CPPUNIT_ASSERT(a->m_reader->ready());
+  });
+  const std::uint64_t version = world.Append("catalog", 0);
+  world.m_clock.Advance(milliseconds(10));
+  Section("puts an accepted edit in force at once",
+          [&] { CPPUNIT_ASSERT_EQUAL(version, VersionAt(*a, "catalog")); });
+  Section("shows a refused one", [&] {
+    world.Append("catalog", 0);
+    world.m_clock.Advance(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(version, VersionAt(*a, "catalog"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, a->m_reader->RefusedEdits().size());
+  });
+  Section("keeps its state over an outage and catches up after it", [&] {
+    world.m_log.SetOutage(true);
+    world.m_clock.Advance(minutes(5));
+    CPPUNIT_ASSERT_EQUAL(version, VersionAt(*a, "catalog"));
+    CPPUNIT_ASSERT(!a->m_reader->log_status().m_store_answers);
+    world.m_log.SetOutage(false);
+    const std::uint64_t next = world.Append("catalog", version);
+    world.m_clock.Advance(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(next, VersionAt(*a, "catalog"));
+  });
+}
+
+GUAVACROSS_STORY(ConfigReaderWithoutTheStore) {
+  World world;
+  const auto a = world.Start("a");
+  world.Append("catalog", 0);
+  world.m_clock.Advance(milliseconds(10));
+  world.m_log.SetOutage(true);
+  const auto b = world.Start("b");
+  world.m_clock.Advance(seconds(5));
+  const std::vector<SectionState> sections = {
+      a->m_reader->in_force().sections().at("catalog")};
+  Section("an instance that starts is not ready",
+          [&] { CPPUNIT_ASSERT(!b->m_reader->ready()); });
+  Section("until a peer passes its sections on", [&] {
+    b->m_reader->MergeFromPeers(sections, true);
+    CPPUNIT_ASSERT(b->m_reader->ready());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, VersionAt(*b, "catalog"));
+  });
+  Section("an older section from a peer changes nothing", [&] {
+    world.m_log.SetOutage(false);
+    world.Append("catalog", 1);
+    world.m_clock.Advance(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, VersionAt(*b, "catalog"));
+    b->m_reader->MergeFromPeers(sections, true);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, VersionAt(*b, "catalog"));
+  });
+}
+
+GUAVACROSS_STORY(ConfigSnapshots) {
+  World world;
+  world.m_log.SetRetention(minutes(60));
+  std::vector<std::unique_ptr<World::Instance>> instances;
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+    instances.push_back(world.Start(name));
+  }
+  const std::uint64_t version = world.Append("catalog", 0);
+  world.m_clock.Advance(minutes(10));
+  Section("six instances write about one", [&] {
+    const auto written = world.m_log.Records(kSnapshotStream).size();
+    CPPUNIT_ASSERT(written >= 1 && written <= 3);
+  });
+  world.m_clock.Advance(minutes(600));
+  Section("renewed before the log forgets it", [&] {
+    CPPUNIT_ASSERT(world.m_log.FirstKept(kConfigStream) > 0);
+    CPPUNIT_ASSERT(!world.m_log.Records(kSnapshotStream).empty());
+    CPPUNIT_ASSERT(world.m_log.End(kSnapshotStream) < 100);
+  });
+  Section("a new instance starts from it", [&] {
+    const auto late = world.Start("g");
+    world.m_clock.Advance(seconds(1));
+    CPPUNIT_ASSERT(late->m_reader->ready());
+    CPPUNIT_ASSERT_EQUAL(version, VersionAt(*late, "catalog"));
+    CPPUNIT_ASSERT(late->m_reader->fold_digest() ==
+                   instances[0]->m_reader->fold_digest());
+  });
+  Section("an instance whose offset expires meanwhile reloads", [&] {
+    world.m_log.SetCutOff("a", true);
+    std::uint64_t newest = world.Append("catalog", version);
+    world.m_clock.Advance(minutes(100));
+    newest = world.Append("catalog", newest);
+    world.m_clock.Advance(minutes(100));
+    CPPUNIT_ASSERT_EQUAL(version, VersionAt(*instances[0], "catalog"));
+    world.m_log.SetCutOff("a", false);
+    world.m_clock.Advance(seconds(15));
+    CPPUNIT_ASSERT_EQUAL(newest, VersionAt(*instances[0], "catalog"));
+    CPPUNIT_ASSERT(instances[0]->m_reader->fold_digest() ==
+                   instances[1]->m_reader->fold_digest());
+  });
+}
+
+GUAVACROSS_STORY(ConfigSnapshotsThatMislead) {
+  World world;
+  ConfigFold fold;
+  const auto apply = [&](const ConfigEdit& edit) {
+    const std::string data = EncodeEdit(edit);
+    fold.Apply(world.m_log.Append(kConfigStream, data), data);
+  };
+  apply(MakeEdit("catalog", "imaging", 0, "x0"));
+  const ConfigSnapshot old = fold.state();
+  for (int i = 1; i < 50; ++i) {
+    apply(MakeEdit("catalog", "imaging", i, "x" + std::to_string(i)));
+  }
+  const auto append_parts = [&](const ConfigSnapshot& snapshot,
+                                std::size_t count) {
+    auto parts = EncodeParts(snapshot, 0, 100);
+    parts.resize(std::min(parts.size(), count));
+    for (const std::string& part : parts) {
+      world.m_log.Append(kSnapshotStream, part);
+    }
+  };
+  const std::size_t all = 1000000;
+  append_parts(fold.state(), all);
+  Section("an old one that a paused instance wrote late is passed over", [&] {
+    for (int i = 0; i < 100; ++i) {
+      append_parts(old, all);
+    }
+    world.m_log.Expire(kConfigStream, 49);
+    const auto a = world.Start("a");
+    world.m_clock.Advance(seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, VersionAt(*a, "catalog"));
+  });
+  Section("so is one whose writer died half way", [&] {
+    append_parts(fold.state(), 3);
+    world.m_log.Append(kSnapshotStream, "garbage");
+    const auto b = world.Start("b");
+    world.m_clock.Advance(seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, VersionAt(*b, "catalog"));
+  });
+  Section("without one, an instance waits rather than make a state up", [&] {
+    world.m_log.Expire(kSnapshotStream, world.m_log.End(kSnapshotStream));
+    const auto c = world.Start("c");
+    world.m_clock.Advance(seconds(30));
+    CPPUNIT_ASSERT(!c->m_reader->ready());
+    CPPUNIT_ASSERT(c->m_reader->log_status().m_records_lost);
+  });
+}
+
+GUAVACROSS_STORY(ConfigDigestsOfPeers) {
+  World world;
+  const auto a = world.Start("a");
+  world.Append("catalog", 0);
+  world.m_clock.Advance(minutes(1));
+  const FoldDigest own = a->m_reader->fold_digest();
+  const int rebuilds = a->m_reader->log_status().m_rebuilds;
+  Section("an equal one is fine",
+          [&] { CPPUNIT_ASSERT(a->m_reader->ComparePeerDigest(own)); });
+  Section("one of an offset that isn't known says nothing", [&] {
+    CPPUNIT_ASSERT(a->m_reader->ComparePeerDigest({.m_as_of = 99}));
+  });
+  Section("another one makes the state be built anew, without going back", [&] {
+    const FoldDigest other{.m_as_of = own.m_as_of, .m_digest = 1};
+    CPPUNIT_ASSERT(!a->m_reader->ComparePeerDigest(other));
+    world.m_clock.Advance(seconds(1));
+    CPPUNIT_ASSERT(a->m_reader->log_status().m_rebuilds > rebuilds);
+    CPPUNIT_ASSERT(own == a->m_reader->fold_digest());
+    CPPUNIT_ASSERT_EQUAL(1, a->m_changes);
+  });
+  Section("but not if the log no longer allows it", [&] {
+    world.m_clock.Advance(minutes(1));
+    world.m_log.Expire(kConfigStream, 1);
+    world.m_log.Expire(kSnapshotStream, world.m_log.End(kSnapshotStream));
+    a->m_reader->ComparePeerDigest({.m_as_of = own.m_as_of, .m_digest = 1});
+    world.m_clock.Advance(seconds(1));
+    CPPUNIT_ASSERT(own == a->m_reader->fold_digest());
+  });
+}
+
+}  // namespace guavacross::log_service
--- a/src/log_service/http_log_access.cc
+++ b/src/log_service/http_log_access.cc
@@ -90,7 +90,7 @@
     return bad("first, end or records is missing");
   }
   LogBatch batch{.m_first_kept = *first, .m_end = *end};
-  for (const QJsonValue& value : document["records"].toArray()) {
+  for (const QJsonValue value : document["records"].toArray()) {
     const auto offset = OffsetOf(value["offset"]);
     const auto data =
         QByteArray::fromBase64Encoding(value["data"].toString().toLatin1(),
--- /dev/null
+++ b/src/log_service/publisher.h
@@ -0,0 +1,71 @@
+#ifndef GUAVACROSS_LOG_SERVICE_PUBLISHER_H_
+#define GUAVACROSS_LOG_SERVICE_PUBLISHER_H_
+
+#include <functional>
+#include <memory>
+
+#include "guavacross/config_state.h"
+#include "guavacross/log_service.h"
+#include "guavacross/time.h"
+#include "log_service/backoff.h"
+#include "log_service/config_follower.h"
+#include "util/handle.h"
+
+namespace guavacross::log_service {
+
+struct PublisherOptions {
+  /// Longest time for loading, and for one edit.
+  Duration m_deadline = std::chrono::seconds(30);
+  std::uint64_t m_seed = 1;
+};
+
+/// Appends edits and finds out what became of them.
+///
+/// Make one, call `Load`, read the current sections from `state()`, then
+/// `Publish` edits one after the other. An edit is appended until its record is
+/// read back, with the same edit id each time, so that it takes effect at most
+/// once; after an append without an answer the log is read before the next
+/// append. Used on one thread.
+class Publisher {
+ public:
+  Publisher(PublisherOptions options, LogAccess access, Clock clock);
+  Publisher(const Publisher&) = delete;
+  Publisher& operator=(const Publisher&) = delete;
+
+  /// Reads the log to its end. `done` is told whether that worked in time.
+  void Load(std::function<void(bool)> done);
+
+  const ConfigSnapshot& state() const { return m_follower.fold().state(); }
+
+  /// Publishes one edit. Errors to `done`: `kPublishConflict` with the reason
+  /// of the refusal; `kLogUnavailable` if the record is certainly not in the
+  /// log; `kAppendUnclear` if it may be there or get there: the same edit, with
+  /// the same id, may be published again without harm.
+  void Publish(const ConfigEdit& edit,
+               std::function<void(util::Expected<EditVerdict>)> done);
+
+ private:
+  void Append();
+  void HandleAppend(const AppendResult& result);
+  void AppendLater();
+  void HandleVerdict(const EditVerdict& verdict);
+  void HandleDeadline();
+  void Finish(util::Expected<EditVerdict> end);
+
+  PublisherOptions m_options;
+  LogAccess m_access;
+  Clock m_clock;
+  Backoff m_backoff;
+  std::function<void(bool)> m_on_load;
+  ConfigEdit m_edit;
+  std::function<void(util::Expected<EditVerdict>)> m_on_end;
+  bool m_may_be_in_log = false;
+  std::unique_ptr<Timer> m_deadline;
+  std::unique_ptr<Timer> m_timer;
+  std::shared_ptr<char> m_alive = std::make_shared<char>();
+  ConfigFollower m_follower;
+};
+
+}  // namespace guavacross::log_service
+
+#endif  // GUAVACROSS_LOG_SERVICE_PUBLISHER_H_
--- /dev/null
+++ b/src/log_service/publisher_test.cc
@@ -0,0 +1,113 @@
+#include "log_service/publisher.h"
+
+#include <optional>
+
+#include "log_service/fake_log.h"
+#include "log_service/testing.h"
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::log_service {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using util::Section;
+
+struct World {
+  util::ManualClock m_clock;
+  FakeLog m_log{m_clock.clock()};
+  Publisher m_publisher{{}, m_log.access(), m_clock.clock()};
+
+  bool Load() {
+    std::optional<bool> loaded;
+    m_publisher.Load([&loaded](bool done) { loaded = done; });
+    m_clock.Advance(seconds(31));
+    return loaded.value();
+  }
+
+  util::Expected<EditVerdict> Publish(const ConfigEdit& edit) {
+    std::optional<util::Expected<EditVerdict>> end;
+    m_publisher.Publish(edit, [&end](const auto& result) { end = result; });
+    m_clock.Advance(seconds(31));
+    return end.value();
+  }
+
+  std::size_t Records() { return m_log.Records(kConfigStream).size(); }
+};
+
+}  // namespace
+
+GUAVACROSS_STORY(Publishing) {
+  World world;
+  CPPUNIT_ASSERT(world.Load());
+  Section("an edit is accepted", [&] {
+    const auto end = world.Publish(MakeEdit("catalog", "imaging", 0, "e1"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, end.m_value.value().m_version);
+  });
+  Section("an edit that lost a race is refused with the reason", [&] {
+    const auto end = world.Publish(MakeEdit("catalog", "imaging", 0, "e2"));
+    CPPUNIT_ASSERT(end.m_error.m_kind == ErrorKind::kPublishConflict);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("based on version 0, but version 1 is current"),
+        end.m_error.m_text);
+  });
+  Section("an append without an answer", [&] {
+    Section("that is in the log is found and not appended again", [&] {
+      const std::size_t before = world.Records();
+      world.m_log.LoseAnswers(1, LostAnswer::kApplied);
+      const auto end = world.Publish(MakeEdit("catalog", "imaging", 1, "e3"));
+      CPPUNIT_ASSERT(end.m_value.has_value());
+      CPPUNIT_ASSERT_EQUAL(before + 1, world.Records());
+    });
+    Section("that isn't there is appended again", [&] {
+      world.m_log.LoseAnswers(3, LostAnswer::kNotApplied);
+      const auto end = world.Publish(MakeEdit("catalog", "imaging", 3, "e4"));
+      CPPUNIT_ASSERT(end.m_value.has_value());
+    });
+    Section("that gets there late takes effect once", [&] {
+      const std::size_t before = world.Records();
+      world.m_log.LoseAnswers(1, LostAnswer::kDelayed);
+      const auto end = world.Publish(MakeEdit("catalog", "imaging", 4, "e5"));
+      const std::uint64_t version = end.m_value.value().m_version;
+      world.m_log.DeliverDelayed();
+      world.m_clock.Advance(seconds(1));
+      CPPUNIT_ASSERT_EQUAL(before + 2, world.Records());
+      CPPUNIT_ASSERT_EQUAL(
+          version,
+          world.m_publisher.state().m_sections.at("catalog").m_version);
+    });
+    Section("is reported as unclear if the log stays away", [&] {
+      world.m_log.LoseAnswers(1000, LostAnswer::kDelayed);
+      const ConfigEdit edit = MakeEdit("archive", "imaging", 0, "e6");
+      CPPUNIT_ASSERT(world.Publish(edit).m_error.m_kind ==
+                     ErrorKind::kAppendUnclear);
+      Section("and may be published again with its id", [&] {
+        world.m_log.LoseAnswers(0, LostAnswer::kApplied);
+        world.m_log.DeliverDelayed();
+        world.m_clock.Advance(seconds(1));
+        const std::size_t before = world.Records();
+        CPPUNIT_ASSERT(world.Publish(edit).m_value.has_value());
+        CPPUNIT_ASSERT_EQUAL(before, world.Records());
+      });
+    });
+  });
+  Section("a rate limit is waited out", [&] {
+    world.m_log.SetRateLimit(1);
+    world.m_log.access().m_append("other", "", [](const AppendResult&) {});
+    CPPUNIT_ASSERT(world.Publish(MakeEdit("third", "imaging", 0, "e7"))
+                       .m_value.has_value());
+  });
+  Section("an outage ends with certainty that nothing was appended", [&] {
+    world.m_log.SetOutage(true);
+    CPPUNIT_ASSERT(
+        world.Publish(MakeEdit("fourth", "imaging", 0, "e8")).m_error.m_kind ==
+        ErrorKind::kLogUnavailable);
+    World other;
+    other.m_log.SetOutage(true);
+    CPPUNIT_ASSERT(!other.Load());
+  });
+}
+
+}  // namespace guavacross::log_service
--- /dev/null
+++ b/src/log_service/snapshot_writer.cc
@@ -0,0 +1,209 @@
+#include "log_service/snapshot_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "util/handle.h"
+#include "util/log.h"
+
+namespace guavacross::log_service {
+
+namespace {
+
+/// A snapshot is renewed after this part of the retention, so that several
+/// writers in a row may fail before the log forgets it.
+constexpr int kRenewalsPerRetention = 4;
+constexpr int kChecksPerRetention = 40;
+constexpr Duration kMaxCheckInterval = std::chrono::seconds(30);
+constexpr Duration kMaxRandomDelay = std::chrono::seconds(20);
+/// A snapshot whose last part is missing is taken for one being written until
+/// it is this old.
+constexpr Duration kMaxWritingTime = std::chrono::seconds(30);
+constexpr int kMaxAttempts = 20;
+constexpr std::uint64_t kBeyondEnd = std::uint64_t{1} << 52;
+
+Duration AgeOf(std::uint64_t written_at_ms, std::uint64_t now_ms) {
+  return std::chrono::milliseconds(
+      now_ms > written_at_ms ? now_ms - written_at_ms : 0);
+}
+
+}  // namespace
+
+bool SnapshotDue(const KnownSnapshot& newest,
+                 std::uint64_t as_of,
+                 std::uint64_t first_kept,
+                 const SnapshotWriterOptions& options) {
+  if (as_of == 0 || as_of < newest.m_as_of) {
+    return false;
+  }
+  return newest.m_as_of == 0 || newest.m_as_of < first_kept ||
+         as_of - newest.m_as_of >= options.m_max_tail ||
+         newest.m_age >= options.m_retention / kRenewalsPerRetention;
+}
+
+SnapshotWriter::SnapshotWriter(SnapshotWriterOptions options,
+                               LogAccess access,
+                               Clock clock,
+                               util::Metrics& metrics,
+                               StateHook state)
+    : m_options(options),
+      m_access(std::move(access)),
+      m_clock(std::move(clock)),
+      m_state(std::move(state)),
+      m_written(metrics.Counter("guavacross_config_snapshots_written_total",
+                                "Snapshots that this instance appended")),
+      m_skipped(metrics.Counter("guavacross_config_snapshots_skipped_total",
+                                "Snapshots that another instance had written "
+                                "when this one looked")),
+      m_backoff(std::chrono::milliseconds(100),
+                std::chrono::seconds(5),
+                options.m_seed) {
+  CheckLater();
+}
+
+// Wraps a callback of the log, which may come after this object is gone.
+template <class Call>
+auto SnapshotWriter::Guarded(Call call) {
+  return [alive = std::weak_ptr<char>(m_alive),
+          call = std::move(call)](const auto& argument) {
+    if (!alive.expired()) {
+      call(argument);
+    }
+  };
+}
+
+std::uint64_t SnapshotWriter::WallMs() const {
+  const auto now = m_clock.m_wall_now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+void SnapshotWriter::NoteSnapshot(std::uint64_t as_of,
+                                  std::uint64_t written_at_ms) {
+  const bool newer =
+      as_of > m_newest_as_of ||
+      (as_of == m_newest_as_of && written_at_ms > m_newest_written_at_ms);
+  if (newer) {
+    m_newest_as_of = as_of;
+    m_newest_written_at_ms = written_at_ms;
+    m_newest_seen_at = m_clock.m_now();
+  }
+}
+
+void SnapshotWriter::CheckLater() {
+  const Duration interval =
+      std::min(m_options.m_retention / kChecksPerRetention, kMaxCheckInterval);
+  m_timer = m_clock.m_call_after(interval, [this] { Check(); });
+}
+
+void SnapshotWriter::Check() {
+  if (!IsDue()) {
+    CheckLater();
+    return;
+  }
+  const Duration longest =
+      std::min(m_options.m_retention / kChecksPerRetention, kMaxRandomDelay);
+  m_timer = m_clock.m_call_after(m_backoff.Between(Duration::zero(), longest),
+                                 [this] { Look(); });
+}
+
+bool SnapshotWriter::IsDue() const {
+  const ConfigSnapshot* const state = m_state();
+  const Duration age = std::max(AgeOf(m_newest_written_at_ms, WallMs()),
+                                m_clock.m_now() - m_newest_seen_at);
+  return state != nullptr &&
+         SnapshotDue({.m_as_of = m_newest_as_of, .m_age = age}, state->m_as_of,
+                     m_first_kept, m_options);
+}
+
+void SnapshotWriter::Look() {
+  m_access.m_read(kSnapshotStream, kBeyondEnd, Duration::zero(),
+                  Guarded([this](const Result<LogBatch>& batch) {
+                    if (!batch) {
+                      CheckLater();
+                    } else if (batch->m_end == batch->m_first_kept) {
+                      Write();
+                    } else {
+                      ReadLast(batch->m_end);
+                    }
+                  }));
+}
+
+void SnapshotWriter::ReadLast(std::uint64_t end) {
+  m_access.m_read(kSnapshotStream, end - 1, Duration::zero(),
+                  Guarded([this](const Result<LogBatch>& batch) {
+                    if (!batch) {
+                      CheckLater();
+                    } else {
+                      Judge(batch.value());
+                    }
+                  }));
+}
+
+void SnapshotWriter::Judge(const LogBatch& batch) {
+  for (const LogRecord& record : batch.m_records) {
+    const auto part = util::Catch([&] { return DecodePart(record.m_data); });
+    if (!part) {
+      continue;
+    }
+    const bool is_last = part.m_value->m_index + 1 == part.m_value->m_count;
+    if (is_last) {
+      NoteSnapshot(part.m_value->m_as_of, part.m_value->m_written_at_ms);
+    } else if (AgeOf(part.m_value->m_written_at_ms, WallMs()) <
+               kMaxWritingTime) {
+      m_skipped.Increment();
+      CheckLater();
+      return;
+    }
+  }
+  if (IsDue()) {
+    Write();
+  } else {
+    m_skipped.Increment();
+    CheckLater();
+  }
+}
+
+void SnapshotWriter::Write() {
+  const ConfigSnapshot* const state = m_state();
+  if (state == nullptr) {
+    CheckLater();
+    return;
+  }
+  m_writing_as_of = state->m_as_of;
+  m_parts = EncodeParts(*state, WallMs());
+  m_next_part = 0;
+  m_attempts = 0;
+  AppendNext();
+}
+
+void SnapshotWriter::AppendNext() {
+  m_access.m_append(
+      kSnapshotStream, m_parts[m_next_part],
+      Guarded([this](const AppendResult& result) { HandleAppend(result); }));
+}
+
+void SnapshotWriter::HandleAppend(const AppendResult& result) {
+  if (result.m_end != AppendEnd::kAppended) {
+    // A part that is in the log twice does no harm.
+    if (++m_attempts >= kMaxAttempts) {
+      m_parts.clear();
+      CheckLater();
+      return;
+    }
+    m_timer = m_clock.m_call_after(m_backoff.Next(), [this] { AppendNext(); });
+    return;
+  }
+  m_backoff.Reset();
+  if (++m_next_part < m_parts.size()) {
+    AppendNext();
+    return;
+  }
+  m_parts.clear();
+  m_parts.shrink_to_fit();
+  m_written.Increment();
+  NoteSnapshot(m_writing_as_of, WallMs());
+  CheckLater();
+}
+
+}  // namespace guavacross::log_service
