--- /dev/null
+++ b/testsuite/harness.py
@@ -0,0 +1,647 @@
+"""Starts real processes for integration tests, and asks them things.
+
+A case is a `run.py` in its own folder:
+
+    import sys, pathlib
+    sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+    import harness
+
+    with harness.Case(__file__) as case:
+        case.start_platform({"catalog": 3})
+        case.start_instances(2)
+        case.publish(case.document([harness.Service("catalog")]))
+        with case.section("a request is answered"):
+            answer = case.instances[0].call("GET", "/previews/1")
+            case.check_own(answer)
+
+Each case has an IP number of its own, so that cases run side by side. Nothing
+waits for a fixed time: `wait_until` waits for an event, with a generous bound.
+"""
+
+import argparse
+import concurrent.futures
+import contextlib
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+import uuid
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+
+# Ports on the case's own IP number.
+CONTROL_PORT = 7000
+LOG_PORT = 7001
+LIST_PORT = 7002
+SERVER_PORT = 7100
+PROXY_PORT = 7300
+CALLERS_PORT = 8000
+OPERATORS_PORT = 8100
+PEERS_PORT = 8200
+
+# A bound on waiting for what should take seconds at most; machines are shared.
+EVENT_BOUND_S = 40
+BLOCK_BYTES = 64
+
+
+class Failure(AssertionError):
+    """A promise that was seen broken."""
+
+
+def check(condition, text):
+    """Fails the case with `text` unless `condition` holds."""
+    if not condition:
+        raise Failure(text)
+
+
+def wait_until(event, what, bound_s=EVENT_BOUND_S):
+    """Waits until `event()` is true and returns what it gave."""
+    end = time.monotonic() + bound_s
+    while True:
+        value = event()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise Failure(f"still waiting after {bound_s} s: {what}")
+        time.sleep(0.02)
+
+
+def answer_bytes(identity, total):
+    """The body by which a backend server answers the request `identity`."""
+    blocks = (total + BLOCK_BYTES - 1) // BLOCK_BYTES
+    start = f"{identity[:40]:<40} "
+    return "".join(f"{start}{n:022d}\n" for n in range(blocks)).encode()[:total]
+
+
+class Answer:
+    """A complete HTTP answer."""
+
+    def __init__(self, status, headers, body, elapsed_s=0.0):
+        self.status = status
+        self.headers = {name.lower(): value for name, value in headers}
+        self.body = body
+        self.elapsed_s = elapsed_s
+
+    def header(self, name):
+        return self.headers.get(name.lower())
+
+    @property
+    def outcome(self):
+        return self.header("Guavacross-Outcome")
+
+    @property
+    def reason(self):
+        return self.header("Guavacross-Reason")
+
+    @property
+    def backend(self):
+        """The backend server that answered, or None."""
+        return self.header("X-Backend")
+
+    def __repr__(self):
+        return (f"{self.status} outcome={self.outcome} reason={self.reason} "
+                f"backend={self.backend} body={len(self.body)} bytes")
+
+
+def call(address, method, path, headers=None, body=None, timeout_s=30):
+    """Sends one request on a connection of its own; never sends it again.
+
+    Raises OSError or http.client.HTTPException if there is no whole answer.
+    """
+    ip, port = address.rsplit(":", 1)
+    start = time.monotonic()
+    connection = http.client.HTTPConnection(ip, int(port), timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        if response.length is None and not response.chunked:
+            # Python takes a head that was cut short for a whole one.
+            raise http.client.HTTPException("an answer without framing")
+        data = response.read()
+        return Answer(response.status, response.getheaders(), data,
+                      time.monotonic() - start)
+    finally:
+        connection.close()
+
+
+def try_call(*arguments, **named):
+    """As `call`, but gives None where there is no whole answer."""
+    try:
+        return call(*arguments, **named)
+    except (OSError, http.client.HTTPException):
+        return None
+
+
+def read_json(address, path, timeout_s=10):
+    answer = call(address, "GET", path, timeout_s=timeout_s)
+    check(answer.status == 200, f"{path}: {answer}: {answer.body[:200]}")
+    return json.loads(answer.body)
+
+
+class RawConnection:
+    """A TCP connection for requests that no HTTP client would send."""
+
+    def __init__(self, address, timeout_s=EVENT_BOUND_S):
+        ip, port = address.rsplit(":", 1)
+        self.socket = socket.create_connection((ip, int(port)), timeout_s)
+        self.data = b""
+
+    def send(self, data):
+        self.socket.sendall(data if isinstance(data, bytes) else data.encode())
+
+    def read_to_end(self):
+        """All that comes until the other side closes; a reset counts as end."""
+        with contextlib.suppress(ConnectionResetError):
+            while piece := self.socket.recv(65536):
+                self.data += piece
+        data, self.data = self.data, b""
+        return data
+
+    def read_answer(self):
+        """One answer with a Content-Length, or None at the end."""
+        while b"\r\n\r\n" not in self.data:
+            if not self._more():
+                return None
+        head, self.data = self.data.split(b"\r\n\r\n", 1)
+        lines = head.decode("latin-1").split("\r\n")
+        headers = [tuple(part.strip() for part in line.split(":", 1))
+                   for line in lines[1:]]
+        answer = Answer(int(lines[0].split()[1]), headers, b"")
+        length = int(answer.header("Content-Length") or 0)
+        while len(self.data) < length:
+            if not self._more():
+                return None
+        answer.body, self.data = self.data[:length], self.data[length:]
+        return answer
+
+    def _more(self):
+        try:
+            piece = self.socket.recv(65536)
+        except ConnectionResetError:
+            return False
+        self.data += piece
+        return bool(piece)
+
+    def reset(self):
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                               struct.pack("ii", 1, 0))
+        self.socket.close()
+
+    def close(self):
+        self.socket.close()
+
+
+@dataclasses.dataclass
+class Rule:
+    """A class of a service's requests, as the document declares it."""
+    name: str
+    path: str
+    method: str = "GET"
+    repeatable: bool = True
+    hedge: bool = False
+    bulk: bool = False
+    deadline_ms: int = 5000
+    queue_wait_ms: int = 2000
+    queue_limit: int = 1000
+
+
+READS = Rule("previews", "/previews")
+ORDERS = Rule("orders", "/orders", "POST", repeatable=False, deadline_ms=10000)
+MASTERS = Rule("masters", "/masters", bulk=True)
+
+
+@dataclasses.dataclass
+class Service:
+    """A section of the document. Targets default to the platform's servers of
+    the same name; `extra` is TOML added to the section."""
+    name: str
+    rules: tuple = (READS, ORDERS, MASTERS)
+    team: str = "imaging"
+    profile: str = "tail-first"
+    targets: list = None
+    probes_per_second: float = 20
+    extra: str = ""
+    retry: str = "budget_share = 1.0\nmax_attempts = 3"
+
+
+@dataclasses.dataclass
+class Target:
+    name: str
+    address: str
+    zone: str = "zone-a"
+    slots: int = 4
+
+
+def write_section(service, table):
+    """A service's TOML. `table` is the prefix of the tables' names."""
+    lines = [f'team = "{service.team}"', f'profile = "{service.profile}"']
+    for rule in service.rules:
+        lines += [
+            f"[[{table}class]]", f'name = "{rule.name}"',
+            f'methods = ["{rule.method}"]', f'path_prefix = "{rule.path}"',
+            f"repeatable = {str(rule.repeatable).lower()}",
+            f"hedge = {str(rule.hedge).lower()}",
+            f"bulk = {str(rule.bulk).lower()}",
+            f"deadline_ms = {rule.deadline_ms}",
+            f"queue_wait_ms = {min(rule.queue_wait_ms, rule.deadline_ms)}",
+            f"queue_limit = {rule.queue_limit}"]
+    for target in service.targets:
+        lines += [f"[[{table}target]]", f'name = "{target.name}"',
+                  f'address = "{target.address}"', f'zone = "{target.zone}"',
+                  f"slots = {target.slots}"]
+    lines += [f"[{table}probe]",
+              f"probes_per_second = {float(service.probes_per_second)}",
+              f"[{table}retry]", service.retry]
+    return "\n".join(lines) + "\n" + service.extra
+
+
+class Process:
+    """A program that the case started."""
+
+    def __init__(self, case, name, arguments):
+        self.name = name
+        self.log_path = case.out / f"{name}.log"
+        self._log = open(self.log_path, "ab")
+        self.popen = subprocess.Popen(
+            [str(a) for a in arguments], stdout=self._log,
+            stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL, cwd=case.out)
+
+    @property
+    def running(self):
+        return self.popen.poll() is None
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        """Ends the process at once, as a lost machine would."""
+        if self.running:
+            self.popen.kill()
+        self.popen.wait()
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def wait(self, bound_s=EVENT_BOUND_S):
+        """Waits for the end; gives the exit code."""
+        try:
+            return self.popen.wait(bound_s)
+        except subprocess.TimeoutExpired:
+            raise Failure(f"{self.name} still runs after {bound_s} s")
+
+    def log(self):
+        return self.log_path.read_text(errors="replace")
+
+
+class Instance(Process):
+    """An entry instance."""
+
+    def __init__(self, case, number, settings):
+        self.case = case
+        self.number = number
+        self.settings = settings
+        self.callers = settings["callers"]
+        self.operators = settings["operators"]
+        path = case.out / f"{settings['name']}.toml"
+        path.write_text("".join(f"{key} = {json.dumps(value)}\n"
+                                for key, value in settings.items()))
+        super().__init__(case, settings["name"],
+                         [case.build / "guavacross", "serve",
+                          "--settings", path])
+
+    def call(self, method, path, service="catalog", identity=None, key=None,
+             headers=None, body=None, timeout_s=30):
+        """Sends a request as a caller does. `key` is an Idempotency-Key; the
+        answer remembers the identity that backend servers count it by."""
+        named = {"Guavacross-Service": service,
+                 "X-Request-Id": identity or key or str(uuid.uuid4())}
+        if key is not None:
+            named["Idempotency-Key"] = key
+        named.update(headers or {})
+        answer = call(self.callers, method, path, named, body, timeout_s)
+        answer.identity = key or named["X-Request-Id"]
+        return answer
+
+    def try_call(self, *arguments, **named):
+        """As `call`, but gives None where there is no whole answer."""
+        try:
+            return self.call(*arguments, **named)
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def order(self, key, path="/orders?ms=1", **named):
+        """Sends a request that is not repeatable."""
+        return self.try_call("POST", path, key=key, body=b"order " +
+                             key.encode(), **named)
+
+    def is_ready(self):
+        answer = try_call(self.operators, "GET", "/readyz", timeout_s=2)
+        return answer is not None and answer.status == 200
+
+    def metrics(self):
+        """Samples by name with labels, as Prometheus writes them."""
+        text = call(self.operators, "GET", "/metrics").body.decode()
+        samples = {}
+        for line in text.splitlines():
+            if line and not line.startswith("#"):
+                name, value = line.rsplit(" ", 1)
+                samples[name] = float(value)
+        return samples
+
+    def metric_sum(self, name, *parts):
+        """The sum over the samples of `name` whose labels hold all `parts`."""
+        return sum(value for sample, value in self.metrics().items()
+                   if sample.split("{")[0] == name and
+                   all(part in sample for part in parts))
+
+    def status(self):
+        return read_json(self.operators, "/status.json")
+
+
+class Case:
+    """The processes of one case."""
+
+    def __init__(self, run_file, seed=None):
+        parser = argparse.ArgumentParser()
+        parser.add_argument("--build", default=str(ROOT / "build"))
+        parser.add_argument("--seed", type=int)
+        options = parser.parse_args()
+        folder = pathlib.Path(run_file).resolve().parent
+        self.name = folder.name
+        self.build = pathlib.Path(options.build).resolve()
+        self.out = folder / "out"
+        shutil.rmtree(self.out, ignore_errors=True)
+        self.out.mkdir(parents=True)
+        self.seed = options.seed or seed or int.from_bytes(os.urandom(3), "big")
+        self.random = random.Random(self.seed)
+        pid = os.getpid()
+        self.ip = f"127.{10 + pid // 62500}.{pid // 250 % 250}.{pid % 250 + 1}"
+        self.processes = []
+        self.instances = []
+        self.servers = {}
+        self.proxies = {}
+        self.platform = None
+        print(f"{self.name}: seed {self.seed}, address {self.ip}", flush=True)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, error, trace):
+        for process in self.processes:
+            if process.running:
+                process.popen.kill()
+            process.popen.wait()
+        if kind is not None and issubclass(kind, Failure):
+            print(f"FAILED: {error}", flush=True)
+            sys.exit(1)
+        if kind is None:
+            print("passed", flush=True)
+        return False
+
+    @contextlib.contextmanager
+    def section(self, name):
+        """A part of the story. Failures name it."""
+        start = time.monotonic()
+        print(f"  {name} ...", flush=True)
+        try:
+            yield
+        except Failure as failure:
+            raise Failure(f"{name}: {failure}") from failure
+        print(f"  {name}: ok, {time.monotonic() - start:.1f} s", flush=True)
+
+    def _start(self, process):
+        self.processes.append(process)
+        return process
+
+    # The platform and the backend servers.
+
+    def at(self, port):
+        return f"{self.ip}:{port}"
+
+    @property
+    def control(self):
+        return self.at(CONTROL_PORT)
+
+    def start_platform(self, servers, proxied=(), slots=4, mean_ms=1,
+                       cold_ms=0, threads=2, more_links=None):
+        """Starts log service, instance list, backend servers and proxies.
+
+        `servers` maps a service to the number of its servers, which are called
+        SERVICE-1 and so on. Services in `proxied` are reached through proxies
+        called proxy-SERVICE-1. `log` and `list` in `proxied` put proxies
+        before the platform. `more_links` maps a proxy's name to its target.
+        """
+        arguments = [self.build / "guavacross-standin", "platform",
+                     "--control", self.control,
+                     "--log-service", self.at(LOG_PORT),
+                     "--instance-list", self.at(LIST_PORT),
+                     "--slots", slots, "--mean-ms", mean_ms,
+                     "--cold-ms", cold_ms, "--threads", threads,
+                     "--seed", self.seed]
+        links = {"log": self.at(LOG_PORT), "list": self.at(LIST_PORT)}
+        links = {n: a for n, a in links.items() if n in proxied}
+        port = SERVER_PORT
+        for service, count in servers.items():
+            for number in range(1, count + 1):
+                name, address = f"{service}-{number}", self.at(port)
+                port += 1
+                arguments += ["--server", f"{name}={address}"]
+                self.servers[name] = address
+                if service in proxied:
+                    links[name] = address
+        links.update(more_links or {})
+        for number, (name, target) in enumerate(links.items()):
+            listen = self.at(PROXY_PORT + number)
+            arguments += ["--link", f"proxy-{name}={listen}:{target}"]
+            self.proxies[name] = listen
+        self.platform = self._start(Process(self, "platform", arguments))
+        wait_until(lambda: try_call(self.control, "GET", "/components"),
+                   "the stand-ins start")
+
+    def targets(self, service):
+        """The service's targets for the document, through their proxies."""
+        names = [n for n in self.servers if n.rsplit("-", 1)[0] == service]
+        zones = ("zone-a", "zone-b", "zone-c")
+        return [Target(n, self.proxies.get(n, self.servers[n]),
+                       zones[i % len(zones)]) for i, n in enumerate(names)]
+
+    def fault(self, name, **faults):
+        """Switches faults of one component."""
+        answer = call(self.control, "POST", f"/components/{name}",
+                      body=json.dumps(faults))
+        check(answer.status == 200, f"fault {name} {faults}: {answer.body}")
+
+    def fault_all(self, prefix, **faults):
+        """Switches faults of all components whose names have a prefix."""
+        answer = call(self.control, "POST", f"/all/{prefix}",
+                      body=json.dumps(faults))
+        check(answer.status == 200, f"fault {prefix} {faults}: {answer.body}")
+
+    def counters(self, name=None):
+        """The counters of one component, or of all by name."""
+        if name is None:
+            return read_json(self.control, "/counters", timeout_s=30)
+        return read_json(self.control, f"/components/{name}")["counters"]
+
+    def sum_counter(self, counter, prefix=""):
+        return sum(c.get(counter, 0) for n, c in self.counters().items()
+                   if n.startswith(prefix))
+
+    def runs(self):
+        """Runs by request identity, over all backend servers."""
+        return read_json(self.control, "/runs", timeout_s=60)
+
+    # Entry instances.
+
+    def start_instances(self, count, zones=("zone-a", "zone-b", "zone-c"),
+                        wait=True, peers_through=None, **settings):
+        """Starts instances and lists them."""
+        started = []
+        for _ in range(count):
+            started.append(self.start_instance(
+                zone=zones[len(self.instances) % len(zones)],
+                peers_through=peers_through, **settings))
+        if wait and any(self.config_published for _ in (0,)):
+            self.wait_ready(started)
+        return started
+
+    config_published = False
+
+    def start_instance(self, number=None, zone="zone-a", listed=True,
+                       peers_through=None, **settings):
+        """Starts one instance. A number that ran before replaces that one.
+        `peers_through` maps an instance's number to the peers' address that
+        the list shows for it."""
+        if number is None:
+            number = len(self.instances)
+        values = {
+            "name": f"entry-{number}", "region": "test", "zone": zone,
+            "callers": self.at(CALLERS_PORT + number),
+            "operators": self.at(OPERATORS_PORT + number),
+            "peers": self.at(PEERS_PORT + number),
+            "log_service": self.proxies.get("log", self.at(LOG_PORT)),
+            "instance_list": self.proxies.get("list", self.at(LIST_PORT)),
+            "workers": 1, "address_lifetime_ms": 1000}
+        values.update(settings)
+        instance = self._start(Instance(self, number, values))
+        if number < len(self.instances):
+            self.instances[number] = instance
+        else:
+            self.instances.append(instance)
+        if listed:
+            self.list_instance(instance, (peers_through or {}).get(number))
+        return instance
+
+    def list_instance(self, instance, peers=None):
+        """Puts an instance in the platform's list."""
+        shown = {key: instance.settings[key]
+                 for key in ("name", "region", "zone", "callers")}
+        self.fault("instance-list",
+                   add={**shown, "leaving": False,
+                        "peers": peers or instance.settings["peers"]})
+
+    def unlist_instance(self, instance):
+        self.fault("instance-list", remove=instance.name)
+
+    def wait_ready(self, instances=None):
+        for instance in instances or self.instances:
+            wait_until(lambda: instance.is_ready() or not instance.running,
+                       f"{instance.name} is ready")
+            check(instance.running, f"{instance.name} ended: "
+                  f"{instance.log()[-500:]}")
+
+    # Configuration.
+
+    def document(self, services):
+        """The text of a document with these services."""
+        text = "schema = 1\n"
+        for service in services:
+            if service.targets is None:
+                service.targets = self.targets(service.name)
+            text += f"[section.{service.name}]\n"
+            text += write_section(service, f"section.{service.name}.")
+        return text
+
+    def run_guavacross(self, *arguments, timeout_s=60):
+        """Runs a command of the binary to its end."""
+        return subprocess.run(
+            [self.build / "guavacross", *[str(a) for a in arguments]],
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+            timeout=timeout_s, cwd=self.out)
+
+    def try_publish(self, document, *flags, log=None, timeout_s=60):
+        """Publishes a document and gives the finished command."""
+        path = self.out / f"document-{uuid.uuid4().hex[:8]}.toml"
+        path.write_text(document)
+        return self.run_guavacross(
+            "publish", path, "--log-service", log or self.at(LOG_PORT),
+            "--instance-list", self.at(LIST_PORT), *flags,
+            timeout_s=timeout_s)
+
+    def publish(self, document, *flags):
+        """Publishes a document, which must be accepted, and waits until the
+        instances are ready."""
+        done = self.try_publish(document, *flags)
+        check(done.returncode == 0, f"publish: {done.stdout}")
+        self.config_published = True
+        self.wait_ready([i for i in self.instances if i.running])
+        return done
+
+    # Checks.
+
+    def check_own(self, answer, size=256):
+        """Checks for the complete answer of a backend server to the request
+        itself."""
+        check(answer is not None, "no whole answer")
+        check(answer.status == 200, f"not answered: {answer}")
+        check(answer.body == answer_bytes(answer.identity, size),
+              f"not the request's own answer: {answer}: {answer.body[:100]}")
+
+    def check_runs(self, most=1):
+        """Checks that no identity ran more than `most` times."""
+        doubled = {k: n for k, n in self.runs().items() if n > most}
+        check(not doubled, f"ran more than {most} times: {doubled}")
+
+
+def in_parallel(calls, threads=16):
+    """Runs functions on a few threads; gives their results in order."""
+    with concurrent.futures.ThreadPoolExecutor(threads) as pool:
+        return list(pool.map(lambda function: function(), calls))
+
+
+class Background:
+    """Calls a function again and again on threads until stopped."""
+
+    def __init__(self, function, threads=4):
+        self.results = []
+        self._stop = threading.Event()
+        self._function = function
+        self._threads = [threading.Thread(target=self._run, daemon=True)
+                         for _ in range(threads)]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self):
+        while not self._stop.is_set():
+            self.results.append(self._function())
+
+    def stop(self):
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        return self.results
