--- a/src/log_service/config_follower.cc
+++ b/src/log_service/config_follower.cc
@@ -223,6 +223,9 @@
     return;
   }
   m_timer = m_clock.m_call_after(m_backoff.Next(), [this] { LoadSnapshot(); });
+  if (m_hooks.m_on_progress) {
+    m_hooks.m_on_progress();
+  }
 }
 
 void ConfigFollower::Apply(const LogBatch& batch) {
--- a/src/log_service/config_reader.cc
+++ b/src/log_service/config_reader.cc
@@ -57,11 +57,7 @@
                access,
                clock,
                metrics,
-               [this]() -> const ConfigSnapshot* {
-                 const bool usable = m_follower.status().m_caught_up &&
-                                     !m_follower.status().m_log_shrank;
-                 return usable ? &m_follower.fold().state() : nullptr;
-               }),
+               [this] { return StateToWrite(); }),
       m_last_rebuild(m_clock.m_now() - options.m_rebuild_interval) {}
 
 ConfigReader::~ConfigReader() = default;
@@ -153,12 +149,32 @@
   m_writer.SetFirstKept(status.m_first_kept);
   m_writer.NoteSnapshot(m_follower.snapshot_as_of(),
                         m_follower.snapshot_written_at_ms());
+  if (!status.m_records_lost) {
+    m_records_lost_at.reset();
+  } else if (!m_records_lost_at) {
+    m_records_lost_at = m_clock.m_now();
+  }
   if (status.m_caught_up) {
     RememberDigest();
     BecomeReady();
   }
 }
 
+const ConfigSnapshot* ConfigReader::StateToWrite() {
+  const FollowerStatus& status = m_follower.status();
+  if (m_records_lost_at) {
+    const Duration lost = m_clock.m_now() - *m_records_lost_at;
+    if (!m_ready || lost < m_options.m_bridge_after) {
+      return nullptr;
+    }
+    m_bridge = {.m_as_of = status.m_first_kept,
+                .m_sections = m_in_force.sections()};
+    return &m_bridge;
+  }
+  const bool complete = status.m_caught_up && !status.m_log_shrank;
+  return complete ? &fold().state() : nullptr;
+}
+
 void ConfigReader::BecomeReady() {
   if (m_ready) {
     return;
--- a/src/log_service/config_reader.h
+++ b/src/log_service/config_reader.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,10 @@
 struct ConfigReaderOptions {
   FollowerOptions m_follower;
   SnapshotWriterOptions m_snapshots;
+  /// How long records may be missing, with no snapshot that holds them, until
+  /// this instance appends what it has in force as a snapshot. Longer than an
+  /// instance with a complete state takes to append one.
+  Duration m_bridge_after = std::chrono::minutes(2);
   /// Shortest time between two rebuilds for a digest that differs.
   Duration m_rebuild_interval = std::chrono::seconds(30);
 };
@@ -48,6 +53,12 @@
 /// peers pass on to `MergeFromPeers`; with the store down that is how an
 /// instance starts. Send `fold_digest()` to peers and give theirs to
 /// `ComparePeerDigest`. Used on one thread.
+///
+/// If records expire that no instance has folded, for example when all
+/// instances are replaced during a long outage of the store, the sections in
+/// force are all that is known. After `m_bridge_after` they are appended as a
+/// snapshot as of the first record that is kept, from which every instance
+/// folds on. Versions don't go back, since they are offsets.
 class ConfigReader {
  public:
   ConfigReader(ConfigReaderOptions options,
@@ -91,6 +102,7 @@
   void HandleVerdict(const EditVerdict& verdict);
   void HandleProgress();
   void RememberDigest();
+  const ConfigSnapshot* StateToWrite();
   void BecomeReady();
   void HandleChange(const SectionState& section);
 
@@ -111,6 +123,9 @@
   std::map<std::string, TimePoint> m_changed_at;
   std::deque<FoldDigest> m_recent_digests;
   TimePoint m_last_rebuild;
+  /// Since when records have been missing.
+  std::optional<TimePoint> m_records_lost_at;
+  ConfigSnapshot m_bridge;
   bool m_ready = false;
 };
 
--- a/src/log_service/config_reader_test.cc
+++ b/src/log_service/config_reader_test.cc
@@ -210,6 +210,40 @@
   });
 }
 
+GUAVACROSS_STORY(ConfigRecordsThatNobodyFolded) {
+  World world;
+  const auto a = world.Start("a");
+  const std::uint64_t version = world.Append("catalog", 0);
+  world.m_clock.Advance(milliseconds(10));
+  world.m_log.SetOutage(true);
+  const auto b = world.Start("b");
+  const auto c = world.Start("c");
+  for (const auto* instance : {b.get(), c.get()}) {
+    instance->m_reader->MergeFromPeers(
+        {a->m_reader->in_force().sections().at("catalog")}, true);
+  }
+  Section("after a long outage in which all instances were replaced", [&] {
+    a->m_reader.reset();
+    world.m_clock.Advance(minutes(90));
+    world.m_log.Append(kConfigStream, "lost");
+    world.m_log.Expire(kConfigStream, 2);
+    world.m_log.SetOutage(false);
+    world.m_clock.Advance(seconds(60));
+    Section("the instances wait for one that has a complete state", [&] {
+      CPPUNIT_ASSERT(b->m_reader->log_status().m_records_lost);
+      CPPUNIT_ASSERT_EQUAL(version, VersionAt(*b, "catalog"));
+    });
+    Section("then go on from what is in force", [&] {
+      world.m_clock.Advance(minutes(5));
+      const std::uint64_t next = world.Append("catalog", version);
+      world.m_clock.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(next, VersionAt(*b, "catalog"));
+      CPPUNIT_ASSERT_EQUAL(next, VersionAt(*c, "catalog"));
+      CPPUNIT_ASSERT(b->m_reader->fold_digest() == c->m_reader->fold_digest());
+    });
+  });
+}
+
 GUAVACROSS_STORY(ConfigDigestsOfPeers) {
   World world;
   const auto a = world.Start("a");
