--- /dev/null
+++ b/src/backends/backend_connection.cc
@@ -0,0 +1,264 @@
+#include "backends/backend_connection.h"
+
+#include <utility>
+
+#include "backends/backend_pool.h"
+#include "util/handle.h"
+
+namespace guavacross::backends {
+
+namespace {
+
+// A longer rest of a discarded answer isn't worth reading.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} << 10;
+
+constexpr int kSwitchingProtocols = 101;
+
+bool IsInterim(int status) {
+  return status >= 100 && status < 200;
+}
+
+}  // namespace
+
+BackendConnection::BackendConnection(BackendPool* pool, const Endpoint& address)
+    : m_pool(pool), m_address(address) {}
+
+BackendConnection::~BackendConnection() = default;
+
+void BackendConnection::Begin(Attempt* attempt) {
+  m_attempt = attempt;
+  m_idle = false;
+  m_head_request = attempt->m_head_request;
+  m_answer_started = false;
+  m_keep_alive = false;
+  ++m_requests;
+  StartReader();
+  if (m_stream == nullptr) {
+    Connect();
+    if (m_stream == nullptr) {
+      return;
+    }
+  }
+  m_stream->Write(attempt->m_unsent_text);
+  attempt->m_unsent_text = std::string();
+  m_stream->SetReading(attempt->m_reading);
+}
+
+void BackendConnection::Connect() {
+  net::Stream::Hooks hooks;
+  hooks.m_on_connected = [this] { OnConnected(); };
+  hooks.m_on_readable = [this] { OnReadable(); };
+  hooks.m_on_closed = [this] { OnClosed(); };
+  hooks.m_on_drained = [this] {
+    if (m_attempt != nullptr && m_attempt->m_hooks.m_on_drained) {
+      m_attempt->m_hooks.m_on_drained();
+    }
+  };
+  m_stream = net::Stream::Connect(m_pool->m_set, m_address, std::move(hooks));
+  // A connect that fails at once is reported from the event loop as well.
+  const Duration limit = m_stream != nullptr
+                             ? m_pool->m_options.m_connect_timeout
+                             : Duration::zero();
+  m_connect_timer = m_pool->m_clock.m_call_after(limit, [this] {
+    Fail(AttemptEnd::kConnectFailed, ErrorKind::kConnectFailed,
+         "could not connect to " + ToString(m_address));
+  });
+}
+
+void BackendConnection::StartReader() {
+  http::MessageReader::Hooks hooks;
+  hooks.m_on_response = [this](const http::ResponseHead& head) {
+    OnHead(head);
+  };
+  hooks.m_on_body = [this](std::string_view bytes) { OnBody(bytes); };
+  const http::ReadLimits limits{.m_max_header_bytes =
+                                    m_pool->m_options.m_max_header_bytes};
+  m_reader = http::MessageReader::ForResponse(limits, m_head_request,
+                                              std::move(hooks));
+  m_interim_head = false;
+}
+
+void BackendConnection::OnConnected() {
+  m_connected = true;
+  m_connect_timer.reset();
+}
+
+bool BackendConnection::Usable() const {
+  return m_idle && !m_stream->HasPendingInput();
+}
+
+void BackendConnection::SetReading(bool reading) {
+  if (m_stream != nullptr) {
+    m_stream->SetReading(reading);
+  }
+}
+
+void BackendConnection::Cancel() {
+  m_attempt = nullptr;
+  Retire();
+}
+
+void BackendConnection::Discard() {
+  const bool request_complete =
+      m_attempt->m_request_complete && m_stream->unsent() == 0;
+  m_attempt = nullptr;
+  if (!request_complete || !m_connected) {
+    Retire();
+    return;
+  }
+  m_request_complete = true;
+  m_discarded_bytes = 0;
+  m_unattended_since = m_pool->m_clock.m_now();
+  m_stream->SetReading(true);
+}
+
+void BackendConnection::OnReadable() {
+  const net::Stream::ReadResult read = m_stream->Read(m_pool->m_set->scratch());
+  if (m_idle && read.m_status != net::Stream::ReadStatus::kNothingYet) {
+    Retire();
+    return;
+  }
+  switch (read.m_status) {
+    case net::Stream::ReadStatus::kBytes:
+      OnBytes(read.m_bytes);
+      break;
+    case net::Stream::ReadStatus::kEnd:
+      OnPeerEnd();
+      break;
+    case net::Stream::ReadStatus::kFailed:
+      FailReset("connection reset by the backend server");
+      break;
+    case net::Stream::ReadStatus::kNothingYet:
+      break;
+  }
+}
+
+void BackendConnection::OnBytes(std::string_view bytes) {
+  m_answer_started = true;
+  while (!bytes.empty()) {
+    const auto taken = util::Catch([&] { return m_reader->Feed(bytes); });
+    if (m_retired) {
+      return;
+    }
+    if (!taken) {
+      Fail(AttemptEnd::kReset, ErrorKind::kBackendBadAnswer,
+           taken.m_error.m_text);
+      return;
+    }
+    bytes.remove_prefix(*taken.m_value);
+    if (!m_reader->done()) {
+      return;
+    }
+    if (!m_interim_head) {
+      OnComplete(!bytes.empty());
+      return;
+    }
+    StartReader();
+  }
+}
+
+void BackendConnection::OnHead(const http::ResponseHead& head) {
+  m_keep_alive = head.m_keep_alive;
+  m_interim_head = IsInterim(head.m_status);
+  if (head.m_status == kSwitchingProtocols) {
+    Fail(AttemptEnd::kReset, ErrorKind::kBackendBadAnswer,
+         "the backend server switched protocols");
+  } else if (!m_interim_head && m_attempt != nullptr) {
+    m_attempt->m_hooks.m_on_head(head);
+  }
+}
+
+void BackendConnection::OnBody(std::string_view bytes) {
+  if (m_attempt != nullptr) {
+    m_attempt->m_hooks.m_on_body(bytes);
+    return;
+  }
+  m_discarded_bytes += bytes.size();
+  if (m_discarded_bytes > kMaxDiscardedBytes) {
+    Retire();
+  }
+}
+
+void BackendConnection::OnPeerEnd() {
+  const auto ended = util::Handle(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(m_reader->FeedEnd());
+        return true;
+      },
+      [](const Error&) { return false; });
+  if (m_retired) {
+    return;
+  }
+  if (!ended) {
+    FailReset("connection closed inside of an answer");
+    return;
+  }
+  m_keep_alive = false;
+  OnComplete(/*surplus=*/false);
+}
+
+void BackendConnection::OnComplete(bool surplus) {
+  Attempt* const attempt = std::exchange(m_attempt, nullptr);
+  const bool request_complete =
+      attempt != nullptr ? attempt->m_request_complete : m_request_complete;
+  const bool reusable =
+      m_keep_alive && !surplus && request_complete && m_stream->unsent() == 0;
+  if (attempt != nullptr) {
+    attempt->m_connection = nullptr;
+  }
+  if (reusable) {
+    m_idle = true;
+    m_unattended_since = m_pool->m_clock.m_now();
+    m_stream->SetReading(true);
+    m_pool->OnIdle(this);
+  } else {
+    Retire();
+  }
+  if (attempt != nullptr) {
+    attempt->m_hooks.m_on_end();
+  }
+}
+
+void BackendConnection::OnClosed() {
+  if (!m_connected) {
+    Fail(AttemptEnd::kConnectFailed, ErrorKind::kConnectFailed,
+         "could not connect to " + ToString(m_address));
+  } else {
+    FailReset("connection reset by the backend server");
+  }
+}
+
+void BackendConnection::FailReset(std::string text) {
+  Fail(AttemptEnd::kReset, ErrorKind::kBackendReset, std::move(text));
+}
+
+void BackendConnection::Fail(AttemptEnd end, ErrorKind kind, std::string text) {
+  Attempt* const attempt = std::exchange(m_attempt, nullptr);
+  const AttemptFailure failure{
+      .m_end = end,
+      .m_kind = kind,
+      .m_text = std::move(text),
+      .m_bytes_sent = m_connected,
+      .m_stale_connection = m_requests > 1 && !m_answer_started &&
+                            kind == ErrorKind::kBackendReset};
+  Retire();
+  if (attempt != nullptr) {
+    attempt->m_connection = nullptr;
+    attempt->m_hooks.m_on_failure(failure);
+  }
+}
+
+void BackendConnection::Retire() {
+  if (std::exchange(m_retired, true)) {
+    return;
+  }
+  m_connect_timer.reset();
+  m_idle = false;
+  if (m_stream != nullptr) {
+    // A reset tells the backend server at once that nobody waits any more.
+    m_stream->Abort();
+  }
+  m_pool->Retire(this);
+}
+
+}  // namespace guavacross::backends
--- /dev/null
+++ b/src/backends/backend_pool.cc
@@ -0,0 +1,136 @@
+#include "backends/backend_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavacross::backends {
+
+namespace {
+
+// How long the rest of a discarded answer is waited for.
+constexpr Duration kMaxDiscardTime = std::chrono::seconds(1);
+
+}  // namespace
+
+BackendPool::BackendPool(net::SocketSet* set,
+                         Clock clock,
+                         BackendPoolOptions options)
+    : m_set(set), m_clock(std::move(clock)), m_options(options) {}
+
+BackendPool::~BackendPool() = default;
+
+std::unique_ptr<Attempt> BackendPool::Start(AttemptRequest request,
+                                            AttemptHooks hooks) {
+  Target& target = m_targets[request.m_address];
+  std::unique_ptr<Attempt> attempt(
+      new Attempt(this, std::move(request), std::move(hooks)));
+  StartOn(&target, attempt.get());
+  return attempt;
+}
+
+void BackendPool::StartOn(Target* target, Attempt* attempt) {
+  BackendConnection* connection = TakeIdle(target, attempt->m_fresh_connection);
+  const std::size_t limit = m_options.m_max_connections_per_target;
+  if (connection == nullptr && target->m_connections.size() >= limit &&
+      !target->m_idle.empty()) {
+    // Makes room for a fresh connection.
+    target->m_idle.front()->Cancel();
+  }
+  if (connection == nullptr && target->m_connections.size() < limit) {
+    target->m_connections.push_back(
+        std::make_unique<BackendConnection>(this, attempt->m_address));
+    connection = target->m_connections.back().get();
+  }
+  if (connection == nullptr) {
+    attempt->m_waiting = true;
+    target->m_waiting.push_back(attempt);
+    return;
+  }
+  attempt->m_connection = connection;
+  connection->Begin(attempt);
+}
+
+BackendConnection* BackendPool::TakeIdle(Target* target, bool fresh) {
+  while (!target->m_idle.empty()) {
+    BackendConnection* const connection = target->m_idle.back();
+    const Duration age = m_clock.m_now() - connection->unattended_since();
+    if (fresh && age > m_options.m_fresh_time) {
+      return nullptr;
+    }
+    if (connection->Usable()) {
+      target->m_idle.pop_back();
+      return connection;
+    }
+    connection->Cancel();
+  }
+  return nullptr;
+}
+
+void BackendPool::StopWaiting(Attempt* attempt) {
+  const auto found = m_targets.find(attempt->m_address);
+  if (found != m_targets.end()) {
+    std::erase(found->second.m_waiting, attempt);
+  }
+}
+
+void BackendPool::OnIdle(BackendConnection* connection) {
+  Target& target = m_targets[connection->address()];
+  target.m_idle.push_back(connection);
+  StartWaiting(&target);
+}
+
+void BackendPool::StartWaiting(Target* target) {
+  if (!target->m_waiting.empty()) {
+    Attempt* const attempt = target->m_waiting.front();
+    target->m_waiting.pop_front();
+    attempt->m_waiting = false;
+    StartOn(target, attempt);
+  }
+}
+
+void BackendPool::Retire(BackendConnection* connection) {
+  Target& target = m_targets[connection->address()];
+  std::erase(target.m_idle, connection);
+  const auto found = std::find_if(
+      target.m_connections.begin(), target.m_connections.end(),
+      [connection](const auto& each) { return each.get() == connection; });
+  if (found != target.m_connections.end()) {
+    m_set->DeleteLater(std::move(*found));
+    target.m_connections.erase(found);
+  }
+  StartWaiting(&target);
+}
+
+void BackendPool::Sweep() {
+  const TimePoint now = m_clock.m_now();
+  std::vector<BackendConnection*> expired;
+  for (const auto& [address, target] : m_targets) {
+    for (const auto& connection : target.m_connections) {
+      const Duration limit =
+          connection->idle() ? m_options.m_max_idle : kMaxDiscardTime;
+      if (connection->unattended() &&
+          now - connection->unattended_since() > limit) {
+        expired.push_back(connection.get());
+      }
+    }
+  }
+  for (BackendConnection* connection : expired) {
+    // Closing one may have let a waiting request start on another.
+    if (connection->unattended()) {
+      connection->Cancel();
+    }
+  }
+  std::erase_if(m_targets, [](const auto& entry) {
+    return entry.second.m_connections.empty() && entry.second.m_waiting.empty();
+  });
+}
+
+int BackendPool::connections() const {
+  std::size_t count = 0;
+  for (const auto& [address, target] : m_targets) {
+    count += target.m_connections.size();
+  }
+  return static_cast<int>(count);
+}
+
+}  // namespace guavacross::backends
--- /dev/null
+++ b/src/backends/backend_pool.h
@@ -0,0 +1,77 @@
+#ifndef GUAVACROSS_BACKENDS_BACKEND_POOL_H_
+#define GUAVACROSS_BACKENDS_BACKEND_POOL_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "backends/attempt.h"
+#include "backends/backend_connection.h"
+#include "guavacross/time.h"
+#include "net/socket_set.h"
+
+namespace guavacross::backends {
+
+struct BackendPoolOptions {
+  int m_max_connections_per_target = 32;
+  Duration m_connect_timeout = std::chrono::seconds(1);
+  /// How long a connection without a request is kept.
+  Duration m_max_idle = std::chrono::seconds(30);
+  /// How long ago a connection may have been used to count as fresh.
+  Duration m_fresh_time = std::chrono::seconds(1);
+  std::size_t m_max_header_bytes = std::size_t{32} << 10;
+
+  bool operator==(const BackendPoolOptions&) const = default;
+};
+
+/// One worker's connections to backend servers.
+///
+/// `Start` sends a request on an idle connection, on a new one, or, once the
+/// target's cap is reached, on the first that becomes free. Call `Sweep` about
+/// once a second. Not thread safe.
+class BackendPool {
+ public:
+  /// `set` must outlive the pool.
+  BackendPool(net::SocketSet* set, Clock clock, BackendPoolOptions options);
+  ~BackendPool();
+  BackendPool(const BackendPool&) = delete;
+  BackendPool& operator=(const BackendPool&) = delete;
+
+  /// Sends a request. No hook is called before the return.
+  std::unique_ptr<Attempt> Start(AttemptRequest request, AttemptHooks hooks);
+
+  /// Closes connections that were idle for too long.
+  void Sweep();
+
+  /// Open connections, idle ones included.
+  int connections() const;
+
+ private:
+  friend class Attempt;
+  friend class BackendConnection;
+
+  struct Target {
+    std::vector<std::unique_ptr<BackendConnection>> m_connections;
+    // The last one was used last.
+    std::vector<BackendConnection*> m_idle;
+    std::deque<Attempt*> m_waiting;
+  };
+
+  BackendConnection* TakeIdle(Target* target, bool fresh);
+  void StartOn(Target* target, Attempt* attempt);
+  void StopWaiting(Attempt* attempt);
+  // Called by connections.
+  void OnIdle(BackendConnection* connection);
+  void Retire(BackendConnection* connection);
+  void StartWaiting(Target* target);
+
+  net::SocketSet* m_set;
+  Clock m_clock;
+  BackendPoolOptions m_options;
+  std::map<Endpoint, Target> m_targets;
+};
+
+}  // namespace guavacross::backends
+
+#endif  // GUAVACROSS_BACKENDS_BACKEND_POOL_H_
--- /dev/null
+++ b/src/callers/address_answer.cc
@@ -0,0 +1,117 @@
+#include "callers/address_answer.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QString>
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace guavacross::callers {
+
+namespace {
+
+// Mean load of the near zone, 0 to 1, from which calls spill over.
+constexpr double kSpillStartLoad = 0.7;
+
+// Smallest free share that a member is given credit for, so that a full one is
+// not left out entirely.
+constexpr double kMinFreeShare = 0.05;
+
+constexpr int kWeightScale = 100;
+
+double FreeShare(const Member& member) {
+  return std::clamp(1 - member.m_load, kMinFreeShare, 1.0);
+}
+
+// The live members of the caller's region, or of all regions if it has none.
+std::vector<const Member*> Candidates(const std::vector<Member>& members,
+                                      const std::string& region) {
+  std::vector<const Member*> live;
+  for (const Member& member : members) {
+    if (member.m_state == MemberState::kLive) {
+      live.push_back(&member);
+    }
+  }
+  const auto in_region = [&region](const Member* member) {
+    return member->m_region == region;
+  };
+  if (std::any_of(live.begin(), live.end(), in_region)) {
+    std::erase_if(live, std::not_fn(in_region));
+  }
+  return live;
+}
+
+// The share, 0 to 1, of their free capacity that members outside of the near
+// zone offer.
+double SpillShare(const std::vector<const Member*>& near_members) {
+  if (near_members.empty()) {
+    return 1;
+  }
+  double load = 0;
+  for (const Member* member : near_members) {
+    load += member->m_load / static_cast<double>(near_members.size());
+  }
+  return std::clamp((load - kSpillStartLoad) / (1 - kSpillStartLoad), 0.0, 1.0);
+}
+
+}  // namespace
+
+std::vector<Member> MembersToOffer(std::vector<Member> members,
+                                   const Member& self,
+                                   bool self_leaving) {
+  const auto is_self = [&self](const Member& member) {
+    return member.m_callers == self.m_callers;
+  };
+  if (self_leaving) {
+    std::erase_if(members, is_self);
+  } else if (std::none_of(members.begin(), members.end(), is_self)) {
+    members.push_back(self);
+  }
+  return members;
+}
+
+std::vector<WeightedAddress> WeighAddresses(const std::vector<Member>& members,
+                                            const CallerPlace& caller) {
+  std::vector<const Member*> candidates = Candidates(members, caller.m_region);
+  const auto first_far = std::stable_partition(
+      candidates.begin(), candidates.end(), [&caller](const Member* member) {
+        return member->m_zone == caller.m_zone;
+      });
+  const double spill = SpillShare({candidates.begin(), first_far});
+  std::vector<WeightedAddress> addresses;
+  for (const Member* member : candidates) {
+    const double share = member->m_zone == caller.m_zone ? 1 : spill;
+    const double weight = kWeightScale * FreeShare(*member) * share;
+    addresses.push_back({.m_address = member->m_callers,
+                         .m_zone = member->m_zone,
+                         .m_weight = static_cast<int>(std::lround(weight))});
+  }
+  return addresses;
+}
+
+std::string AddressAnswerBody(const std::string& service,
+                              const std::vector<WeightedAddress>& addresses,
+                              Duration keep_for,
+                              const std::string& identity) {
+  QJsonArray list;
+  for (const WeightedAddress& address : addresses) {
+    QJsonObject entry;
+    entry["address"] = QString::fromStdString(ToString(address.m_address));
+    entry["zone"] = QString::fromStdString(address.m_zone);
+    entry["weight"] = address.m_weight;
+    list.append(entry);
+  }
+  QJsonObject answer;
+  answer["service"] = QString::fromStdString(service);
+  answer["addresses"] = list;
+  answer["keep_for_ms"] = static_cast<qint64>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(keep_for).count());
+  if (!identity.empty()) {
+    answer["identity"] = QString::fromStdString(identity);
+  }
+  return QJsonDocument(answer).toJson(QJsonDocument::Compact).toStdString();
+}
+
+}  // namespace guavacross::callers
--- /dev/null
+++ b/src/callers/caller_server.cc
@@ -0,0 +1,230 @@
+#include "callers/caller_server.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QThread>
+#include <algorithm>
+#include <future>
+#include <utility>
+
+#include "callers/caller_worker.h"
+#include "util/log.h"
+
+namespace guavacross::callers {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+
+// Connections above the limit that are told so; further ones are closed.
+constexpr int kMaxRefusedConnections = 200;
+
+// Many systems allow a process 1024 descriptors unless it asks for more.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
+// Hands on accepted descriptors instead of making sockets of them.
+class Listener : public QTcpServer {
+ public:
+  explicit Listener(std::function<void(int)> on_accept)
+      : m_on_accept(std::move(on_accept)) {}
+
+ protected:
+  void incomingConnection(qintptr descriptor) override {
+    m_on_accept(static_cast<int>(descriptor));
+  }
+
+ private:
+  std::function<void(int)> m_on_accept;
+};
+
+// A thread with an event loop and a worker that lives on it.
+class WorkerThread : public QThread {
+ public:
+  explicit WorkerThread(std::function<std::unique_ptr<CallerWorker>()> make)
+      : m_make(std::move(make)) {}
+
+  // Returns once the worker exists.
+  CallerWorker* Start() {
+    start();
+    return m_started.get_future().get();
+  }
+
+ protected:
+  void run() override {
+    const std::unique_ptr<CallerWorker> worker = m_make();
+    m_started.set_value(worker.get());
+    exec();
+  }
+
+ private:
+  std::function<std::unique_ptr<CallerWorker>()> m_make;
+  std::promise<CallerWorker*> m_started;
+};
+
+}  // namespace
+
+class CallerServer::Impl {
+ public:
+  Impl(CallerServerOptions options, CallerServerHooks hooks)
+      : m_options(std::move(options)),
+        m_hooks(std::move(hooks)),
+        m_listener([this](int descriptor) { OnAccept(descriptor); }) {}
+
+  ~Impl() {
+    m_listener.close();
+    m_control.Stop();
+    for (const auto& thread : m_threads) {
+      thread->quit();
+    }
+    for (const auto& thread : m_threads) {
+      thread->wait();
+    }
+  }
+
+  Result<void> Start() {
+    RaiseDescriptorLimit();
+    m_listener.setListenBacklogSize(kListenBacklog);
+    const Endpoint& listen = m_options.m_listen;
+    if (!m_listener.listen(QHostAddress(QString::fromStdString(listen.m_ip)),
+                           listen.m_port)) {
+      return Fail(ErrorKind::kBadSettings,
+                  "can't listen on " + ToString(listen) + ": " +
+                      m_listener.errorString().toStdString());
+    }
+    m_state.m_endpoint = {.m_ip = listen.m_ip,
+                          .m_port = m_listener.serverPort()};
+    for (int i = 0; i < m_options.m_workers; ++i) {
+      m_threads.push_back(std::make_unique<WorkerThread>([this] {
+        return std::make_unique<CallerWorker>(m_options, &m_hooks, &m_state);
+      }));
+      m_workers.push_back(m_threads.back()->Start());
+    }
+    return {};
+  }
+
+  void OnAccept(int descriptor) {
+    const int open = Connections();
+    if (open >= m_options.m_max_connections + kMaxRefusedConnections) {
+      close(descriptor);
+      return;
+    }
+    const bool refuse = open >= m_options.m_max_connections;
+    CallerWorker* const worker =
+        *std::min_element(m_workers.begin(), m_workers.end(),
+                          [](const CallerWorker* a, const CallerWorker* b) {
+                            return a->connections() < b->connections();
+                          });
+    worker->CountConnection();
+    worker->post().Post(
+        [worker, descriptor, refuse] { worker->Accept(descriptor, refuse); });
+  }
+
+  int Connections() const {
+    int count = 0;
+    for (const CallerWorker* worker : m_workers) {
+      count += worker->connections();
+    }
+    return count;
+  }
+
+  int RequestsInFlight() const {
+    int count = 0;
+    for (const CallerWorker* worker : m_workers) {
+      count += worker->requests_in_flight();
+    }
+    return count;
+  }
+
+  void Finish(std::function<void()> on_done) {
+    m_state.m_finishing = true;
+    m_on_done = std::move(on_done);
+    m_unfinished = static_cast<int>(m_workers.size());
+    for (CallerWorker* const worker : m_workers) {
+      auto on_worker_done = [this, control = m_control] {
+        control.Post([this] { OnWorkerDone(); });
+      };
+      worker->post().Post(
+          [worker, on_worker_done] { worker->Finish(on_worker_done); });
+    }
+    if (m_options.m_shutdown_limit > Duration::zero()) {
+      m_limit_timer = m_hooks.m_clock.m_call_after(
+          m_options.m_shutdown_limit, [this] { OnShutdownLimit(); });
+    }
+  }
+
+  CallerServerOptions m_options;
+  CallerServerHooks m_hooks;
+  ServerState m_state;
+  Listener m_listener;
+
+ private:
+  void OnWorkerDone() {
+    if (--m_unfinished == 0) {
+      m_limit_timer.reset();
+      std::exchange(m_on_done, nullptr)();
+    }
+  }
+
+  void OnShutdownLimit() {
+    util::LogWarning("callers", "shutdown limit reached",
+                     {{"requests", std::to_string(RequestsInFlight())}});
+    for (CallerWorker* const worker : m_workers) {
+      worker->post().Post([worker] { worker->AbortAll(); });
+    }
+  }
+
+  forwarding::WorkerPost m_control;
+  std::vector<std::unique_ptr<WorkerThread>> m_threads;
+  // Each lives on its thread.
+  std::vector<CallerWorker*> m_workers;
+  std::function<void()> m_on_done;
+  std::unique_ptr<Timer> m_limit_timer;
+  int m_unfinished = 0;
+};
+
+CallerServer::CallerServer(CallerServerOptions options, CallerServerHooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(options), std::move(hooks))) {}
+
+CallerServer::~CallerServer() = default;
+
+Result<void> CallerServer::Start() {
+  return m_impl->Start();
+}
+
+Endpoint CallerServer::endpoint() const {
+  return m_impl->m_state.m_endpoint;
+}
+
+void CallerServer::SetReady(bool ready) {
+  m_impl->m_state.m_ready = ready;
+}
+
+void CallerServer::BeginLeaving() {
+  m_impl->m_state.m_leaving = true;
+}
+
+void CallerServer::StopAccepting() {
+  m_impl->m_listener.close();
+}
+
+void CallerServer::Finish(std::function<void()> on_done) {
+  m_impl->Finish(std::move(on_done));
+}
+
+CallerServerStatus CallerServer::status() const {
+  return {.m_connections = m_impl->Connections(),
+          .m_requests_in_flight = m_impl->RequestsInFlight(),
+          .m_ready = m_impl->m_state.m_ready,
+          .m_leaving = m_impl->m_state.m_leaving};
+}
+
+}  // namespace guavacross::callers
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -27,6 +27,8 @@
   Duration m_header_time = std::chrono::seconds(10);
   /// Longest time without a byte of a body that is being read.
   Duration m_body_progress_time = std::chrono::seconds(20);
+  /// Longest time in which a caller takes no byte of an answer.
+  Duration m_stall_time = std::chrono::minutes(5);
   /// How long a connection without a request is kept.
   Duration m_idle_time = std::chrono::seconds(75);
 
--- /dev/null
+++ b/src/forwarding/exchange.cc
@@ -0,0 +1,590 @@
+#include "forwarding/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "backends/load_fields.h"
+#include "forwarding/forwarded_head.h"
+#include "guavacross/wire_names.h"
+
+namespace guavacross::forwarding {
+
+namespace {
+
+// Reading one side pauses while this much is buffered towards the other.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{128} << 10;
+
+// Largest answer body that is kept to be sent again.
+constexpr std::size_t kMaxRecordedBytes = std::size_t{64} << 10;
+
+// How long a request without a caller is waited for, for the sake of its
+// record.
+constexpr Duration kMaxDetachedTime = std::chrono::minutes(10);
+
+constexpr int kFirstServerError = 500;
+
+// Server errors that another target may not give.
+constexpr bool IsRetriedStatus(int status) {
+  return status == 500 || status == 502 || status == 503 || status == 504;
+}
+
+}  // namespace
+
+Exchange::Exchange(RequestForwarder* owner,
+                   std::uint64_t id,
+                   ForwardRequest request,
+                   AnswerHooks hooks)
+    : m_owner(owner),
+      m_id(id),
+      m_request(std::move(request)),
+      m_hooks(std::move(hooks)),
+      m_body(m_request.m_head,
+             /*keep_whole=*/!m_request.m_class->m_repeatable,
+             m_request.m_class->m_max_body_bytes) {}
+
+Exchange::~Exchange() = default;
+
+void Exchange::Start() {
+  if (!CheckRequest()) {
+    return;
+  }
+  if (m_request.m_deadline != TimePoint::max()) {
+    const Duration remaining =
+        std::max(m_request.m_deadline - now(), Duration::zero());
+    m_deadline_timer =
+        context().m_clock.m_call_after(remaining, [this] { OnDeadline(); });
+  }
+  if (m_body.ready()) {
+    OnBodyReady();
+  }
+}
+
+bool Exchange::CheckRequest() {
+  const http::RequestHead& head = m_request.m_head;
+  const auto max_bytes =
+      static_cast<std::uint64_t>(m_request.m_class->m_max_body_bytes);
+  if (head.m_framing == http::BodyFraming::kLength &&
+      head.m_length > max_bytes) {
+    GiveUp(
+        {.m_kind = ErrorKind::kBodyTooLarge,
+         .m_text = "the class allows " + std::to_string(max_bytes) + " bytes"});
+    return false;
+  }
+  if (repeatable()) {
+    return true;
+  }
+  const auto key = head.m_fields.Find(kIdempotencyKeyHeader);
+  if (!key.has_value() || key->empty()) {
+    GiveUp({.m_kind = ErrorKind::kKeyMissing,
+            .m_text = "requests of class " + m_request.m_class->m_name +
+                      " need an Idempotency-Key"});
+    return false;
+  }
+  m_key = RequestKey{.m_service = m_request.m_service->m_name,
+                     .m_tenant = m_request.m_tenant,
+                     .m_key = std::string(*key)};
+  return true;
+}
+
+bool Exchange::WantsBody() const {
+  if (m_body.complete() || m_ended) {
+    return true;
+  }
+  if (!m_body.streamed()) {
+    return true;
+  }
+  return !m_tries.empty() &&
+         m_tries.front()->m_attempt->unsent() < kMaxBufferedBytes;
+}
+
+void Exchange::OnBody(std::string_view bytes) {
+  if (m_ended) {
+    return;
+  }
+  const bool to_attempt = m_body.streamed() && !m_tries.empty();
+  const bool was_ready = m_body.ready();
+  const bool allowed = to_attempt ? m_body.Count(bytes) : m_body.Append(bytes);
+  if (!allowed) {
+    OnBodyFailed({.m_kind = ErrorKind::kBodyTooLarge,
+                  .m_text = "the body is larger than its class allows"});
+    return;
+  }
+  if (to_attempt) {
+    m_tries.front()->m_attempt->SendBody(bytes);
+  } else if (!was_ready && m_body.ready()) {
+    OnBodyReady();
+  }
+}
+
+void Exchange::OnBodyEnd() {
+  if (m_ended || m_body.complete()) {
+    return;
+  }
+  const bool was_ready = m_body.ready();
+  m_body.SetComplete();
+  if (!was_ready) {
+    OnBodyReady();
+  } else if (!m_tries.empty()) {
+    m_tries.front()->m_attempt->EndBody();
+  }
+}
+
+void Exchange::OnBodyFailed(const Error& error) {
+  if (m_ended || m_body.complete()) {
+    return;
+  }
+  if (AnySent()) {
+    m_worst = Outcome::kUnknown;
+  }
+  if (m_winner != nullptr) {
+    CutShort();
+  } else {
+    GiveUp(error);
+  }
+}
+
+void Exchange::OnBodyReady() {
+  SetTraits();
+  if (repeatable()) {
+    Acquire();
+  } else {
+    Claim();
+  }
+}
+
+void Exchange::SetTraits() {
+  RequestTraits traits;
+  traits.m_service = m_request.m_service->m_name;
+  traits.m_class_name = m_request.m_class->m_name;
+  traits.m_tenant = m_request.m_tenant;
+  traits.m_fingerprint = m_body.Fingerprint(m_request.m_head);
+  traits.m_deadline = m_request.m_deadline;
+  traits.m_hops = m_request.m_hops;
+  m_traits = std::make_shared<const RequestTraits>(std::move(traits));
+}
+
+void Exchange::Claim() {
+  m_claiming = true;
+  m_owner->Claim(m_id, m_key, m_traits->m_fingerprint);
+}
+
+void Exchange::OnClaim(ClaimDecision decision) {
+  m_claiming = false;
+  m_claimed = decision.m_kind == ClaimDecision::Kind::kRun;
+  if (!m_caller_present) {
+    // The caller left, or got its answer, before anything was sent.
+    FinishClaim(Outcome::kNotRun);
+    End();
+    return;
+  }
+  switch (decision.m_kind) {
+    case ClaimDecision::Kind::kRun:
+      Acquire();
+      break;
+    case ClaimDecision::Kind::kReplay:
+      Count(Outcome::kDone);
+      m_hooks.m_on_answer(ReplayToAnswer(decision.m_answer));
+      End();
+      break;
+    case ClaimDecision::Kind::kRefuse:
+      GiveUp(decision.m_error);
+      break;
+  }
+}
+
+void Exchange::Acquire() {
+  m_acquiring = true;
+  ++m_acquire_generation;
+  m_ticket =
+      m_owner->Acquire(m_id, m_acquire_generation, m_traits, m_targets_tried);
+}
+
+bool Exchange::WantsGrant(std::uint64_t generation) const {
+  return m_acquiring && generation == m_acquire_generation;
+}
+
+void Exchange::StopAcquiring() {
+  if (std::exchange(m_acquiring, false)) {
+    // A grant that is on its way here is released by the owner.
+    context().m_router->CancelWait(m_traits->m_service, m_ticket);
+  }
+}
+
+void Exchange::OnGrant(util::Expected<Grant> grant) {
+  m_acquiring = false;
+  if (grant) {
+    StartTry(std::move(*grant.m_value));
+  } else if (m_tries.empty()) {
+    // After an attempt, its failure says more than the lack of another target.
+    GiveUp(m_last_error.value_or(grant.m_error));
+  }
+}
+
+void Exchange::StartTry(Grant grant) {
+  m_targets_tried.push_back(grant.m_target);
+  m_tries.push_back(std::make_unique<Try>());
+  Try* const added = m_tries.back().get();
+  added->m_grant = std::move(grant);
+  const bool hedge = m_tries.size() > 1;
+  Send(added, /*fresh_connection=*/!repeatable());
+  if (!hedge) {
+    ArmHedge();
+  }
+  if (m_body.streamed()) {
+    AskForBody();
+  }
+}
+
+void Exchange::AskForBody() {
+  if (m_caller_present && !m_body.complete()) {
+    m_hooks.m_on_body_wanted();
+  }
+}
+
+http::RequestHead Exchange::HeadToSend() const {
+  std::optional<Duration> remaining;
+  if (m_request.m_deadline != TimePoint::max()) {
+    remaining = m_request.m_deadline - now();
+  }
+  std::optional<std::size_t> body_bytes;
+  if (m_body.replayable()) {
+    body_bytes = m_body.size();
+  }
+  return HeadForBackend(m_request.m_head, m_request.m_hops, remaining,
+                        body_bytes);
+}
+
+void Exchange::Send(Try* sent, bool fresh_connection) {
+  backends::AttemptRequest request;
+  request.m_address = sent->m_grant.m_address;
+  request.m_head = HeadToSend();
+  request.m_body = m_body.TakeForAttempt();
+  request.m_body_complete = m_body.complete();
+  request.m_fresh_connection = fresh_connection;
+
+  backends::AttemptHooks hooks;
+  hooks.m_on_head = [this, sent](const http::ResponseHead& head) {
+    OnHead(sent, head);
+  };
+  hooks.m_on_body = [this, sent](std::string_view bytes) {
+    OnAnswerBody(sent, bytes);
+  };
+  hooks.m_on_end = [this, sent] { OnAnswerEnd(sent); };
+  hooks.m_on_failure = [this, sent](const backends::AttemptFailure& failure) {
+    OnFailure(sent, failure);
+  };
+  hooks.m_on_drained = [this] { AskForBody(); };
+  sent->m_sent_at = now();
+  sent->m_attempt =
+      context().m_pool->Start(std::move(request), std::move(hooks));
+}
+
+void Exchange::ArmHedge() {
+  if (!repeatable() || !m_body.replayable()) {
+    return;
+  }
+  if (const auto delay = context().m_router->HedgeDelay(*m_traits)) {
+    m_hedge_timer =
+        context().m_clock.m_call_after(*delay, [this] { OnHedgeDue(); });
+  }
+}
+
+void Exchange::OnHedgeDue() {
+  m_hedge_timer.reset();
+  const bool may_hedge =
+      m_winner == nullptr && m_tries.size() == 1 && !m_acquiring &&
+      context().m_router->MayHedge(*m_traits,
+                                   static_cast<int>(m_targets_tried.size()));
+  if (may_hedge) {
+    Acquire();
+  }
+}
+
+void Exchange::EndTry(Try* ended, AttemptEnd end) {
+  const auto found =
+      std::find_if(m_tries.begin(), m_tries.end(),
+                   [ended](const auto& each) { return each.get() == ended; });
+  if (found == m_tries.end()) {
+    return;
+  }
+  std::unique_ptr<Try> owned = std::move(*found);
+  m_tries.erase(found);
+  if (m_winner == ended) {
+    m_winner = nullptr;
+  }
+  owned->m_report.m_end = end;
+  if (owned->m_answer_status == 0) {
+    owned->m_report.m_latency = now() - owned->m_sent_at;
+  }
+  context().m_router->Release(owned->m_grant, *m_traits, owned->m_report);
+  if (end == AttemptEnd::kRefusedNotRun || end == AttemptEnd::kServerError) {
+    owned->m_attempt->Discard();
+  } else {
+    owned->m_attempt->Cancel();
+  }
+  // Its hooks may be running.
+  context().m_set->DeleteLater(std::move(owned));
+}
+
+void Exchange::EndAllTriesBut(const Try* kept, AttemptEnd end) {
+  std::vector<Try*> ended;
+  for (const auto& each : m_tries) {
+    if (each.get() != kept) {
+      ended.push_back(each.get());
+    }
+  }
+  for (Try* const each : ended) {
+    EndTry(each, end);
+  }
+}
+
+bool Exchange::AnySent() const {
+  return std::any_of(m_tries.begin(), m_tries.end(), [](const auto& each) {
+    return each->m_attempt->bytes_sent();
+  });
+}
+
+void Exchange::OnHead(Try* from, const http::ResponseHead& head) {
+  from->m_answer_status = head.m_status;
+  from->m_report.m_latency = now() - from->m_sent_at;
+  from->m_report.m_load = backends::ReadLoad(head.m_fields);
+  if (backends::IsNotRunRefusal(head)) {
+    OnRefused(from);
+  } else if (RetriesServerError(head)) {
+    m_worst = std::max(m_worst, Outcome::kDone);
+    EndTry(from, AttemptEnd::kServerError);
+    Acquire();
+  } else {
+    OnWinner(from, head);
+  }
+}
+
+void Exchange::OnRefused(Try* from) {
+  EndTry(from, AttemptEnd::kRefusedNotRun);
+  RetryOrGiveUp({.m_kind = ErrorKind::kBackendRefused,
+                 .m_text = "the backend server refused the request"});
+}
+
+bool Exchange::RetriesServerError(const http::ResponseHead& head) {
+  return IsRetriedStatus(head.m_status) && repeatable() &&
+         m_tries.size() == 1 && !m_acquiring && MaySendAgain();
+}
+
+void Exchange::OnWinner(Try* winner, const http::ResponseHead& head) {
+  m_winner = winner;
+  m_deadline_timer.reset();
+  m_hedge_timer.reset();
+  StopAcquiring();
+  EndAllTriesBut(winner, AttemptEnd::kCancelled);
+  context().m_router->ReportLoad(winner->m_grant, winner->m_report.m_load,
+                                 winner->m_report.m_latency);
+  const http::ResponseHead to_caller = HeadForCaller(head);
+  if (m_claimed) {
+    m_record.m_status = head.m_status;
+    m_record.m_headers = to_caller.m_fields.all();
+  }
+  if (m_caller_present) {
+    m_hooks.m_on_head(to_caller);
+  }
+}
+
+void Exchange::OnAnswerBody(Try* from, std::string_view bytes) {
+  if (from != m_winner) {
+    return;
+  }
+  if (m_claimed && !m_record_too_large) {
+    m_record_too_large =
+        m_record.m_body.size() + bytes.size() > kMaxRecordedBytes;
+    m_record.m_body.append(m_record_too_large ? std::string_view() : bytes);
+  }
+  if (!m_caller_present) {
+    return;
+  }
+  m_hooks.m_on_body(bytes);
+  if (m_caller_present && !m_reading_paused &&
+      m_hooks.m_unsent() > kMaxBufferedBytes) {
+    m_reading_paused = true;
+    from->m_attempt->SetReading(false);
+  }
+}
+
+void Exchange::OnCallerDrained() {
+  if (std::exchange(m_reading_paused, false) && m_winner != nullptr) {
+    m_winner->m_attempt->SetReading(true);
+  }
+}
+
+void Exchange::OnAnswerEnd(Try* from) {
+  if (from != m_winner) {
+    return;
+  }
+  const Duration backend_time = now() - from->m_sent_at;
+  const bool server_error = from->m_answer_status >= kFirstServerError;
+  EndTry(from, server_error ? AttemptEnd::kServerError : AttemptEnd::kAnswered);
+  FinishClaim(Outcome::kDone);
+  Count(Outcome::kDone);
+  const Duration added = now() - m_request.m_arrived - backend_time;
+  m_series->m_added_seconds->Observe(Seconds(added));
+  if (m_caller_present) {
+    m_hooks.m_on_end();
+  }
+  End();
+}
+
+void Exchange::OnFailure(Try* from, const backends::AttemptFailure& failure) {
+  const bool cut_short = from == m_winner;
+  if (!cut_short && failure.m_stale_connection && !from->m_is_restart &&
+      repeatable() && m_body.replayable()) {
+    // The backend server closed an idle connection: no fault of the request,
+    // and no answer to wait for. The grant is still held.
+    from->m_is_restart = true;
+    m_worst = Outcome::kUnknown;
+    context().m_set->DeleteLater(std::move(from->m_attempt));
+    Send(from, /*fresh_connection=*/true);
+    return;
+  }
+  EndTry(from, failure.m_end);
+  if (failure.m_bytes_sent) {
+    m_worst = Outcome::kUnknown;
+  }
+  if (cut_short) {
+    CutShort();
+    return;
+  }
+  RetryOrGiveUp({.m_kind = failure.m_kind, .m_text = failure.m_text});
+}
+
+void Exchange::CutShort() {
+  FinishClaim(Outcome::kUnknown);
+  Count(Outcome::kUnknown);
+  if (m_caller_present) {
+    m_hooks.m_on_abort();
+  }
+  End();
+}
+
+bool Exchange::MaySendAgain() const {
+  const bool harmless = repeatable() || m_worst == Outcome::kNotRun;
+  return m_caller_present && harmless && m_body.replayable() &&
+         now() < m_request.m_deadline &&
+         context().m_router->MayRetry(*m_traits,
+                                      static_cast<int>(m_targets_tried.size()));
+}
+
+void Exchange::RetryOrGiveUp(Error error) {
+  m_last_error = std::move(error);
+  if (!m_tries.empty() || m_acquiring) {
+    return;
+  }
+  if (MaySendAgain()) {
+    Acquire();
+  } else {
+    GiveUp(*m_last_error);
+  }
+}
+
+void Exchange::OnDeadline() {
+  m_deadline_timer.reset();
+  const bool sent = AnySent();
+  const Error error{
+      .m_kind = sent ? ErrorKind::kBackendTimeout : ErrorKind::kDeadlineExpired,
+      .m_text = "the deadline passed before an answer came"};
+  if (m_claimed && sent) {
+    // The answer is still worth recording: a copy of the request will ask.
+    AnswerError(error, Outcome::kUnknown);
+    Detach();
+    return;
+  }
+  if (m_claiming) {
+    // An earlier copy of the request may have run.
+    AnswerError(error, Outcome::kUnknown);
+    m_caller_present = false;
+    return;
+  }
+  if (sent) {
+    m_worst = Outcome::kUnknown;
+  }
+  GiveUp(error);
+}
+
+void Exchange::OnCallerGone() {
+  m_caller_present = false;
+  if (m_claiming) {
+    return;
+  }
+  if (m_claimed && AnySent()) {
+    Detach();
+    return;
+  }
+  const bool sent = AnySent();
+  FinishClaim(std::max(m_worst, sent ? Outcome::kUnknown : Outcome::kNotRun));
+  Count(sent ? Outcome::kUnknown : m_worst);
+  End();
+}
+
+void Exchange::Detach() {
+  m_caller_present = false;
+  StopAcquiring();
+  m_reading_paused = false;
+  for (const auto& each : m_tries) {
+    each->m_attempt->SetReading(true);
+  }
+  m_deadline_timer =
+      context().m_clock.m_call_after(kMaxDetachedTime, [this] { Abandon(); });
+}
+
+void Exchange::Abandon() {
+  m_caller_present = false;
+  if (AnySent()) {
+    m_worst = Outcome::kUnknown;
+  }
+  FinishClaim(m_worst);
+  End();
+}
+
+void Exchange::GiveUp(const Error& error) {
+  const Outcome outcome = std::max(m_worst, AnswerFor(error.m_kind).m_outcome);
+  FinishClaim(outcome);
+  if (m_caller_present) {
+    AnswerError(error, outcome);
+  }
+  End();
+}
+
+void Exchange::AnswerError(const Error& error, Outcome outcome) {
+  Count(outcome);
+  context().m_metrics->CountOwnAnswer(error.m_kind);
+  m_hooks.m_on_answer(ErrorToAnswer(error, outcome));
+}
+
+void Exchange::FinishClaim(Outcome outcome) {
+  if (!std::exchange(m_claimed, false)) {
+    return;
+  }
+  ClaimEnd end{.m_outcome = outcome};
+  if (outcome == Outcome::kDone && !m_record_too_large) {
+    end.m_answer = std::move(m_record);
+  }
+  context().m_ledger.m_finish(m_key, std::move(end));
+}
+
+void Exchange::Count(Outcome outcome) {
+  m_series = &context().m_metrics->Series(m_request.m_service->m_name,
+                                          m_request.m_class->m_name,
+                                          m_request.m_tenant);
+  m_series->m_requests[static_cast<std::size_t>(outcome)]->Increment();
+  m_series->m_total_seconds->Observe(Seconds(now() - m_request.m_arrived));
+}
+
+void Exchange::End() {
+  if (std::exchange(m_ended, true)) {
+    return;
+  }
+  m_deadline_timer.reset();
+  m_hedge_timer.reset();
+  StopAcquiring();
+  EndAllTriesBut(nullptr, AttemptEnd::kCancelled);
+  m_owner->Remove(m_id);
+}
+
+}  // namespace guavacross::forwarding
--- /dev/null
+++ b/src/forwarding/exchange.h
@@ -0,0 +1,152 @@
+#ifndef GUAVACROSS_FORWARDING_EXCHANGE_H_
+#define GUAVACROSS_FORWARDING_EXCHANGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "backends/attempt.h"
+#include "forwarding/request_body.h"
+#include "forwarding/request_forwarder.h"
+
+namespace guavacross::forwarding {
+
+/// The life of one request: from its head to the end of its answer.
+///
+/// A repeatable request waits for a target, is sent, and may be retried or
+/// hedged as long as its body can be sent again and nothing of an answer has
+/// reached the caller. A non-repeatable one is claimed in the ledger first and
+/// is sent again only if no earlier attempt can have run; its claim is ended
+/// exactly once. Made by `RequestForwarder::Begin`.
+class Exchange {
+ public:
+  Exchange(RequestForwarder* owner,
+           std::uint64_t id,
+           ForwardRequest request,
+           AnswerHooks hooks);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /// Starts the work. May end the exchange before it returns.
+  void Start();
+
+  /// Hands on a part of the body, and its end.
+  void OnBody(std::string_view bytes);
+  void OnBodyEnd();
+  /// The body can't be completed: it is malformed or comes too slowly.
+  void OnBodyFailed(const Error& error);
+  /// Whether more of the body should be read now. If not,
+  /// `AnswerHooks::m_on_body_wanted` tells when.
+  bool WantsBody() const;
+
+  /// The caller has left. No hook is called from here on.
+  void OnCallerGone();
+
+  /// What was buffered towards the caller has been sent.
+  void OnCallerDrained();
+
+ private:
+  friend class RequestForwarder;
+
+  // One grant and what became of it.
+  struct Try {
+    Grant m_grant;
+    std::unique_ptr<backends::Attempt> m_attempt;
+    AttemptReport m_report;
+    TimePoint m_sent_at;
+    int m_answer_status = 0;
+    bool m_is_restart = false;
+  };
+
+  // Called by the owner.
+  void OnClaim(ClaimDecision decision);
+  void OnGrant(util::Expected<Grant> grant);
+  bool WantsGrant(std::uint64_t generation) const;
+  void Abandon();
+
+  // Before the first attempt.
+  bool CheckRequest();
+  void OnBodyReady();
+  void AskForBody();
+  void Claim();
+  void SetTraits();
+
+  // Attempts.
+  void Acquire();
+  void StopAcquiring();
+  void StartTry(Grant grant);
+  void Send(Try* sent, bool fresh_connection);
+  http::RequestHead HeadToSend() const;
+  void ArmHedge();
+  void OnHedgeDue();
+  void EndTry(Try* ended, AttemptEnd end);
+  void EndAllTriesBut(const Try* kept, AttemptEnd end);
+  bool AnySent() const;
+
+  // What attempts tell.
+  void OnHead(Try* from, const http::ResponseHead& head);
+  void OnRefused(Try* from);
+  bool RetriesServerError(const http::ResponseHead& head);
+  void OnWinner(Try* winner, const http::ResponseHead& head);
+  void OnAnswerBody(Try* from, std::string_view bytes);
+  void OnAnswerEnd(Try* from);
+  void OnFailure(Try* from, const backends::AttemptFailure& failure);
+
+  // Endings.
+  bool MaySendAgain() const;
+  void RetryOrGiveUp(Error error);
+  void OnDeadline();
+  void GiveUp(const Error& error);
+  void AnswerError(const Error& error, Outcome outcome);
+  // The answer has started and can't be completed.
+  void CutShort();
+  // Runs on without a caller for the sake of the record.
+  void Detach();
+  void FinishClaim(Outcome outcome);
+  void Count(Outcome outcome);
+  void End();
+
+  const ForwardContext& context() const { return m_owner->m_context; }
+  bool repeatable() const { return m_request.m_class->m_repeatable; }
+  TimePoint now() const { return context().m_clock.m_now(); }
+
+  RequestForwarder* m_owner;
+  std::uint64_t m_id;
+  ForwardRequest m_request;
+  AnswerHooks m_hooks;
+  RequestBody m_body;
+  std::shared_ptr<const RequestTraits> m_traits;
+  RequestKey m_key;
+  std::unique_ptr<Timer> m_deadline_timer;
+  std::unique_ptr<Timer> m_hedge_timer;
+
+  std::vector<std::unique_ptr<Try>> m_tries;
+  std::vector<std::string> m_targets_tried;
+  Try* m_winner = nullptr;
+  // The greatest outcome of the attempts that have failed.
+  Outcome m_worst = Outcome::kNotRun;
+  std::optional<Error> m_last_error;
+
+  // Outdated grants are known by their generation.
+  std::uint64_t m_acquire_generation = 0;
+  std::uint64_t m_ticket = 0;
+  bool m_acquiring = false;
+
+  ClassSeries* m_series = nullptr;
+  RecordedAnswer m_record;
+  bool m_record_too_large = false;
+
+  bool m_caller_present = true;
+  bool m_claiming = false;
+  bool m_claimed = false;
+  bool m_reading_paused = false;
+  bool m_ended = false;
+};
+
+}  // namespace guavacross::forwarding
+
+#endif  // GUAVACROSS_FORWARDING_EXCHANGE_H_
--- /dev/null
+++ b/src/forwarding/forward_metrics.cc
@@ -0,0 +1,58 @@
+#include "forwarding/forward_metrics.h"
+
+#include <cstddef>
+
+namespace guavacross::forwarding {
+
+namespace {
+
+ClassSeries MakeSeries(util::Metrics* metrics,
+                       const util::Metrics::Labels& labels) {
+  ClassSeries series;
+  series.m_total_seconds = &metrics->LatencyHistogram(
+      "guavacross_request_seconds",
+      "From a request's head to the end of its answer", labels);
+  series.m_added_seconds = &metrics->LatencyHistogram(
+      "guavacross_added_seconds",
+      "Part of guavacross_request_seconds that the winning attempt did not "
+      "take",
+      labels);
+  for (const Outcome outcome :
+       {Outcome::kNotRun, Outcome::kDone, Outcome::kUnknown}) {
+    util::Metrics::Labels with_outcome = labels;
+    with_outcome.emplace("outcome", OutcomeName(outcome));
+    series.m_requests[static_cast<std::size_t>(outcome)] = &metrics->Counter(
+        "guavacross_requests_total", "Requests by outcome", with_outcome);
+  }
+  return series;
+}
+
+}  // namespace
+
+ClassSeries& ForwardMetrics::Series(std::string_view service,
+                                    std::string_view class_name,
+                                    std::string_view tenant) {
+  const auto found = m_series.find(std::tie(service, class_name, tenant));
+  if (found != m_series.end()) {
+    return found->second;
+  }
+  const util::Metrics::Labels labels = {{"service", std::string(service)},
+                                        {"class", std::string(class_name)},
+                                        {"tenant", std::string(tenant)}};
+  return m_series
+      .emplace(Key(service, class_name, tenant), MakeSeries(m_metrics, labels))
+      .first->second;
+}
+
+void ForwardMetrics::CountOwnAnswer(ErrorKind kind) {
+  prometheus::Counter*& counter = m_own_answers[kind];
+  if (counter == nullptr) {
+    counter =
+        &m_metrics->Counter("guavacross_own_answers_total",
+                            "Answers that guavacross made itself, by reason",
+                            {{"reason", std::string(AnswerFor(kind).m_name)}});
+  }
+  counter->Increment();
+}
+
+}  // namespace guavacross::forwarding
--- /dev/null
+++ b/src/forwarding/forward_metrics.h
@@ -0,0 +1,51 @@
+#ifndef GUAVACROSS_FORWARDING_FORWARD_METRICS_H_
+#define GUAVACROSS_FORWARDING_FORWARD_METRICS_H_
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+#include "guavacross/error.h"
+#include "guavacross/outcome.h"
+#include "guavacross/time.h"
+#include "util/metrics.h"
+
+namespace guavacross::forwarding {
+
+/// The series of one service, class and tenant.
+struct ClassSeries {
+  prometheus::Histogram* m_total_seconds = nullptr;
+  prometheus::Histogram* m_added_seconds = nullptr;
+  /// By outcome.
+  std::array<prometheus::Counter*, 3> m_requests{};
+};
+
+/// One worker's view of the metrics about callers' requests: each series is
+/// looked up once and kept. Not thread safe.
+class ForwardMetrics {
+ public:
+  /// `metrics` must outlive this.
+  explicit ForwardMetrics(util::Metrics* metrics) : m_metrics(metrics) {}
+
+  /// `tenant` must come from a bounded set.
+  ClassSeries& Series(std::string_view service,
+                      std::string_view class_name,
+                      std::string_view tenant);
+
+  /// Counts an answer that guavacross made itself, by its reason.
+  void CountOwnAnswer(ErrorKind kind);
+
+ private:
+  using Key = std::tuple<std::string, std::string, std::string>;
+
+  util::Metrics* m_metrics;
+  std::map<Key, ClassSeries, std::less<>> m_series;
+  std::map<ErrorKind, prometheus::Counter*> m_own_answers;
+};
+
+}  // namespace guavacross::forwarding
+
+#endif  // GUAVACROSS_FORWARDING_FORWARD_METRICS_H_
--- /dev/null
+++ b/src/forwarding/own_answer.cc
@@ -0,0 +1,67 @@
+#include "forwarding/own_answer.h"
+
+#include <utility>
+
+#include "guavacross/wire_names.h"
+
+namespace guavacross::forwarding {
+
+namespace {
+
+constexpr char kRecordedValue[] = "recorded";
+
+void SetBody(std::string body, WholeAnswer* answer) {
+  answer->m_head.m_framing = http::BodyFraming::kLength;
+  answer->m_head.m_length = body.size();
+  answer->m_body = std::move(body);
+}
+
+}  // namespace
+
+WholeAnswer MakeAnswer(int status,
+                       Outcome outcome,
+                       std::string content_type,
+                       std::string body) {
+  WholeAnswer answer;
+  answer.m_head.m_status = status;
+  answer.m_head.m_fields.Add("Content-Type", std::move(content_type));
+  answer.m_head.m_fields.Add(kOutcomeHeader, std::string(OutcomeName(outcome)));
+  SetBody(std::move(body), &answer);
+  return answer;
+}
+
+WholeAnswer ErrorToAnswer(const Error& error, Outcome outcome) {
+  const ErrorAnswer& row = AnswerFor(error.m_kind);
+  std::string body = std::string(row.m_name) + ": " + error.m_text + "\n";
+  WholeAnswer answer = MakeAnswer(row.m_http_status, outcome,
+                                  "text/plain; charset=utf-8", std::move(body));
+  answer.m_head.m_fields.Add(kReasonHeader, std::string(row.m_name));
+  if (row.m_retry_after_s > 0) {
+    answer.m_head.m_fields.Add("Retry-After",
+                               std::to_string(row.m_retry_after_s));
+  }
+  return answer;
+}
+
+WholeAnswer ReplayToAnswer(const RecordedAnswer& recorded) {
+  if (recorded.m_status == 0) {
+    WholeAnswer lost = ErrorToAnswer(
+        {.m_kind = ErrorKind::kOutcomeLost,
+         .m_text = "the request ran; its answer was too large to be kept"},
+        Outcome::kDone);
+    lost.m_head.m_fields.Add(kReplayHeader, kRecordedValue);
+    return lost;
+  }
+  WholeAnswer answer;
+  answer.m_head.m_status = recorded.m_status;
+  for (const auto& [name, value] : recorded.m_headers) {
+    answer.m_head.m_fields.Add(name, value);
+  }
+  answer.m_head.m_fields.Set(kOutcomeHeader,
+                             std::string(OutcomeName(Outcome::kDone)));
+  answer.m_head.m_fields.Set(kReplayHeader, kRecordedValue);
+  SetBody(recorded.m_body, &answer);
+  return answer;
+}
+
+}  // namespace guavacross::forwarding
--- /dev/null
+++ b/src/forwarding/own_answer.h
@@ -0,0 +1,35 @@
+#ifndef GUAVACROSS_FORWARDING_OWN_ANSWER_H_
+#define GUAVACROSS_FORWARDING_OWN_ANSWER_H_
+
+#include <string>
+
+#include "guavacross/error.h"
+#include "guavacross/ledger.h"
+#include "http/message.h"
+
+namespace guavacross::forwarding {
+
+/// A complete answer with its body.
+struct WholeAnswer {
+  http::ResponseHead m_head;
+  std::string m_body;
+
+  bool operator==(const WholeAnswer&) const = default;
+};
+
+/// Makes an answer with a body of the given type; the outcome header is set.
+WholeAnswer MakeAnswer(int status,
+                       Outcome outcome,
+                       std::string content_type,
+                       std::string body);
+
+/// The answer to a caller for an error, with outcome, reason and Retry-After.
+WholeAnswer ErrorToAnswer(const Error& error, Outcome outcome);
+
+/// The answer that repeats a recorded one. A record whose answer was too large
+/// to be kept gives `kOutcomeLost` with outcome `done`.
+WholeAnswer ReplayToAnswer(const RecordedAnswer& recorded);
+
+}  // namespace guavacross::forwarding
+
+#endif  // GUAVACROSS_FORWARDING_OWN_ANSWER_H_
--- /dev/null
+++ b/src/forwarding/request_forwarder.cc
@@ -0,0 +1,126 @@
+#include "forwarding/request_forwarder.h"
+
+#include <utility>
+
+#include "forwarding/exchange.h"
+
+namespace guavacross::forwarding {
+
+namespace {
+
+AttemptReport CancelledReport() {
+  return AttemptReport{.m_end = AttemptEnd::kCancelled};
+}
+
+}  // namespace
+
+RequestForwarder::RequestForwarder(ForwardContext context)
+    : m_context(std::move(context)) {}
+
+RequestForwarder::~RequestForwarder() {
+  m_on_ended = nullptr;
+  AbandonAll();
+}
+
+void RequestForwarder::AbandonAll() {
+  while (!m_exchanges.empty()) {
+    m_exchanges.begin()->second->Abandon();
+  }
+}
+
+Exchange* RequestForwarder::Begin(ForwardRequest request, AnswerHooks hooks) {
+  const std::uint64_t id = m_next_id++;
+  auto exchange = std::make_unique<Exchange>(this, id, std::move(request),
+                                             std::move(hooks));
+  return m_exchanges.emplace(id, std::move(exchange)).first->second.get();
+}
+
+void RequestForwarder::Remove(std::uint64_t id) {
+  const auto found = m_exchanges.find(id);
+  if (found == m_exchanges.end()) {
+    return;
+  }
+  m_context.m_set->DeleteLater(std::move(found->second));
+  m_exchanges.erase(found);
+  if (m_on_ended) {
+    m_on_ended();
+  }
+}
+
+void RequestForwarder::Claim(std::uint64_t id,
+                             const RequestKey& key,
+                             std::uint64_t fingerprint) {
+  // The callback may come when the worker has stopped: a claim that is then
+  // granted must still be ended.
+  auto on_decision = [this, id, key, post = m_context.m_post,
+                      finish = m_context.m_ledger.m_finish](
+                         const ClaimDecision& decision) {
+    const bool posted =
+        post.Post([this, id, key, decision] { OnClaim(id, key, decision); });
+    if (!posted && decision.m_kind == ClaimDecision::Kind::kRun) {
+      finish(key, ClaimEnd{.m_outcome = Outcome::kNotRun});
+    }
+  };
+  m_context.m_ledger.m_claim(key, fingerprint, std::move(on_decision));
+}
+
+void RequestForwarder::OnClaim(std::uint64_t id,
+                               const RequestKey& key,
+                               ClaimDecision decision) {
+  const auto found = m_exchanges.find(id);
+  if (found != m_exchanges.end()) {
+    found->second->OnClaim(std::move(decision));
+  } else if (decision.m_kind == ClaimDecision::Kind::kRun) {
+    m_context.m_ledger.m_finish(key, ClaimEnd{.m_outcome = Outcome::kNotRun});
+  }
+}
+
+std::uint64_t RequestForwarder::Acquire(
+    std::uint64_t id,
+    std::uint64_t generation,
+    const std::shared_ptr<const RequestTraits>& traits,
+    const std::vector<std::string>& targets_to_avoid) {
+  // A grant that comes before the return is kept here and handled after it.
+  util::Expected<Grant> at_once;
+  bool answered = false;
+  auto inside = std::make_shared<bool>(true);
+  auto on_grant = [this, id, generation, traits, inside, &at_once, &answered,
+                   post = m_context.m_post,
+                   router = m_context.m_router](util::Expected<Grant> grant) {
+    if (post.OnWorkerThread() && *inside) {
+      at_once = std::move(grant);
+      answered = true;
+      return;
+    }
+    const bool posted = post.Post([this, id, generation, traits, grant] {
+      OnGrant(id, generation, traits, grant);
+    });
+    if (!posted && grant) {
+      router->Release(*grant.m_value, *traits, CancelledReport());
+    }
+  };
+  const std::uint64_t ticket = m_context.m_router->Acquire(
+      *traits, targets_to_avoid, std::move(on_grant));
+  *inside = false;
+  if (answered) {
+    OnGrant(id, generation, traits, std::move(at_once));
+  }
+  return ticket;
+}
+
+void RequestForwarder::OnGrant(
+    std::uint64_t id,
+    std::uint64_t generation,
+    const std::shared_ptr<const RequestTraits>& traits,
+    util::Expected<Grant> grant) {
+  const auto found = m_exchanges.find(id);
+  const bool wanted =
+      found != m_exchanges.end() && found->second->WantsGrant(generation);
+  if (wanted) {
+    found->second->OnGrant(std::move(grant));
+  } else if (grant) {
+    m_context.m_router->Release(*grant.m_value, *traits, CancelledReport());
+  }
+}
+
+}  // namespace guavacross::forwarding
--- /dev/null
+++ b/src/forwarding/request_forwarder.h
@@ -0,0 +1,124 @@
+#ifndef GUAVACROSS_FORWARDING_REQUEST_FORWARDER_H_
+#define GUAVACROSS_FORWARDING_REQUEST_FORWARDER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "backends/backend_pool.h"
+#include "forwarding/forward_metrics.h"
+#include "forwarding/own_answer.h"
+#include "forwarding/worker_post.h"
+#include "guavacross/document.h"
+#include "guavacross/ledger.h"
+#include "guavacross/routing.h"
+#include "guavacross/time.h"
+#include "http/message.h"
+#include "net/socket_set.h"
+
+namespace guavacross::forwarding {
+
+/// A caller's request after classification.
+struct ForwardRequest {
+  http::RequestHead m_head;
+  std::shared_ptr<const ServiceConfig> m_service;
+  /// Points into `m_service`.
+  const ClassConfig* m_class = nullptr;
+  /// A declared tenant or `other`.
+  std::string m_tenant;
+  TimePoint m_arrived;
+  /// When the caller stops waiting for the start of the answer.
+  TimePoint m_deadline = TimePoint::max();
+  int m_hops = 0;
+};
+
+/// How the answer reaches the caller. Either `m_on_answer` is called, or
+/// `m_on_head`, `m_on_body` and then `m_on_end` or `m_on_abort`. None is called
+/// after the end. All but `m_unsent` may be called from inside of the
+/// exchange's functions.
+struct AnswerHooks {
+  std::function<void(const WholeAnswer&)> m_on_answer;
+  std::function<void(const http::ResponseHead&)> m_on_head;
+  std::function<void(std::string_view)> m_on_body;
+  std::function<void()> m_on_end;
+  /// The answer can't be completed: the caller must not take it for complete.
+  std::function<void()> m_on_abort;
+  /// More of the request's body can be taken.
+  std::function<void()> m_on_body_wanted;
+  /// Bytes of the answer that are buffered towards the caller.
+  std::function<std::size_t()> m_unsent;
+};
+
+/// What the requests of one worker share. The pointers must outlive it.
+struct ForwardContext {
+  net::SocketSet* m_set = nullptr;
+  backends::BackendPool* m_pool = nullptr;
+  Router* m_router = nullptr;
+  ForwardMetrics* m_metrics = nullptr;
+  LedgerAccess m_ledger;
+  Clock m_clock;
+  WorkerPost m_post;
+};
+
+class Exchange;
+
+/// Carries the requests of one worker to backend servers.
+///
+/// `Begin` starts the life of one request and returns its `Exchange`, through
+/// which the caller's side hands on the body. The forwarder owns the exchanges,
+/// since one may outlive its caller: a non-repeatable request that may have
+/// been sent is run to its end so that its answer is recorded. Lives on its
+/// worker's thread.
+class RequestForwarder {
+ public:
+  explicit RequestForwarder(ForwardContext context);
+  /// Abandons what is left.
+  ~RequestForwarder();
+  RequestForwarder(const RequestForwarder&) = delete;
+  RequestForwarder& operator=(const RequestForwarder&) = delete;
+
+  /// @return the exchange, valid until one of the hooks that end the answer has
+  ///     been called or `Exchange::OnCallerGone` has returned. It never ends
+  ///     inside of `Begin`: call `Exchange::Start` next.
+  Exchange* Begin(ForwardRequest request, AnswerHooks hooks);
+
+  /// Ends all exchanges without an answer; claims that may have run end as
+  /// unknown.
+  void AbandonAll();
+
+  /// Requests that have not ended, those whose caller has left included.
+  int in_flight() const { return static_cast<int>(m_exchanges.size()); }
+
+  /// Called whenever an exchange has ended.
+  void SetOnEnded(std::function<void()> on_ended) {
+    m_on_ended = std::move(on_ended);
+  }
+
+ private:
+  friend class Exchange;
+
+  void Claim(std::uint64_t id,
+             const RequestKey& key,
+             std::uint64_t fingerprint);
+  std::uint64_t Acquire(std::uint64_t id,
+                        std::uint64_t generation,
+                        const std::shared_ptr<const RequestTraits>& traits,
+                        const std::vector<std::string>& targets_to_avoid);
+  void OnClaim(std::uint64_t id, const RequestKey& key, ClaimDecision decision);
+  void OnGrant(std::uint64_t id,
+               std::uint64_t generation,
+               const std::shared_ptr<const RequestTraits>& traits,
+               util::Expected<Grant> grant);
+  void Remove(std::uint64_t id);
+
+  ForwardContext m_context;
+  std::uint64_t m_next_id = 1;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+  std::function<void()> m_on_ended;
+};
+
+}  // namespace guavacross::forwarding
+
+#endif  // GUAVACROSS_FORWARDING_REQUEST_FORWARDER_H_
--- /dev/null
+++ b/src/forwarding/worker_post.cc
@@ -0,0 +1,44 @@
+#include "forwarding/worker_post.h"
+
+#include <QCoreApplication>
+#include <QMetaObject>
+#include <QObject>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace guavacross::forwarding {
+
+// Shared with the threads that post, which may outlive the worker.
+struct WorkerPost::State {
+  std::thread::id m_thread = std::this_thread::get_id();
+  std::mutex m_mutex;
+  // Null once stopped; guarded by the mutex.
+  std::unique_ptr<QObject> m_context = std::make_unique<QObject>();
+};
+
+WorkerPost::WorkerPost() : m_state(std::make_shared<State>()) {}
+
+bool WorkerPost::Post(std::function<void()> call) const {
+  const std::lock_guard lock(m_state->m_mutex);
+  if (m_state->m_context == nullptr) {
+    return false;
+  }
+  return QMetaObject::invokeMethod(m_state->m_context.get(), std::move(call),
+                                   Qt::QueuedConnection);
+}
+
+void WorkerPost::Stop() {
+  std::unique_ptr<QObject> context;
+  {
+    const std::lock_guard lock(m_state->m_mutex);
+    context = std::move(m_state->m_context);
+  }
+  QCoreApplication::sendPostedEvents(context.get());
+}
+
+bool WorkerPost::OnWorkerThread() const {
+  return std::this_thread::get_id() == m_state->m_thread;
+}
+
+}  // namespace guavacross::forwarding
--- /dev/null
+++ b/src/forwarding/worker_post.h
@@ -0,0 +1,34 @@
+#ifndef GUAVACROSS_FORWARDING_WORKER_POST_H_
+#define GUAVACROSS_FORWARDING_WORKER_POST_H_
+
+#include <functional>
+#include <memory>
+
+namespace guavacross::forwarding {
+
+/// Runs functions on a worker's thread, from any thread, for as long as the
+/// worker lives. Copies post to the same worker.
+class WorkerPost {
+ public:
+  /// Made on the worker's thread, whose event loop will run the functions.
+  WorkerPost();
+
+  /// Queues `call`. Returns false, without queueing it, once the worker has
+  /// stopped. Thread safe.
+  bool Post(std::function<void()> call) const;
+
+  /// Refuses further calls and runs those that are queued. Call once, on the
+  /// worker's thread.
+  void Stop();
+
+  /// Whether this is the worker's thread. Thread safe.
+  bool OnWorkerThread() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace guavacross::forwarding
+
+#endif  // GUAVACROSS_FORWARDING_WORKER_POST_H_
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -48,6 +48,8 @@
   std::string m_method;
   /// Path and query, as sent.
   std::string m_target;
+  /// HTTP version: 10 or 11.
+  int m_version = 11;
   Fields m_fields;
   bool m_keep_alive = true;
   BodyFraming m_framing = BodyFraming::kNone;
--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -241,6 +241,7 @@
                        ErrorCode&) override {
     m_request.m_method = Std(method);
     m_request.m_target = Std(target);
+    m_request.m_version = version;
     m_version = version;
   }
 
--- /dev/null
+++ b/src/net/socket_set.cc
@@ -0,0 +1,108 @@
+#include "net/socket_set.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <QSocketNotifier>
+#include <QTimer>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "net/stream.h"
+
+namespace guavacross::net {
+
+namespace {
+
+constexpr std::size_t kScratchBytes = std::size_t{128} << 10;
+constexpr int kEventsPerBatch = 64;
+
+}  // namespace
+
+SocketSet::SocketSet()
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC)),
+      m_scratch(kScratchBytes),
+      m_notifier(
+          std::make_unique<QSocketNotifier>(m_epoll, QSocketNotifier::Read)) {
+  QObject::connect(m_notifier.get(), &QSocketNotifier::activated,
+                   [this] { Dispatch(); });
+}
+
+SocketSet::~SocketSet() {
+  DeleteDeferred();
+  m_notifier.reset();
+  close(m_epoll);
+}
+
+void SocketSet::Add(int descriptor, std::uint32_t events, Stream* stream) {
+  epoll_event event{};
+  event.events = events;
+  event.data.ptr = stream;
+  epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
+}
+
+void SocketSet::Change(int descriptor, std::uint32_t events, Stream* stream) {
+  epoll_event event{};
+  event.events = events;
+  event.data.ptr = stream;
+  epoll_ctl(m_epoll, EPOLL_CTL_MOD, descriptor, &event);
+}
+
+void SocketSet::Remove(int descriptor, Stream* stream) {
+  epoll_ctl(m_epoll, EPOLL_CTL_DEL, descriptor, nullptr);
+  std::replace(m_batch.begin(), m_batch.end(), stream,
+               static_cast<Stream*>(nullptr));
+  std::erase(m_to_flush, stream);
+}
+
+void SocketSet::Dispatch() {
+  std::array<epoll_event, kEventsPerBatch> events{};
+  const int count = epoll_wait(m_epoll, events.data(), kEventsPerBatch, 0);
+  if (count <= 0) {
+    return;
+  }
+  m_dispatching = true;
+  m_batch.clear();
+  for (int i = 0; i < count; ++i) {
+    m_batch.push_back(static_cast<Stream*>(events[i].data.ptr));
+  }
+  for (int i = 0; i < count; ++i) {
+    // Null once an earlier event's hook has closed the stream.
+    if (m_batch[i] != nullptr) {
+      m_batch[i]->HandleEvents(events[i].events);
+      Flush();
+    }
+  }
+  m_batch.clear();
+  m_dispatching = false;
+  DeleteDeferred();
+}
+
+void SocketSet::Flush() {
+  for (Stream* const stream : m_to_flush) {
+    stream->Flush();
+  }
+  m_to_flush.clear();
+}
+
+void SocketSet::ScheduleDeletion() {
+  if (m_dispatching || m_deletion_scheduled) {
+    return;
+  }
+  m_deletion_scheduled = true;
+  QTimer::singleShot(0, m_notifier.get(), [this] {
+    m_deletion_scheduled = false;
+    DeleteDeferred();
+  });
+}
+
+void SocketSet::DeleteDeferred() {
+  // Destroying an object may defer further ones.
+  while (!m_deferred.empty()) {
+    std::exchange(m_deferred, {}).clear();
+  }
+}
+
+}  // namespace guavacross::net
--- /dev/null
+++ b/src/net/socket_set.h
@@ -0,0 +1,74 @@
+#ifndef GUAVACROSS_NET_SOCKET_SET_H_
+#define GUAVACROSS_NET_SOCKET_SET_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+class QSocketNotifier;
+
+namespace guavacross::net {
+
+class Stream;
+
+/// The sockets of one thread.
+///
+/// All sockets sit in one epoll set, whose own descriptor is watched by one
+/// QSocketNotifier: Qt's event loop polls one descriptor however many
+/// connections there are. Make one on each thread that has sockets; it must
+/// outlive its streams. Not thread safe.
+class SocketSet {
+ public:
+  SocketSet();
+  ~SocketSet();
+  SocketSet(const SocketSet&) = delete;
+  SocketSet& operator=(const SocketSet&) = delete;
+
+  /// A buffer to read into, shared by the thread's streams. Its content is only
+  /// good until the next use.
+  std::span<char> scratch() { return m_scratch; }
+
+  /// Destroys `object` once no hook of the set's streams is running.
+  template <class T>
+  void DeleteLater(std::unique_ptr<T> object) {
+    m_deferred.push_back(std::make_unique<Holder<T>>(std::move(object)));
+    ScheduleDeletion();
+  }
+
+ private:
+  friend class Stream;
+
+  struct Deferred {
+    virtual ~Deferred() = default;
+  };
+  template <class T>
+  struct Holder : Deferred {
+    explicit Holder(std::unique_ptr<T> object) : m_object(std::move(object)) {}
+    std::unique_ptr<T> m_object;
+  };
+
+  void Add(int descriptor, std::uint32_t events, Stream* stream);
+  void Change(int descriptor, std::uint32_t events, Stream* stream);
+  void Remove(int descriptor, Stream* stream);
+  void Dispatch();
+  // Sends what small writes have buffered once the current event is handled.
+  void FlushLater(Stream* stream) { m_to_flush.push_back(stream); }
+  void Flush();
+  void ScheduleDeletion();
+  void DeleteDeferred();
+
+  int m_epoll = -1;
+  std::vector<char> m_scratch;
+  std::unique_ptr<QSocketNotifier> m_notifier;
+  // The streams of the batch of events that is being handled.
+  std::vector<Stream*> m_batch;
+  std::vector<Stream*> m_to_flush;
+  bool m_dispatching = false;
+  bool m_deletion_scheduled = false;
+  std::vector<std::unique_ptr<Deferred>> m_deferred;
+};
+
+}  // namespace guavacross::net
+
+#endif  // GUAVACROSS_NET_SOCKET_SET_H_
--- /dev/null
+++ b/src/net/stream.cc
@@ -0,0 +1,290 @@
+#include "net/stream.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace guavacross::net {
+
+namespace {
+
+// Dead peers are found within about half a minute of silence.
+constexpr int kKeepAliveIdleSeconds = 15;
+constexpr int kKeepAliveIntervalSeconds = 5;
+constexpr int kKeepAliveProbes = 3;
+
+// A larger buffer is freed once it is empty.
+constexpr std::size_t kKeptBufferBytes = std::size_t{16} << 10;
+
+// A write of this size is sent at once rather than copied into the buffer.
+constexpr std::size_t kSmallWriteBytes = std::size_t{8} << 10;
+
+void SetOption(int descriptor, int level, int option, int value) {
+  setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+void SetUsualOptions(int descriptor) {
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+bool WouldBlock(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+// Sends two parts in order; returns the number of bytes that the kernel took.
+std::size_t SendParts(int descriptor,
+                      std::string_view first,
+                      std::string_view second) {
+  std::array<iovec, 2> parts{};
+  parts[0] = {const_cast<char*>(first.data()), first.size()};
+  parts[1] = {const_cast<char*>(second.data()), second.size()};
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  const ssize_t sent = sendmsg(descriptor, &message, MSG_NOSIGNAL);
+  return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
+}  // namespace
+
+std::unique_ptr<Stream> Stream::Accepted(SocketSet* set,
+                                         int descriptor,
+                                         Hooks hooks) {
+  SetUsualOptions(descriptor);
+  fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK);
+  return std::unique_ptr<Stream>(
+      new Stream(set, descriptor, /*connecting=*/false, std::move(hooks)));
+}
+
+std::unique_ptr<Stream> Stream::Connect(SocketSet* set,
+                                        const Endpoint& address,
+                                        Hooks hooks) {
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(address.m_port);
+  if (inet_pton(AF_INET, address.m_ip.c_str(), &target.sin_addr) != 1) {
+    return nullptr;
+  }
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return nullptr;
+  }
+  SetUsualOptions(descriptor);
+  const int result = connect(
+      descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+  if (result != 0 && errno != EINPROGRESS) {
+    close(descriptor);
+    return nullptr;
+  }
+  return std::unique_ptr<Stream>(
+      new Stream(set, descriptor, /*connecting=*/true, std::move(hooks)));
+}
+
+Stream::Stream(SocketSet* set, int descriptor, bool connecting, Hooks hooks)
+    : m_set(set),
+      m_descriptor(descriptor),
+      m_hooks(std::move(hooks)),
+      m_connecting(connecting) {
+  m_interest = Interest();
+  m_set->Add(m_descriptor, m_interest, this);
+}
+
+Stream::~Stream() {
+  Close();
+}
+
+Stream::ReadResult Stream::Read(std::span<char> buffer) {
+  const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+  if (count > 0) {
+    return {ReadStatus::kBytes,
+            std::string_view(buffer.data(), static_cast<std::size_t>(count))};
+  }
+  if (count == 0) {
+    m_peer_finished = true;
+    return {ReadStatus::kEnd, {}};
+  }
+  return {WouldBlock(errno) ? ReadStatus::kNothingYet : ReadStatus::kFailed,
+          {}};
+}
+
+void Stream::Write(std::string_view bytes) {
+  if (!open() || bytes.empty()) {
+    return;
+  }
+  const bool blocked = unsent() > 0 && !m_flush_pending;
+  if (m_connecting || blocked) {
+    m_unsent.append(bytes);
+  } else if (m_set->m_dispatching && bytes.size() < kSmallWriteBytes) {
+    m_unsent.append(bytes);
+    if (!std::exchange(m_flush_pending, true)) {
+      m_set->FlushLater(this);
+    }
+  } else {
+    Send(bytes);
+  }
+}
+
+void Stream::Send(std::string_view more) {
+  const std::string_view buffered =
+      std::string_view(m_unsent).substr(m_unsent_start);
+  // A failure is reported by the event loop.
+  const std::size_t sent = SendParts(m_descriptor, buffered, more);
+  m_bytes_sent += sent;
+  if (sent < buffered.size()) {
+    m_unsent_start += sent;
+    m_unsent.append(more);
+  } else {
+    more.remove_prefix(sent - buffered.size());
+    if (m_unsent.capacity() > kKeptBufferBytes && more.empty()) {
+      m_unsent = std::string();
+    }
+    m_unsent.assign(more);
+    m_unsent_start = 0;
+  }
+  UpdateInterest();
+}
+
+void Stream::Flush() {
+  m_flush_pending = false;
+  if (unsent() > 0) {
+    Send({});
+  }
+  if (m_finish_writing && unsent() == 0) {
+    shutdown(m_descriptor, SHUT_WR);
+  }
+}
+
+void Stream::SetReading(bool reading) {
+  if (m_reading != reading && open()) {
+    m_reading = reading;
+    UpdateInterest();
+  }
+}
+
+bool Stream::HasPendingInput() const {
+  char byte = 0;
+  const ssize_t count =
+      recv(m_descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || !WouldBlock(errno);
+}
+
+void Stream::FinishWriting() {
+  if (!open()) {
+    return;
+  }
+  m_finish_writing = true;
+  if (!m_connecting && (unsent() == 0 || m_flush_pending)) {
+    Flush();
+  }
+}
+
+void Stream::Close() {
+  if (open()) {
+    m_set->Remove(m_descriptor, this);
+    close(std::exchange(m_descriptor, -1));
+    m_unsent.clear();
+    m_unsent_start = 0;
+    m_flush_pending = false;
+  }
+}
+
+void Stream::Abort() {
+  if (open()) {
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    Close();
+  }
+}
+
+std::uint32_t Stream::Interest() const {
+  if (m_connecting) {
+    return EPOLLOUT;
+  }
+  std::uint32_t events = 0;
+  if (m_reading) {
+    events |= EPOLLIN;
+  } else if (!m_peer_finished) {
+    events |= EPOLLRDHUP;
+  }
+  if (unsent() > 0 && !m_flush_pending) {
+    events |= EPOLLOUT;
+  }
+  return events;
+}
+
+void Stream::UpdateInterest() {
+  const std::uint32_t interest = Interest();
+  if (interest != m_interest && open()) {
+    m_interest = interest;
+    m_set->Change(m_descriptor, m_interest, this);
+  }
+}
+
+void Stream::HandleConnected() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    m_hooks.m_on_closed();
+    return;
+  }
+  m_connecting = false;
+  Flush();
+  UpdateInterest();
+  if (m_hooks.m_on_connected) {
+    m_hooks.m_on_connected();
+  }
+}
+
+void Stream::HandleEvents(std::uint32_t events) {
+  if (m_connecting) {
+    HandleConnected();
+    return;
+  }
+  if ((events & EPOLLOUT) != 0 && unsent() > 0) {
+    Flush();
+    if (unsent() == 0 && m_hooks.m_on_drained) {
+      m_hooks.m_on_drained();
+    }
+  }
+  if (!open()) {
+    return;
+  }
+  const bool failed = (events & (EPOLLERR | EPOLLHUP)) != 0;
+  if (m_reading) {
+    // A failure is found by reading, after what the peer sent before it.
+    if (failed || (events & EPOLLIN) != 0) {
+      m_hooks.m_on_readable();
+    }
+    return;
+  }
+  if (failed) {
+    m_set->Remove(m_descriptor, this);
+    m_hooks.m_on_closed();
+    return;
+  }
+  if ((events & EPOLLRDHUP) != 0 && !m_peer_finished) {
+    m_peer_finished = true;
+    UpdateInterest();
+    if (m_hooks.m_on_peer_finished) {
+      m_hooks.m_on_peer_finished();
+    }
+  }
+}
+
+}  // namespace guavacross::net
