--- /dev/null
+++ b/src/net/test_peer.h
@@ -0,0 +1,138 @@
+#ifndef GUAVACROSS_NET_TEST_PEER_H_
+#define GUAVACROSS_NET_TEST_PEER_H_
+
+#include <cppunit/TestAssert.h>
+
+#include <QCoreApplication>
+#include <QDeadlineTimer>
+#include <QEventLoop>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "net/stream.h"
+
+/// Peers for tests that speak raw bytes over loopback. All live on the test's
+/// thread and event loop.
+namespace guavacross::net {
+
+/// Runs the event loop until `condition` holds; fails the test if it doesn't
+/// within a generous time.
+inline void WaitUntil(const std::function<bool()>& condition) {
+  constexpr int kLimitMs = 10'000;
+  constexpr int kPollMs = 5;
+  const QDeadlineTimer limit(kLimitMs);
+  while (!condition()) {
+    CPPUNIT_ASSERT_MESSAGE("waited too long", !limit.hasExpired());
+    QCoreApplication::processEvents(QEventLoop::AllEvents, kPollMs);
+  }
+}
+
+/// Runs what the event loop has to do now. For checks that something does not
+/// happen; a few rounds let bytes pass through the kernel's loopback.
+inline void RunEvents() {
+  constexpr int kRounds = 50;
+  for (int i = 0; i < kRounds; ++i) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents);
+  }
+}
+
+/// One end of a connection, which keeps what it receives.
+class TestPeer {
+ public:
+  TestPeer(SocketSet* set, int descriptor) {
+    m_stream = Stream::Accepted(set, descriptor, MakeHooks(set));
+    m_stream->SetReading(true);
+  }
+  TestPeer(SocketSet* set, const Endpoint& address) {
+    m_stream = Stream::Connect(set, address, MakeHooks(set));
+    m_stream->SetReading(true);
+  }
+
+  void Send(std::string_view bytes) { m_stream->Write(bytes); }
+  void FinishWriting() { m_stream->FinishWriting(); }
+  void Close() { m_stream->Close(); }
+  void Abort() { m_stream->Abort(); }
+  void SetReading(bool reading) { m_stream->SetReading(reading); }
+  std::size_t unsent() const { return m_stream->unsent(); }
+
+  const std::string& received() const { return m_received; }
+  void Forget() { m_received.clear(); }
+  bool Received(std::string_view text) const {
+    return m_received.find(text) != std::string::npos;
+  }
+  /// The other end has closed its direction.
+  bool ended() const { return m_ended; }
+  /// The other end has reset the connection.
+  bool reset() const { return m_reset; }
+  bool gone() const { return m_ended || m_reset; }
+
+ private:
+  Stream::Hooks MakeHooks(SocketSet* set) {
+    Stream::Hooks hooks;
+    hooks.m_on_readable = [this, set] { Read(set); };
+    hooks.m_on_closed = [this] { m_reset = true; };
+    return hooks;
+  }
+
+  void Read(SocketSet* set) {
+    const Stream::ReadResult read = m_stream->Read(set->scratch());
+    m_received.append(read.m_bytes);
+    if (read.m_status == Stream::ReadStatus::kEnd) {
+      m_ended = true;
+      m_stream->SetReading(false);
+    } else if (read.m_status == Stream::ReadStatus::kFailed) {
+      m_reset = true;
+      m_stream->Close();
+    }
+  }
+
+  std::unique_ptr<Stream> m_stream;
+  std::string m_received;
+  bool m_ended = false;
+  bool m_reset = false;
+};
+
+/// A server on a free port of loopback. Connections are kept in the order in
+/// which they came, unless `m_on_descriptor` takes them.
+class TestServer : public QTcpServer {
+ public:
+  explicit TestServer(SocketSet* set) : m_set(set) {
+    listen(QHostAddress(QHostAddress::LocalHost));
+  }
+
+  Endpoint endpoint() const {
+    return {.m_ip = "127.0.0.1", .m_port = serverPort()};
+  }
+  std::vector<std::unique_ptr<TestPeer>>& peers() { return m_peers; }
+  /// Waits for the connection with the given index.
+  TestPeer& Peer(std::size_t index) {
+    WaitUntil([this, index] { return m_peers.size() > index; });
+    return *m_peers[index];
+  }
+
+  std::function<void(int)> m_on_descriptor;
+
+ protected:
+  void incomingConnection(qintptr descriptor) override {
+    if (m_on_descriptor) {
+      m_on_descriptor(static_cast<int>(descriptor));
+      return;
+    }
+    m_peers.push_back(
+        std::make_unique<TestPeer>(m_set, static_cast<int>(descriptor)));
+  }
+
+ private:
+  SocketSet* m_set;
+  std::vector<std::unique_ptr<TestPeer>> m_peers;
+};
+
+}  // namespace guavacross::net
+
+#endif  // GUAVACROSS_NET_TEST_PEER_H_
