--- a/src/callers/caller_connection_test.cc
+++ b/src/callers/caller_connection_test.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-using net::RunEvents;
 using net::TestPeer;
 using net::WaitUntil;
 using util::Section;
--- a/src/forwarding/forward_metrics.cc
+++ b/src/forwarding/forward_metrics.cc
@@ -29,19 +29,16 @@
 
 }  // namespace
 
-ClassSeries& ForwardMetrics::Series(std::string_view service,
-                                    std::string_view class_name,
-                                    std::string_view tenant) {
-  const auto found = m_series.find(std::tie(service, class_name, tenant));
-  if (found != m_series.end()) {
-    return found->second;
+ClassSeries& ForwardMetrics::Series(const std::string& service,
+                                    const std::string& class_name,
+                                    const std::string& tenant) {
+  ClassSeries& series = m_series[Key(service, class_name, tenant)];
+  if (series.m_total_seconds == nullptr) {
+    series = MakeSeries(
+        m_metrics,
+        {{"service", service}, {"class", class_name}, {"tenant", tenant}});
   }
-  const util::Metrics::Labels labels = {{"service", std::string(service)},
-                                        {"class", std::string(class_name)},
-                                        {"tenant", std::string(tenant)}};
-  return m_series
-      .emplace(Key(service, class_name, tenant), MakeSeries(m_metrics, labels))
-      .first->second;
+  return series;
 }
 
 void ForwardMetrics::CountOwnAnswer(ErrorKind kind) {
--- a/src/forwarding/forward_metrics.h
+++ b/src/forwarding/forward_metrics.h
@@ -2,10 +2,8 @@
 #define GUAVACROSS_FORWARDING_FORWARD_METRICS_H_
 
 #include <array>
-#include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 #include <tuple>
 
 #include "guavacross/error.h"
@@ -31,9 +29,9 @@
   explicit ForwardMetrics(util::Metrics* metrics) : m_metrics(metrics) {}
 
   /// `tenant` must come from a bounded set.
-  ClassSeries& Series(std::string_view service,
-                      std::string_view class_name,
-                      std::string_view tenant);
+  ClassSeries& Series(const std::string& service,
+                      const std::string& class_name,
+                      const std::string& tenant);
 
   /// Counts an answer that guavacross made itself, by its reason.
   void CountOwnAnswer(ErrorKind kind);
@@ -42,7 +40,7 @@
   using Key = std::tuple<std::string, std::string, std::string>;
 
   util::Metrics* m_metrics;
-  std::map<Key, ClassSeries, std::less<>> m_series;
+  std::map<Key, ClassSeries> m_series;
   std::map<ErrorKind, prometheus::Counter*> m_own_answers;
 };
 
--- a/src/include/guavacross/identity.h
+++ b/src/include/guavacross/identity.h
@@ -12,6 +12,7 @@
   std::string m_ip;
   std::uint16_t m_port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads `<=>`
   auto operator<=>(const Endpoint&) const = default;
 };
 
--- a/src/net/test_peer.h
+++ b/src/net/test_peer.h
@@ -21,23 +21,24 @@
 /// thread and event loop.
 namespace guavacross::net {
 
+inline constexpr int kTestLimitMs = 10'000;
+inline constexpr int kTestPollMs = 5;
+inline constexpr int kTestRounds = 50;
+
 /// Runs the event loop until `condition` holds; fails the test if it doesn't
 /// within a generous time.
 inline void WaitUntil(const std::function<bool()>& condition) {
-  constexpr int kLimitMs = 10'000;
-  constexpr int kPollMs = 5;
-  const QDeadlineTimer limit(kLimitMs);
+  const QDeadlineTimer limit(kTestLimitMs);
   while (!condition()) {
     CPPUNIT_ASSERT_MESSAGE("waited too long", !limit.hasExpired());
-    QCoreApplication::processEvents(QEventLoop::AllEvents, kPollMs);
+    QCoreApplication::processEvents(QEventLoop::AllEvents, kTestPollMs);
   }
 }
 
 /// Runs what the event loop has to do now. For checks that something does not
 /// happen; a few rounds let bytes pass through the kernel's loopback.
 inline void RunEvents() {
-  constexpr int kRounds = 50;
-  for (int i = 0; i < kRounds; ++i) {
+  for (int i = 0; i < kTestRounds; ++i) {
     QCoreApplication::processEvents(QEventLoop::AllEvents);
   }
 }
