--- /dev/null
+++ b/src/http/message_reader_fuzz.cc
@@ -0,0 +1,75 @@
+// Feeds arbitrary bytes to the reader of HTTP messages. Whether they hold a
+// whole message, and which, must not depend on how they are cut into pieces. A
+// message that never ends may be refused earlier or later.
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include "http/message_reader.h"
+#include "util/handle.h"
+
+namespace guavacross::http {
+
+namespace {
+
+// What a reader made of the bytes.
+struct Reading {
+  std::string m_head;
+  std::string m_body;
+  std::size_t m_taken = 0;
+  bool m_failed = false;
+  bool m_done = false;
+
+  bool operator==(const Reading&) const = default;
+};
+
+Reading Read(bool request, std::string_view bytes, std::size_t step) {
+  Reading reading;
+  MessageReader::Hooks hooks;
+  hooks.m_on_request = [&](const RequestHead& head) {
+    reading.m_head = Serialize(head);
+  };
+  hooks.m_on_response = [&](const ResponseHead& head) {
+    reading.m_head = Serialize(head);
+  };
+  hooks.m_on_body = [&](std::string_view piece) { reading.m_body += piece; };
+  const ReadLimits limits{.m_max_header_bytes = 512, .m_max_body_bytes = 4096};
+  MessageReader reader = request
+                             ? MessageReader::ForRequest(limits, hooks)
+                             : MessageReader::ForResponse(limits, false, hooks);
+  for (std::size_t at = 0; at < bytes.size() && !reader.done(); at += step) {
+    const auto taken =
+        util::Catch([&] { return reader.Feed(bytes.substr(at, step)); });
+    if (!taken) {
+      reading.m_failed = true;
+      return reading;
+    }
+    reading.m_taken += *taken.m_value;
+  }
+  reading.m_done = reader.done();
+  return reading;
+}
+
+void CheckOneMessage(bool request, std::string_view bytes) {
+  const Reading whole = Read(request, bytes, bytes.size() + 1);
+  const Reading pieces = Read(request, bytes, 1);
+  const bool agree = (!whole.m_done && !pieces.m_done) || whole == pieces;
+  if (!agree) {
+    std::abort();
+  }
+}
+
+}  // namespace
+
+}  // namespace guavacross::http
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  guavacross::http::CheckOneMessage(true, bytes);
+  guavacross::http::CheckOneMessage(false, bytes);
+  return 0;
+}
