Ledger: first claim in the log, minted identities, handover

A non-repeatable request runs only after its claim was read back as the first one of its key (group commit, one append in flight), or after the incarnation that minted its identity has granted it. Claims are carried on before the log drops them; an instance that doesn't know all recent claims refuses keys that don't tell their age. "Not run" is told only after every instance that may have claimed the key has said that it knows of no copy.

--- a/src/include/guavacross/identity.h
+++ b/src/include/guavacross/identity.h
@@ -28,6 +28,7 @@
   std::string m_name;
   std::uint64_t m_incarnation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misread by clang-tidy 14.
   auto operator<=>(const InstanceId&) const = default;
 };
 
--- /dev/null
+++ b/src/ledger/claim_carrier.cc
@@ -0,0 +1,123 @@
+#include "ledger/claim_carrier.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "util/hash.h"
+
+namespace guavacross::ledger {
+
+namespace {
+
+constexpr Duration kMaxLookInterval = std::chrono::minutes(1);
+constexpr Duration kMinLookInterval = std::chrono::milliseconds(200);
+constexpr std::size_t kCarriedPerRecord = 2000;
+constexpr std::size_t kMaxMarks = 64;
+// The share of the carry interval between two looks at old claims.
+constexpr int kLooksPerInterval = 8;
+// Claims are carried this often while the log keeps a record.
+constexpr int kCarriesPerRetention = 3;
+constexpr double kRandomRange = 18446744073709551616.0;
+
+}  // namespace
+
+ClaimCarrier::ClaimCarrier(const LedgerOptions* options,
+                           ClaimFold* fold,
+                           ClaimLog* log)
+    : m_options(options),
+      m_fold(fold),
+      m_log(log),
+      m_last_coverage(options->m_clock.m_now()),
+      m_random_state(options->m_seed) {}
+
+void ClaimCarrier::Start() {
+  Schedule();
+}
+
+void ClaimCarrier::OnRecord(std::uint64_t offset, const ClaimRecord& record) {
+  const TimePoint now = m_options->m_clock.m_now();
+  if (record.m_coverage) {
+    m_last_coverage = now;
+  }
+  const bool is_due = m_marks.empty() || now - m_marks.back().m_at >=
+                                             Interval() / kLooksPerInterval;
+  if (!is_due) {
+    return;
+  }
+  m_marks.push_back({.m_offset = offset, .m_at = now});
+  if (m_marks.size() > kMaxMarks) {
+    m_marks.pop_front();
+  }
+}
+
+// The record just before the first kept one has expired, and it is not older
+// than the last mark before it.
+void ClaimCarrier::OnExpired(std::uint64_t first_kept) {
+  if (first_kept <= m_first_kept) {
+    return;
+  }
+  m_first_kept = first_kept;
+  const TimePoint now = m_options->m_clock.m_now();
+  for (const Mark& mark : m_marks) {
+    if (mark.m_offset >= first_kept) {
+      m_retention =
+          std::min(m_retention.value_or(m_options->m_remember),
+                   std::max<Duration>(now - mark.m_at, kMinLookInterval));
+      Schedule();
+      return;
+    }
+  }
+}
+
+Duration ClaimCarrier::Interval() const {
+  if (!m_retention) {
+    return m_options->m_carry_after;
+  }
+  return std::min<Duration>(m_options->m_carry_after,
+                            *m_retention / kCarriesPerRetention);
+}
+
+void ClaimCarrier::Schedule() {
+  const Duration base = std::clamp<Duration>(
+      Interval() / kLooksPerInterval, kMinLookInterval, kMaxLookInterval);
+  const auto jitter = FromSeconds(Seconds(base) * Random());
+  m_timer = m_options->m_clock.m_call_after(base + jitter, [this] { Look(); });
+}
+
+void ClaimCarrier::Look() {
+  // Scheduling replaces the timer that this call runs from.
+  const std::unique_ptr<Timer> running = std::move(m_timer);
+  const TimePoint now = m_options->m_clock.m_now();
+  m_fold->Forget(now);
+  if (m_log->caught_up() && m_fold->IsComplete(now)) {
+    Carry(now);
+  }
+  Schedule();
+}
+
+void ClaimCarrier::Carry(TimePoint now) {
+  std::uint64_t before = 0;
+  for (const Mark& mark : m_marks) {
+    if (now - mark.m_at >= Interval()) {
+      before = mark.m_offset;
+    }
+  }
+  std::vector<CarriedClaim> carried =
+      m_fold->ClaimsBefore(before, kCarriedPerRecord, now);
+  const bool coverage_is_old = now - m_last_coverage >= Interval();
+  if (!carried.empty() || coverage_is_old) {
+    m_last_coverage = now;
+    m_log->AddCarried(std::move(carried), m_fold->CoverageNow(now));
+  }
+}
+
+double ClaimCarrier::Random() {
+  m_random_state =
+      util::Hash(std::to_string(m_random_state), m_options->m_seed);
+  return static_cast<double>(m_random_state) / kRandomRange;
+}
+
+}  // namespace guavacross::ledger
--- /dev/null
+++ b/src/ledger/claim_fold_test.cc
@@ -0,0 +1,203 @@
+#include "ledger/claim_fold.h"
+
+#include <rapidcheck.h>
+
+#include <map>
+
+#include "util/handle.h"
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::ledger {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using util::Section;
+
+const InstanceId kA{.m_name = "a", .m_incarnation = 1};
+const InstanceId kB{.m_name = "b", .m_incarnation = 1};
+
+KeyHash Key(std::uint64_t n) {
+  return {.m_high = n, .m_low = n * 0x9E3779B97F4A7C15};
+}
+
+// A fold that is fed records at rising offsets.
+struct Feeder {
+  explicit Feeder(FoldLimits limits = {}) : m_fold(limits) {}
+
+  ClaimFold::Changes operator()(ClaimRecord record) {
+    const Clock clock = m_manual.clock();
+    record.m_wall_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            clock.m_wall_now().time_since_epoch())
+            .count());
+    return m_fold.Apply(m_next++, record, {clock.m_now(), clock.m_wall_now()});
+  }
+
+  ClaimFold::Changes Claims(const InstanceId& claimant,
+                            std::uint64_t key,
+                            std::uint32_t attempt) {
+    return (*this)({.m_claimant = claimant,
+                    .m_claims = {{.m_key = Key(key), .m_attempt = attempt}}});
+  }
+
+  ClaimFold::Changes Ends(const InstanceId& claimant,
+                          std::uint64_t key,
+                          std::uint32_t attempt) {
+    return (*this)({.m_claimant = claimant,
+                    .m_ends = {{.m_key = Key(key), .m_attempt = attempt}}});
+  }
+
+  util::ManualClock m_manual;
+  ClaimFold m_fold;
+  std::uint64_t m_next = 0;
+};
+
+}  // namespace
+
+GUAVACROSS_STORY(ClaimFoldRules) {
+  Feeder feed;
+  Section("the first claim of a key holds it", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         feed.Claims(kA, 1, 1).m_granted.size());
+    CPPUNIT_ASSERT(feed.Claims(kB, 1, 1).m_granted.empty());
+    CPPUNIT_ASSERT(feed.m_fold.Find(Key(1))->m_holder == kA);
+  });
+  Section("a second attempt has to wait for the end of the first", [&] {
+    CPPUNIT_ASSERT(feed.Claims(kB, 1, 2).m_granted.empty());
+    CPPUNIT_ASSERT(feed.Ends(kB, 1, 1).m_ended.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, feed.Ends(kA, 1, 1).m_ended.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         feed.Claims(kB, 1, 2).m_granted.size());
+  });
+  Section("a late copy of an older record changes nothing", [&] {
+    CPPUNIT_ASSERT(feed.Claims(kA, 1, 1).m_granted.empty());
+    CPPUNIT_ASSERT(feed.Ends(kA, 1, 1).m_ended.empty());
+    CPPUNIT_ASSERT(feed.m_fold.Find(Key(1))->m_holder == kB);
+  });
+  Section("the second attempt can't be the first that is seen of a key",
+          [&] { CPPUNIT_ASSERT(feed.Claims(kA, 2, 2).m_granted.empty()); });
+}
+
+GUAVACROSS_STORY(ClaimFoldForgetting) {
+  Feeder feed({.m_remember = hours(2),
+               .m_remember_at_least = minutes(10),
+               .m_max_keys = 2});
+  feed.Claims(kA, 1, 1);
+  feed.Claims(kA, 2, 1);
+  Section("a full fold keeps young keys", [&] {
+    feed.m_fold.Forget(feed.m_manual.now());
+    CPPUNIT_ASSERT(!feed.m_fold.HasRoom());
+    CPPUNIT_ASSERT(feed.m_fold.known_since() == TimePoint::min());
+  });
+  Section("a full fold forgets old keys, and says so", [&] {
+    feed.m_manual.Advance(minutes(11));
+    feed.m_fold.Forget(feed.m_manual.now());
+    CPPUNIT_ASSERT(feed.m_fold.HasRoom());
+    CPPUNIT_ASSERT(feed.m_fold.known_since() >=
+                   feed.m_manual.now() - minutes(12));
+    CPPUNIT_ASSERT(feed.m_fold.IsComplete(feed.m_manual.now()));
+  });
+  Section("every key is forgotten in the end", [&] {
+    feed.m_manual.Advance(hours(3));
+    feed.m_fold.Forget(feed.m_manual.now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, feed.m_fold.size());
+  });
+}
+
+GUAVACROSS_STORY(ClaimFoldOfNewInstance) {
+  Feeder old;
+  old.Claims(kA, 1, 1);
+  old.Ends(kA, 1, 1);
+  old.Claims(kB, 1, 2);
+  old.m_manual.Advance(minutes(5));
+
+  Feeder young({.m_remember_at_least = hours(1)});
+  young.m_next = 2;
+  CPPUNIT_ASSERT(young.m_fold.NoteExpired(2, young.m_manual.now()));
+  Section("it knows nothing of what expired before it started", [&] {
+    young.Claims(kB, 9, 1);
+    CPPUNIT_ASSERT(!young.m_fold.IsComplete(young.m_manual.now()));
+  });
+  Section("carried claims tell it", [&] {
+    ClaimRecord record{.m_claimant = kA};
+    record.m_carried = old.m_fold.ClaimsBefore(3, 100, old.m_manual.now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, record.m_carried.size());
+    record.m_coverage = Coverage{.m_from_offset = 2, .m_known_s = 0};
+    CPPUNIT_ASSERT(young(record).m_granted.empty());
+    const auto view = young.m_fold.Find(Key(1));
+    CPPUNIT_ASSERT(view->m_holder == kB);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, view->m_attempt);
+    CPPUNIT_ASSERT(young.m_fold.IsComplete(young.m_manual.now()));
+  });
+  Section("a coverage that began before its first record doesn't count", [&] {
+    Feeder other;
+    other.m_next = 50;
+    other.m_fold.NoteExpired(50, other.m_manual.now());
+    ClaimRecord record{.m_claimant = kA};
+    record.m_coverage = Coverage{.m_from_offset = 49, .m_known_s = 0};
+    other(record);
+    CPPUNIT_ASSERT(!other.m_fold.IsComplete(other.m_manual.now()));
+  });
+  Section("a gap makes the fold start anew", [&] {
+    CPPUNIT_ASSERT(young.m_fold.NoteExpired(1000, young.m_manual.now()));
+    young.m_next = 1000;
+    young.Claims(kA, 5, 1);
+    CPPUNIT_ASSERT(!young.m_fold.Find(Key(1)).has_value());
+    CPPUNIT_ASSERT(!young.m_fold.IsComplete(young.m_manual.now()));
+  });
+}
+
+GUAVACROSS_STORY(ClaimRecordCodec) {
+  Section("a record is read as it was written", [] {
+    const ClaimRecord record{
+        .m_claimant = kA,
+        .m_wall_ms = 17,
+        .m_ends = {{.m_key = Key(3), .m_attempt = 2}},
+        .m_claims = {{.m_key = Key(4), .m_fingerprint = 8, .m_attempt = 1}},
+        .m_carried = {{.m_claim = {.m_key = Key(5), .m_attempt = 3},
+                       .m_holder = kB,
+                       .m_ended_not_run = true,
+                       .m_age_s = 60}},
+        .m_coverage = Coverage{.m_from_offset = 2, .m_known_s = 9}};
+    const auto read = util::Catch(
+        [&] { return DecodeClaimRecord(EncodeClaimRecord(record)); });
+    CPPUNIT_ASSERT(read.m_value == record);
+  });
+  Section("other bytes are refused", [] {
+    const auto read = util::Catch([] { return DecodeClaimRecord("\xff\x01"); });
+    CPPUNIT_ASSERT(read.m_error.m_kind == ErrorKind::kBadMessage);
+  });
+}
+
+GUAVACROSS_STORY(ClaimIndexAgainstMap) {
+  Section("it finds what a map finds, in any order of adding and removing", [] {
+    CPPUNIT_ASSERT(rc::check([](const std::vector<std::uint8_t>& steps) {
+      ClaimIndex index;
+      std::map<KeyHash, std::uint64_t> model;
+      std::uint64_t number = 0;
+      for (const std::uint8_t step : steps) {
+        // Few low bits, so that keys collide.
+        const KeyHash key{.m_high = step, .m_low = step % 8U};
+        if (step % 3 == 0 && !index.empty()) {
+          model.erase(index.front().m_key);
+          index.RemoveFront();
+        } else if (!model.contains(key)) {
+          model[key] = ++number;
+          index.Add({.m_key = key, .m_fingerprint = number});
+        }
+        RC_ASSERT(index.size() == model.size());
+        for (const auto& [known, value] : model) {
+          RC_ASSERT(index.Find(known) != nullptr);
+          RC_ASSERT(index.Find(known)->m_fingerprint == value);
+        }
+        RC_ASSERT(index.Find({.m_high = 999, .m_low = 1}) == nullptr);
+      }
+    }));
+  });
+}
+
+}  // namespace guavacross::ledger
--- a/src/ledger/ledger_messages.h
+++ b/src/ledger/ledger_messages.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
   std::uint64_t m_high = 0;
   std::uint64_t m_low = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misread by clang-tidy 14.
   auto operator<=>(const KeyHash&) const = default;
 };
 
@@ -80,11 +82,16 @@
   bool operator==(const LedgerReply&) const = default;
 };
 
-/// One ended request of an instance that shuts down.
+/// One request in the table of an instance that shuts down.
 struct HandedClaim {
   KeyHash m_key;
   std::uint64_t m_fingerprint = 0;
   std::uint32_t m_attempt = 0;
+  /// Whether the key belongs to a minted identity.
+  bool m_minted = false;
+  /// The instance that was given the right to run the request; if there is one,
+  /// `m_end` says nothing.
+  std::optional<InstanceId> m_given_to;
   ClaimEnd m_end;
 
   bool operator==(const HandedClaim&) const = default;
--- /dev/null
+++ b/src/ledger/minted_claims.h
@@ -0,0 +1,78 @@
+#ifndef GUAVACROSS_LEDGER_MINTED_CLAIMS_H_
+#define GUAVACROSS_LEDGER_MINTED_CLAIMS_H_
+
+#include <cstdint>
+#include <map>
+#include <unordered_set>
+#include <vector>
+
+#include "ledger/key_identity.h"
+#include "ledger/ledger_context.h"
+
+namespace guavacross::ledger {
+
+/// Claims of keys that belong to a minted identity.
+///
+/// Only the incarnation that minted an identity, or the peer to which it handed
+/// that right, decides who may run its requests; no log is needed. The decider
+/// gives the right to an asker, and takes it back only when the asker itself
+/// says that it did not and will not run the request.
+class MintedClaims {
+ public:
+  explicit MintedClaims(LedgerContext* context);
+
+  /// Decides about a copy of a request that reached this instance.
+  void Claim(const MintedIdentity& identity,
+             const KeyHash& key,
+             std::uint64_t fingerprint,
+             Decide decide);
+
+  /// Answers `kMayRun`.
+  void MayRun(const LedgerQuestion& question, Reply reply);
+
+  /// Whether a question about `key` to another instance is open.
+  bool IsAsking(const KeyHash& key) const { return m_asking.contains(key); }
+
+  /// From now on this instance decides for `minter`, whose incarnation started
+  /// `age` ago.
+  void Inherit(const InstanceId& minter, Duration age);
+
+  /// Gives up the right to decide; returns whose it was, with the start of each
+  /// incarnation.
+  std::map<InstanceId, TimePoint> GiveUpDeciding();
+
+  /// Says `kInProgress` to all askers until `GiveUpDeciding`.
+  void PauseDeciding() { m_paused = true; }
+
+  TimePoint started() const { return m_started; }
+
+ private:
+  void AskMinter(const LedgerQuestion& question, Decide decide);
+  void AskForHeir(const LedgerQuestion& question, Decide decide);
+  void OnReply(const LedgerQuestion& question,
+               const LedgerReply& reply,
+               const Decide& decide);
+  bool IsExpired(TimePoint minter_started, std::uint64_t minted_ms) const;
+  void Grant(const LedgerQuestion& question,
+             std::uint32_t attempt,
+             const Reply& reply);
+  void AskHolder(const LedgerQuestion& question,
+                 const HeldKey& held,
+                 Reply reply);
+  void OnHolderReply(const LedgerQuestion& question,
+                     std::uint32_t attempt,
+                     LedgerReply holder_reply,
+                     const Reply& reply);
+
+  LedgerContext* m_context;
+  TimePoint m_started;
+  // Whose identities this instance decides about, and when each incarnation
+  // started on this instance's clock.
+  std::map<InstanceId, TimePoint> m_deciding_for;
+  bool m_paused = false;
+  std::unordered_set<KeyHash, KeyHashHasher> m_asking;
+};
+
+}  // namespace guavacross::ledger
+
+#endif  // GUAVACROSS_LEDGER_MINTED_CLAIMS_H_
--- /dev/null
+++ b/src/ledger/plain_claims.cc
@@ -0,0 +1,448 @@
+#include "ledger/plain_claims.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "util/log.h"
+
+namespace guavacross::ledger {
+
+namespace {
+
+constexpr int kMaxSurveys = 64;
+
+FoldLimits LimitsOf(const LedgerOptions& options) {
+  return {.m_remember = options.m_remember,
+          .m_remember_at_least = options.m_remember_at_least,
+          .m_max_keys = options.m_max_keys};
+}
+
+ClaimLogOptions LogOptionsOf(const LedgerOptions& options) {
+  return {.m_self = options.m_self,
+          .m_clock = options.m_clock,
+          .m_max_claims_per_append = options.m_max_claims_per_append};
+}
+
+}  // namespace
+
+PlainClaims::PlainClaims(LedgerContext* context)
+    : m_context(context),
+      m_fold(LimitsOf(context->m_options)),
+      m_log(LogOptionsOf(context->m_options),
+            {.m_log = context->m_hooks.m_log,
+             .m_append_interval = [this] { return AppendInterval(); },
+             .m_on_record =
+                 [this](std::uint64_t offset, const ClaimRecord& record) {
+                   OnRecord(offset, record);
+                 },
+             .m_on_expired =
+                 [this](std::uint64_t first_kept) { OnExpired(first_kept); },
+             .m_on_caught_up = [this] { OnCaughtUp(); },
+             .m_on_rejected =
+                 [this](const std::vector<ledger::Claim>& claims) {
+                   for (const ledger::Claim& claim : claims) {
+                     RefuseAll(claim.m_key, "the log refused the claim");
+                   }
+                 },
+             .m_is_wanted =
+                 [this](const ledger::Claim& claim) {
+                   return IsWanted(claim.m_key);
+                 }}),
+      m_carrier(&context->m_options, &m_fold, &m_log) {}
+
+void PlainClaims::Start() {
+  m_log.Start();
+  m_carrier.Start();
+}
+
+void PlainClaims::Claim(const KeyHash& key,
+                        std::uint64_t fingerprint,
+                        std::optional<WallTime> key_time,
+                        Decide decide) {
+  const LedgerOptions& options = m_context->m_options;
+  Waiter waiter{
+      .m_fingerprint = fingerprint,
+      .m_key_time = key_time,
+      .m_decide = std::move(decide),
+      .m_deadline = options.m_clock.m_now() + options.m_claim_timeout};
+  Enqueue(key, std::move(waiter));
+}
+
+void PlainClaims::Enqueue(const KeyHash& key, Waiter waiter) {
+  if (Evaluate(key, &waiter) == Step::kDone) {
+    return;
+  }
+  const LedgerOptions& options = m_context->m_options;
+  Waiters& waiters = m_waiting[key];
+  waiters.push_back(std::move(waiter));
+  const auto it = std::prev(waiters.end());
+  const Duration left =
+      std::max<Duration>(it->m_deadline - options.m_clock.m_now(), {});
+  it->m_timer = options.m_clock.m_call_after(
+      left, [this, key, it] { OnTimeout(key, it); });
+}
+
+void PlainClaims::ReEvaluate(const KeyHash& key) {
+  const auto found = m_waiting.find(key);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  // Decisions call out, and what they call may add waiters.
+  Waiters waiters = std::move(found->second);
+  m_waiting.erase(found);
+  for (Waiter& waiter : waiters) {
+    waiter.m_timer.reset();
+    Enqueue(key, std::move(waiter));
+  }
+}
+
+PlainClaims::Step PlainClaims::Evaluate(const KeyHash& key, Waiter* waiter) {
+  HeldKey* held = m_context->m_held.Find(key);
+  if (held != nullptr && held->m_state != HeldState::kNotRun) {
+    waiter->m_decide(ToDecision(ReplyOf(*held, waiter->m_fingerprint)));
+    return Step::kDone;
+  }
+  if (!m_log.caught_up()) {
+    return Step::kWait;
+  }
+  const auto view = m_fold.Find(key);
+  if (!view) {
+    return ClaimAttempt(key, 1, waiter);
+  }
+  if (view->m_fingerprint != waiter->m_fingerprint) {
+    waiter->m_decide(ToDecision({.m_status = LedgerReply::Status::kConflict}));
+    return Step::kDone;
+  }
+  if (view->m_ended_not_run) {
+    return ClaimAttempt(key, view->m_attempt + 1, waiter);
+  }
+  if (view->m_holder != m_context->m_options.m_self) {
+    AskHolder(key, *view, waiter);
+    return Step::kDone;
+  }
+  if (held != nullptr) {
+    // Ended here as not run; the log will show it soon.
+    return Step::kWait;
+  }
+  waiter->m_decide(ToDecision({.m_status = LedgerReply::Status::kUnknown}));
+  return Step::kDone;
+}
+
+PlainClaims::Step PlainClaims::ClaimAttempt(const KeyHash& key,
+                                            std::uint32_t attempt,
+                                            Waiter* waiter) {
+  if (waiter->m_has_claimed && m_log.PendingAttempt(key) == attempt) {
+    return Step::kWait;
+  }
+  if (const auto refusal = CheckAge(*waiter)) {
+    if (refusal->m_error.m_kind == ErrorKind::kStoreUnavailable) {
+      RefuseUnsettled(key, std::move(*waiter), refusal->m_error.m_text);
+    } else {
+      waiter->m_decide(*refusal);
+    }
+    return Step::kDone;
+  }
+  const TimePoint now = m_context->m_options.m_clock.m_now();
+  m_fold.Forget(now);
+  const bool has_room = m_fold.HasRoom() &&
+                        m_log.unsettled() < m_context->m_options.m_max_held &&
+                        m_context->m_held.MakeRoom(now);
+  if (!has_room) {
+    RefuseUnsettled(key, std::move(*waiter), "the ledger is full");
+    return Step::kDone;
+  }
+  waiter->m_has_claimed = true;
+  m_log.AddClaim({.m_key = key,
+                  .m_fingerprint = waiter->m_fingerprint,
+                  .m_attempt = attempt});
+  return Step::kWait;
+}
+
+// Refuses keys whose earlier claim may have been forgotten.
+std::optional<ClaimDecision> PlainClaims::CheckAge(const Waiter& waiter) const {
+  const LedgerOptions& options = m_context->m_options;
+  const TimePoint now = options.m_clock.m_now();
+  if (!waiter.m_key_time) {
+    if (m_fold.IsComplete(now)) {
+      return std::nullopt;
+    }
+    return Refuse(ErrorKind::kStoreUnavailable,
+                  "this instance doesn't know all recent claims yet");
+  }
+  const Duration age = options.m_clock.m_wall_now() - *waiter.m_key_time;
+  if (age < -options.m_clock_skew) {
+    return Refuse(ErrorKind::kKeyExpired, "the key's time is in the future");
+  }
+  const TimePoint known_since = m_fold.known_since();
+  if (known_since != TimePoint::min() &&
+      now - age - options.m_clock_skew < known_since) {
+    return Refuse(ErrorKind::kKeyExpired,
+                  "the key is older than what this instance knows");
+  }
+  return std::nullopt;
+}
+
+void PlainClaims::AskHolder(const KeyHash& key,
+                            const ClaimView& view,
+                            Waiter* waiter) {
+  if (StateOfHolder(*m_context, view.m_holder) == HolderState::kGone) {
+    AskForHandover(key, view.m_attempt, std::move(*waiter));
+    return;
+  }
+  const LedgerQuestion question{.m_kind = LedgerQuestion::Kind::kHowEnded,
+                                .m_asker = m_context->m_options.m_self,
+                                .m_key = key,
+                                .m_fingerprint = waiter->m_fingerprint,
+                                .m_attempt = view.m_attempt};
+  auto kept = std::make_shared<Waiter>(std::move(*waiter));
+  m_context->m_hooks.m_ask(
+      view.m_holder, question,
+      m_context->WhileAlive([this, key, kept](const LedgerReply& reply) {
+        OnHolderReply(key, reply, std::move(*kept));
+      }));
+}
+
+void PlainClaims::OnHolderReply(const KeyHash& key,
+                                const LedgerReply& reply,
+                                Waiter waiter) {
+  if (reply.m_status == LedgerReply::Status::kUnreachable) {
+    waiter.m_decide(Refuse(ErrorKind::kKeyInProgress,
+                           "the instance that holds the key doesn't answer"));
+    return;
+  }
+  if (reply.m_status != LedgerReply::Status::kNotRun) {
+    waiter.m_decide(ToDecision(reply));
+    return;
+  }
+  // The end is in the log or on its way: wait for it, but don't ask again.
+  const auto view = m_fold.Find(key);
+  const bool is_settled =
+      view && (view->m_ended_not_run || view->m_attempt > reply.m_attempt);
+  if (is_settled) {
+    Enqueue(key, std::move(waiter));
+    return;
+  }
+  waiter.m_decide(ToDecision({.m_status = LedgerReply::Status::kInProgress}));
+}
+
+// The holder is gone; before it left it may have handed its table to a peer.
+void PlainClaims::AskForHandover(const KeyHash& key,
+                                 std::uint32_t attempt,
+                                 Waiter waiter) {
+  const LedgerQuestion question{.m_kind = LedgerQuestion::Kind::kHowEnded,
+                                .m_asker = m_context->m_options.m_self,
+                                .m_key = key,
+                                .m_fingerprint = waiter.m_fingerprint,
+                                .m_attempt = attempt};
+  AskAll(*m_context, MembersToAsk(*m_context, SurveyScope::kNotDead), question,
+         [decide = std::move(waiter.m_decide)](
+             const std::vector<LedgerReply>& replies) {
+           for (const LedgerReply& reply : replies) {
+             if (reply.m_status == LedgerReply::Status::kDone ||
+                 reply.m_status == LedgerReply::Status::kConflict) {
+               decide(ToDecision(reply));
+               return;
+             }
+           }
+           decide(ToDecision({.m_status = LedgerReply::Status::kUnknown}));
+         });
+}
+
+void PlainClaims::OnTimeout(const KeyHash& key, Waiters::iterator waiter) {
+  const auto found = m_waiting.find(key);
+  // This call runs from the waiter's timer, which must live until the end.
+  const std::unique_ptr<Timer> timer = std::move(waiter->m_timer);
+  Waiter late = std::move(*waiter);
+  found->second.erase(waiter);
+  if (found->second.empty()) {
+    m_waiting.erase(found);
+  }
+  RefuseUnsettled(key, std::move(late),
+                  "the log did not settle the claim in time");
+}
+
+void PlainClaims::RefuseAll(const KeyHash& key, const std::string& text) {
+  const auto found = m_waiting.find(key);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  Waiters waiters = std::move(found->second);
+  m_waiting.erase(found);
+  for (Waiter& waiter : waiters) {
+    RefuseUnsettled(key, std::move(waiter), text);
+  }
+}
+
+// Nothing of this copy runs, but an earlier copy may have run on another
+// instance without this one having read its claim. "Not run" is told only if
+// this instance knew all older claims, and all instances that may have claimed
+// since then say that they know of no copy.
+void PlainClaims::RefuseUnsettled(const KeyHash& key,
+                                  Waiter waiter,
+                                  std::string text) {
+  const bool knows_older = m_log.caught_up() && !CheckAge(waiter);
+  if (!knows_older || m_surveys >= kMaxSurveys) {
+    waiter.m_decide(Refuse(ErrorKind::kAppendUnclear, std::move(text)));
+    return;
+  }
+  ++m_surveys;
+  const LedgerQuestion question{.m_kind = LedgerQuestion::Kind::kIsKnown,
+                                .m_asker = m_context->m_options.m_self,
+                                .m_key = key};
+  AskAll(*m_context, InstancesThatMayHaveClaimed(), question,
+         [this, key, decide = std::move(waiter.m_decide),
+          text = std::move(text)](const std::vector<LedgerReply>& replies) {
+           --m_surveys;
+           const bool all_none = std::all_of(
+               replies.begin(), replies.end(), [](const LedgerReply& reply) {
+                 return reply.m_status == LedgerReply::Status::kNone;
+               });
+           HeldKey* held = m_context->m_held.Find(key);
+           const auto view = m_fold.Find(key);
+           const bool is_free =
+               (held == nullptr || held->m_state == HeldState::kNotRun) &&
+               (!view || view->m_ended_not_run);
+           decide(Refuse(all_none && is_free ? ErrorKind::kStoreUnavailable
+                                             : ErrorKind::kAppendUnclear,
+                         text));
+         });
+}
+
+std::vector<InstanceId> PlainClaims::InstancesThatMayHaveClaimed() {
+  const auto members = MembersToAsk(*m_context, SurveyScope::kAll);
+  m_may_have_claimed.insert(members.begin(), members.end());
+  return {m_may_have_claimed.begin(), m_may_have_claimed.end()};
+}
+
+void PlainClaims::EndNotRun(const KeyHash& key) {
+  const HeldKey* held = m_context->m_held.Find(key);
+  if (held != nullptr) {
+    m_log.AddEnd({.m_key = key, .m_attempt = held->m_attempt});
+  }
+}
+
+LedgerReply PlainClaims::HowEnded(const LedgerQuestion& question) const {
+  const auto pending = m_log.PendingAttempt(question.m_key);
+  const auto view = m_fold.Find(question.m_key);
+  LedgerReply reply{.m_attempt = question.m_attempt};
+  if (pending && *pending >= question.m_attempt) {
+    reply.m_status = LedgerReply::Status::kInProgress;
+  } else if (view && (view->m_attempt > question.m_attempt ||
+                      (view->m_attempt == question.m_attempt &&
+                       view->m_ended_not_run))) {
+    reply.m_status = LedgerReply::Status::kNotRun;
+  } else {
+    reply.m_status = LedgerReply::Status::kUnknown;
+  }
+  return reply;
+}
+
+bool PlainClaims::IsKnown(const KeyHash& key) const {
+  const auto view = m_fold.Find(key);
+  return m_waiting.contains(key) || m_log.PendingAttempt(key).has_value() ||
+         (view && !view->m_ended_not_run);
+}
+
+void PlainClaims::OnRecord(std::uint64_t offset, const ClaimRecord& record) {
+  const Clock& clock = m_context->m_options.m_clock;
+  const ClaimFold::Changes changes =
+      m_fold.Apply(offset, record,
+                   {.m_now = clock.m_now(), .m_wall_now = clock.m_wall_now()});
+  m_carrier.OnRecord(offset, record);
+  for (const KeyHash& key : changes.m_granted) {
+    const auto view = m_fold.Find(key);
+    m_log.Settle(key, view->m_attempt);
+    if (view->m_holder == m_context->m_options.m_self) {
+      OnOwnGrant(key, *view);
+    }
+    ReEvaluate(key);
+  }
+  for (const KeyHash& key : changes.m_ended) {
+    ReEvaluate(key);
+  }
+}
+
+// The log says that this instance holds the key: the first waiter that asked
+// for just this request runs it.
+void PlainClaims::OnOwnGrant(const KeyHash& key, const ClaimView& view) {
+  const bool has_room =
+      m_context->m_held.MakeRoom(m_context->m_options.m_clock.m_now());
+  HeldKey held{.m_fingerprint = view.m_fingerprint,
+               .m_attempt = view.m_attempt,
+               .m_state = HeldState::kNotRun};
+  const auto found = m_waiting.find(key);
+  if (has_room && found != m_waiting.end()) {
+    Waiters& waiters = found->second;
+    const auto runner = std::find_if(
+        waiters.begin(), waiters.end(), [&view](const Waiter& waiter) {
+          return waiter.m_has_claimed &&
+                 waiter.m_fingerprint == view.m_fingerprint;
+        });
+    if (runner != waiters.end()) {
+      Decide decide = std::move(runner->m_decide);
+      waiters.erase(runner);
+      if (waiters.empty()) {
+        m_waiting.erase(found);
+      }
+      held.m_state = HeldState::kRunning;
+      m_context->m_held.Put(key, std::move(held));
+      decide({.m_kind = ClaimDecision::Kind::kRun});
+      return;
+    }
+  }
+  m_log.AddEnd({.m_key = key, .m_attempt = view.m_attempt});
+  m_context->m_held.Put(key, std::move(held));
+}
+
+void PlainClaims::OnExpired(std::uint64_t first_kept) {
+  const TimePoint now = m_context->m_options.m_clock.m_now();
+  m_carrier.OnExpired(first_kept);
+  if (!m_fold.NoteExpired(first_kept, now)) {
+    return;
+  }
+  util::LogWarning("ledger", "claims expired before they were read",
+                   {{"first_kept", std::to_string(first_kept)}});
+  m_log.DropPending();
+  std::vector<KeyHash> keys;
+  keys.reserve(m_waiting.size());
+  for (const auto& [key, waiters] : m_waiting) {
+    keys.push_back(key);
+  }
+  for (const KeyHash& key : keys) {
+    RefuseAll(key, "claims expired before they were read");
+  }
+}
+
+void PlainClaims::OnCaughtUp() {
+  const auto members = MembersToAsk(*m_context, SurveyScope::kAll);
+  m_may_have_claimed = {members.begin(), members.end()};
+  std::vector<KeyHash> unclaimed;
+  for (const auto& [key, waiters] : m_waiting) {
+    const bool has_new =
+        std::any_of(waiters.begin(), waiters.end(),
+                    [](const Waiter& waiter) { return !waiter.m_has_claimed; });
+    if (has_new) {
+      unclaimed.push_back(key);
+    }
+  }
+  for (const KeyHash& key : unclaimed) {
+    ReEvaluate(key);
+  }
+}
+
+bool PlainClaims::IsWanted(const KeyHash& key) const {
+  return m_waiting.contains(key);
+}
+
+Duration PlainClaims::AppendInterval() const {
+  std::size_t instances = 1;
+  for (const Member& member : m_context->m_hooks.m_members()) {
+    instances += member.m_state == MemberState::kDead ? 0 : 1;
+  }
+  return FromSeconds(static_cast<double>(instances) /
+                     m_context->m_options.m_appends_per_second);
+}
+
+}  // namespace guavacross::ledger
--- /dev/null
+++ b/src/ledger/plain_claims.h
@@ -0,0 +1,107 @@
+#ifndef GUAVACROSS_LEDGER_PLAIN_CLAIMS_H_
+#define GUAVACROSS_LEDGER_PLAIN_CLAIMS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "guavacross/time.h"
+#include "ledger/claim_carrier.h"
+#include "ledger/claim_fold.h"
+#include "ledger/claim_log.h"
+#include "ledger/ledger_context.h"
+
+namespace guavacross::ledger {
+
+/// Claims of keys that callers chose themselves: the first claim in the log
+/// holds the key.
+///
+/// A request runs only after this instance has read its own claim back as the
+/// first one. A claim that is read back when nobody waits for it any more is
+/// ended as not run, so that a later copy can claim the next attempt.
+class PlainClaims {
+ public:
+  explicit PlainClaims(LedgerContext* context);
+
+  /// Begins to follow the claim stream.
+  void Start();
+
+  /// Decides about a copy of a request that reached this instance.
+  ///
+  /// @param key_time when the caller made the key, if the key tells.
+  void Claim(const KeyHash& key,
+             std::uint64_t fingerprint,
+             std::optional<WallTime> key_time,
+             Decide decide);
+
+  /// Ends the attempt of a key that this instance holds as not run.
+  void EndNotRun(const KeyHash& key);
+
+  /// Answers `kHowEnded` for a key that the table of held keys lacks or that it
+  /// shows as not run.
+  LedgerReply HowEnded(const LedgerQuestion& question) const;
+
+  /// Whether a copy of the request waits here, or the log shows a holder.
+  bool IsKnown(const KeyHash& key) const;
+
+  const ClaimFold& fold() const { return m_fold; }
+  const ClaimLog& log() const { return m_log; }
+
+ private:
+  struct Waiter {
+    std::uint64_t m_fingerprint = 0;
+    std::optional<WallTime> m_key_time;
+    Decide m_decide;
+    TimePoint m_deadline;
+    /// A claim was queued for it, so it may take the grant.
+    bool m_has_claimed = false;
+    std::unique_ptr<Timer> m_timer;
+  };
+  using Waiters = std::list<Waiter>;
+
+  // What to do with a waiter after a look at the tables.
+  enum class Step { kWait, kDone };
+
+  void Enqueue(const KeyHash& key, Waiter waiter);
+  void ReEvaluate(const KeyHash& key);
+  Step Evaluate(const KeyHash& key, Waiter* waiter);
+  Step ClaimAttempt(const KeyHash& key, std::uint32_t attempt, Waiter* waiter);
+  std::optional<ClaimDecision> CheckAge(const Waiter& waiter) const;
+  void AskHolder(const KeyHash& key, const ClaimView& view, Waiter* waiter);
+  void OnHolderReply(const KeyHash& key,
+                     const LedgerReply& reply,
+                     Waiter waiter);
+  void AskForHandover(const KeyHash& key, std::uint32_t attempt, Waiter waiter);
+  void OnTimeout(const KeyHash& key, Waiters::iterator waiter);
+  void RefuseAll(const KeyHash& key, const std::string& text);
+  void RefuseUnsettled(const KeyHash& key, Waiter waiter, std::string text);
+  std::vector<InstanceId> InstancesThatMayHaveClaimed();
+
+  void OnRecord(std::uint64_t offset, const ClaimRecord& record);
+  void OnExpired(std::uint64_t first_kept);
+  void OnCaughtUp();
+  void OnOwnGrant(const KeyHash& key, const ClaimView& view);
+  bool IsWanted(const KeyHash& key) const;
+  Duration AppendInterval() const;
+
+  LedgerContext* m_context;
+  ClaimFold m_fold;
+  ClaimLog m_log;
+  std::unordered_map<KeyHash, Waiters, KeyHashHasher> m_waiting;
+  int m_surveys = 0;
+
+  ClaimCarrier m_carrier;
+  // Instances that were seen alive since the log was last read to its end:
+  // they may have made claims that this instance has not read.
+  std::set<InstanceId> m_may_have_claimed;
+};
+
+}  // namespace guavacross::ledger
+
+#endif  // GUAVACROSS_LEDGER_PLAIN_CLAIMS_H_
