The whole path: an entry instance wired together, and the demo

serve::Instance joins router, configuration, peers, ledger, callers and probes on one control thread. guavacross demo runs six of them against the stand-ins and checks each answer and each run.

--- /dev/null
+++ b/src/guavacross/commands.h
@@ -0,0 +1,19 @@
+#ifndef GUAVACROSS_GUAVACROSS_COMMANDS_H_
+#define GUAVACROSS_GUAVACROSS_COMMANDS_H_
+
+/// The commands of the `guavacross` binary. Each takes the arguments after the
+/// program's name, its own name first, and returns the exit code: 0 for
+/// success, 1 for a refusal or failure, 2 for wrong usage or settings.
+namespace guavacross::commands {
+
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitUsage = 2;
+
+/// Runs an entry instance until SIGTERM.
+int Serve(int argc, char** argv);
+/// Runs a deployment against stand-ins and prints a table.
+int Demo(int argc, char** argv);
+}  // namespace guavacross::commands
+
+#endif  // GUAVACROSS_GUAVACROSS_COMMANDS_H_
--- /dev/null
+++ b/src/guavacross/demo_command.cc
@@ -0,0 +1,373 @@
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <boost/leaf/error.hpp>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "guavacross/commands.h"
+#include "guavacross/config_state.h"
+#include "guavacross/demo_deployment.h"
+#include "guavacross/demo_instances.h"
+#include "guavacross/demo_report.h"
+#include "guavacross/wire_names.h"
+#include "load/load_generator.h"
+#include "log_service/http_log_access.h"
+#include "util/handle.h"
+#include "util/log.h"
+#include "util/qt_clock.h"
+
+namespace guavacross::commands {
+
+namespace {
+
+constexpr int kInstances = 6;
+constexpr int kFirstInstancePort = 7900;
+constexpr int kReadyChecks = 200;
+constexpr Duration kReadyInterval = std::chrono::milliseconds(50);
+
+struct DemoFlags {
+  std::string m_name;
+  Endpoint m_control{.m_ip = "127.0.0.1", .m_port = 7700};
+  std::uint64_t m_seed = 1;
+  double m_seconds = 12;
+  double m_scale = 1;
+  bool m_faults = true;
+};
+
+// Waits while running this thread's event loop.
+void Wait(Duration duration) {
+  QEventLoop loop;
+  const auto timer =
+      util::QtClock().m_call_after(duration, [&loop] { loop.quit(); });
+  loop.exec();
+}
+
+// One run of the demo.
+class DemoRun {
+ public:
+  explicit DemoRun(DemoFlags flags)
+      : m_flags(std::move(flags)), m_control(m_flags.m_control) {}
+
+  Result<bool> Run();
+
+ private:
+  Result<bool> Publish();
+  Result<bool> StartInstances();
+  ClassResults RunLoad(bool direct, double seconds, std::uint64_t seed);
+  ClassResults RunDirect(double seconds);
+  Result<bool> ScheduleFaults(double seconds);
+  void ChangeTarget(std::size_t index, const QJsonObject& faults);
+  void SendCrashRequest();
+  Result<double> CountProbes(const ServiceConfig& service);
+  Result<std::vector<double>> CountAllProbes();
+  Result<bool> PrintProbeSpending(const std::vector<double>& before,
+                                  Duration time);
+
+  DemoFlags m_flags;
+  DemoControl m_control;
+  // Requests of the fault schedule, which come while others are under way.
+  load::HttpClient m_fault_client;
+  Clock m_clock = util::QtClock();
+  DemoDeployment m_deployment;
+  std::vector<InstanceSettings> m_settings;
+  DemoInstances m_instances;
+  std::vector<std::unique_ptr<Timer>> m_fault_timers;
+};
+
+// Appends every section of the document as a new one. On a deployment that
+// holds them already the edits are refused, which changes nothing.
+Result<bool> DemoRun::Publish() {
+  BOOST_LEAF_AUTO(sections, SplitDocument(m_deployment.m_document));
+  const LogAccess log =
+      log_service::MakeLogAccess(m_deployment.m_log_service, m_clock);
+  for (const SectionText& section : sections) {
+    ConfigEdit edit;
+    edit.m_schema = kDocumentSchema;
+    edit.m_section = section.m_name;
+    edit.m_team = section.m_team;
+    edit.m_edit_id = "demo-" + section.m_name;
+    edit.m_toml = section.m_toml;
+    QEventLoop loop;
+    std::optional<AppendResult> result;
+    log.m_append(kConfigStream, EncodeEdit(edit), [&](AppendResult end) {
+      result = end;
+      loop.quit();
+    });
+    if (!result.has_value()) {
+      loop.exec();
+    }
+    if (result->m_end != AppendEnd::kAppended) {
+      return Fail(ErrorKind::kLogUnavailable,
+                  "cannot append section " + section.m_name);
+    }
+  }
+  return true;
+}
+
+Result<bool> DemoRun::StartInstances() {
+  m_settings =
+      DemoSettings(m_deployment.m_region, m_deployment.m_zones,
+                   m_deployment.m_log_service, m_deployment.m_instance_list,
+                   m_flags.m_control.m_ip, kFirstInstancePort, kInstances);
+  BOOST_LEAF_CHECK(m_control.Post("/components/instance-list",
+                                  {{"instances", ListEntries(m_settings)}}));
+  for (const InstanceSettings& settings : m_settings) {
+    BOOST_LEAF_CHECK(m_instances.Start(settings));
+  }
+  for (int i = 0; i < kReadyChecks; ++i) {
+    if (m_instances.AllReady()) {
+      return true;
+    }
+    Wait(kReadyInterval);
+  }
+  return Fail(ErrorKind::kNotReady, "the instances did not become ready");
+}
+
+ClassResults DemoRun::RunLoad(bool direct, double seconds, std::uint64_t seed) {
+  load::LoadPlan plan;
+  plan.m_direct = direct;
+  plan.m_zone = m_deployment.m_zones.front();
+  plan.m_length = FromSeconds(seconds);
+  plan.m_seed = seed;
+  for (const InstanceSettings& settings : m_settings) {
+    plan.m_entries.push_back(settings.m_callers);
+  }
+  plan.m_classes = DemoWorkload(m_deployment, m_flags.m_scale);
+  QEventLoop loop;
+  load::LoadGenerator generator(std::move(plan), m_clock,
+                                [&loop] { loop.quit(); });
+  generator.Start();
+  loop.exec();
+  return generator.results();
+}
+
+// The same requests sent straight to the backend servers of each service, all
+// services at one time.
+ClassResults DemoRun::RunDirect(double seconds) {
+  QEventLoop loop;
+  std::size_t running = m_deployment.m_services.size();
+  std::vector<std::unique_ptr<load::LoadGenerator>> generators;
+  std::uint64_t seed = m_flags.m_seed * 1000;
+  for (const ServiceConfig& service : m_deployment.m_services) {
+    load::LoadPlan plan;
+    plan.m_direct = true;
+    plan.m_length = FromSeconds(seconds);
+    plan.m_seed = seed++;
+    for (const TargetConfig& target : service.m_targets) {
+      plan.m_entries.push_back(target.m_address);
+    }
+    for (auto& load_class : DemoWorkload(m_deployment, m_flags.m_scale)) {
+      if (load_class.m_service == service.m_name) {
+        plan.m_classes.push_back(std::move(load_class));
+      }
+    }
+    generators.push_back(std::make_unique<load::LoadGenerator>(
+        std::move(plan), m_clock, [&loop, &running] {
+          if (--running == 0) {
+            loop.quit();
+          }
+        }));
+  }
+  for (const auto& generator : generators) {
+    generator->Start();
+  }
+  loop.exec();
+  ClassResults all;
+  for (const auto& generator : generators) {
+    all.insert(generator->results().begin(), generator->results().end());
+  }
+  return all;
+}
+
+void DemoRun::ChangeTarget(std::size_t index, const QJsonObject& faults) {
+  const TargetConfig& target = m_deployment.m_services.front().m_targets[index];
+  http::RequestHead head;
+  head.m_method = "POST";
+  head.m_target = "/components/" + target.m_name;
+  m_fault_client.Send(m_flags.m_control, std::move(head),
+                      QJsonDocument(faults).toJson().toStdString(),
+                      std::chrono::seconds(5),
+                      [](const util::Expected<load::ClientAnswer>&) {});
+}
+
+// A request that crashes the backend server which runs it.
+void DemoRun::SendCrashRequest() {
+  const ServiceConfig& service = m_deployment.m_services.front();
+  http::RequestHead head;
+  head.m_method = "GET";
+  head.m_target = service.m_classes.front().m_path_prefix + "/crash";
+  head.m_fields = {{kServiceHeader, service.m_name}, {"X-Crash", "1"}};
+  m_fault_client.Send(m_settings.front().m_callers, std::move(head), "",
+                      std::chrono::seconds(5),
+                      [](const util::Expected<load::ClientAnswer>&) {});
+}
+
+// A straggler, a draining backend server, and a crash, in turn.
+Result<bool> DemoRun::ScheduleFaults(double seconds) {
+  const auto at = [this, seconds](double share, std::function<void()> call) {
+    m_fault_timers.push_back(
+        m_clock.m_call_after(FromSeconds(seconds * share), std::move(call)));
+  };
+  at(0.2, [this] {
+    ChangeTarget(0, {{"straggle_factor", 10}, {"straggle_for_ms", 2000}});
+  });
+  at(0.4, [this] { ChangeTarget(1, {{"draining", true}}); });
+  at(0.6, [this] { SendCrashRequest(); });
+  at(0.7, [this] { SendCrashRequest(); });
+  at(0.8, [this] { ChangeTarget(1, {{"draining", false}}); });
+  return true;
+}
+
+Result<double> DemoRun::CountProbes(const ServiceConfig& service) {
+  double probes = 0;
+  BOOST_LEAF_AUTO(counters, m_control.Get("/counters"));
+  for (const TargetConfig& target : service.m_targets) {
+    probes += counters[QString::fromStdString(target.m_name)]
+                  .toObject()["probes"]
+                  .toDouble();
+  }
+  return probes;
+}
+
+Result<std::vector<double>> DemoRun::CountAllProbes() {
+  std::vector<double> counts;
+  for (const ServiceConfig& service : m_deployment.m_services) {
+    BOOST_LEAF_AUTO(count, CountProbes(service));
+    counts.push_back(count);
+  }
+  return counts;
+}
+
+Result<bool> DemoRun::PrintProbeSpending(const std::vector<double>& before,
+                                         Duration time) {
+  BOOST_LEAF_AUTO(after, CountAllProbes());
+  std::vector<ProbeSpending> spending;
+  for (std::size_t i = 0; i < after.size(); ++i) {
+    const ServiceConfig& service = m_deployment.m_services[i];
+    spending.push_back(
+        {.m_service = service.m_name,
+         .m_sent = after[i] - before[i],
+         .m_allowed = service.m_probe.m_probes_per_second * Seconds(time)});
+  }
+  PrintProbes(spending, std::cout);
+  return true;
+}
+
+Result<bool> DemoRun::Run() {
+  BOOST_LEAF_ASSIGN(m_deployment, DescribeDeployment(&m_control));
+  if (m_deployment.m_name != m_flags.m_name) {
+    return Fail(ErrorKind::kBadSettings,
+                "the stand-ins run the deployment " + m_deployment.m_name);
+  }
+  std::cout << "deployment " << m_deployment.m_name << ", region "
+            << m_deployment.m_region << ", " << kInstances
+            << " entry instances, seed " << m_flags.m_seed << "\n";
+  const ClassResults direct = RunDirect(m_flags.m_seconds / 4);
+  BOOST_LEAF_CHECK(Publish());
+  BOOST_LEAF_CHECK(StartInstances());
+  const TimePoint start = m_clock.m_now();
+  BOOST_LEAF_AUTO(probes_before, CountAllProbes());
+  const ClassResults through =
+      RunLoad(false, m_flags.m_seconds / 4, m_flags.m_seed * 1000 + 100);
+  PrintAddedLatency(direct, through, std::cout);
+
+  const double seconds = m_flags.m_seconds / 2;
+  if (m_flags.m_faults) {
+    BOOST_LEAF_CHECK(ScheduleFaults(seconds));
+  }
+  const ClassResults results =
+      RunLoad(false, seconds, m_flags.m_seed * 1000 + 200);
+  PrintResults(m_flags.m_faults
+                   ? "With a straggler, a draining backend server and a crash"
+                   : "Without faults",
+               results, std::cout);
+  BOOST_LEAF_CHECK(PrintProbeSpending(probes_before, m_clock.m_now() - start));
+  BOOST_LEAF_AUTO(runs, m_control.Get("/runs"));
+  const RunCheck check = CheckRuns(results, runs);
+  PrintRunCheck(check, std::cout);
+  return check.Clean();
+}
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options(
+      "guavacross demo",
+      "Runs a deployment of the brief: six entry instances in this process "
+      "against the\nstand-ins of `guavacross-standin deployment`, which must "
+      "be running. Prints, per\nclass, what was sent and answered, latencies, "
+      "what guavacross adds to the direct\npath, and probes against budget. "
+      "`scripts/demo` starts both parts.\nExit code 1 means a wrong, doubled "
+      "or falsely reported request.");
+  options.add_options()("darkframe", "The Darkframe deployment")(
+      "cedarbloom", "The Cedarbloom deployment")(
+      "control", "The stand-ins' control address",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:7700"))(
+      "seed", "Seed of the arrivals",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "Length of the whole load",
+      cxxopts::value<double>()->default_value("12"))(
+      "scale", "Multiplies the rates",
+      cxxopts::value<double>()->default_value("1"))("no-faults",
+                                                    "Leave the faults out")(
+      "log-level", "debug, info, warn or error",
+      cxxopts::value<std::string>()->default_value("error"))("help",
+                                                             "This text");
+  return options;
+}
+
+int RunDemo(const cxxopts::ParseResult& flags, int argc, char** argv) {
+  DemoFlags demo_flags;
+  demo_flags.m_name = flags.count("darkframe") > 0 ? "darkframe" : "cedarbloom";
+  demo_flags.m_seed = flags["seed"].as<std::uint64_t>();
+  demo_flags.m_seconds = flags["seconds"].as<double>();
+  demo_flags.m_scale = flags["scale"].as<double>();
+  demo_flags.m_faults = flags.count("no-faults") == 0;
+  if (!ParseEndpoint(flags["control"].as<std::string>(),
+                     &demo_flags.m_control)) {
+    std::cerr << "guavacross demo: --control must be IP:PORT" << std::endl;
+    return kExitUsage;
+  }
+  QCoreApplication application(argc, argv);
+  util::StartLogging("demo", flags["log-level"].as<std::string>());
+  DemoRun demo(demo_flags);
+  return util::Handle(
+      [&demo]() -> Result<int> {
+        BOOST_LEAF_AUTO(clean, demo.Run());
+        return clean ? kExitOk : kExitFailed;
+      },
+      [](const Error& error) {
+        std::cerr << "guavacross demo: " << error.m_text
+                  << "\nAre the stand-ins running? `scripts/demo` starts them."
+                  << std::endl;
+        return kExitFailed;
+      });
+}
+
+}  // namespace
+
+int Demo(int argc, char** argv) {
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help();
+      return kExitOk;
+    }
+    if (flags.count("darkframe") + flags.count("cedarbloom") != 1) {
+      std::cerr << "guavacross demo: give --darkframe or --cedarbloom"
+                << std::endl;
+      return kExitUsage;
+    }
+    return RunDemo(flags, argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "guavacross demo: " << error.what() << std::endl;
+    return kExitUsage;
+  }
+}
+
+}  // namespace guavacross::commands
--- /dev/null
+++ b/src/guavacross/demo_deployment.cc
@@ -0,0 +1,134 @@
+#include "guavacross/demo_deployment.h"
+
+#include <QEventLoop>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <boost/leaf/error.hpp>
+#include <optional>
+#include <utility>
+
+#include "guavacross/wire_names.h"
+
+namespace guavacross::commands {
+
+namespace {
+
+constexpr Duration kControlTimeout = std::chrono::seconds(10);
+constexpr double kSmallReadsPerSecond = 500;
+constexpr double kOrdersPerSecond = 30;
+constexpr double kDownloadsPerSecond = 4;
+constexpr std::size_t kOrderBytes = 256;
+constexpr int kDownloadBytes = 4 << 20;
+
+std::string Text(const QJsonValue& value) {
+  return value.toString().toStdString();
+}
+
+// The class as callers use it: its rate and size follow from its rules.
+load::LoadClass MakeLoadClass(const ServiceConfig& service,
+                              const ClassConfig& rules,
+                              double scale) {
+  load::LoadClass load_class;
+  load_class.m_name = service.m_name + "/" + rules.m_name;
+  load_class.m_service = service.m_name;
+  if (!service.m_tenants.empty()) {
+    load_class.m_tenant = service.m_tenants.front().m_name;
+  }
+  load_class.m_method = rules.m_methods.empty() ? "GET" : rules.m_methods[0];
+  load_class.m_target = rules.m_path_prefix + "/7";
+  load_class.m_rate = kSmallReadsPerSecond * scale;
+  if (!rules.m_repeatable) {
+    load_class.m_with_key = true;
+    load_class.m_body_bytes = kOrderBytes;
+    load_class.m_rate = kOrdersPerSecond * scale;
+  }
+  if (rules.m_bulk) {
+    load_class.m_target += "?bytes=" + std::to_string(kDownloadBytes);
+    load_class.m_rate = kDownloadsPerSecond * scale;
+  }
+  return load_class;
+}
+
+}  // namespace
+
+Result<load::ClientAnswer> DemoControl::Send(const Endpoint& to,
+                                             http::RequestHead head,
+                                             const std::string& body) {
+  QEventLoop loop;
+  std::optional<util::Expected<load::ClientAnswer>> got;
+  m_client.Send(to, std::move(head), body, kControlTimeout,
+                [&](util::Expected<load::ClientAnswer> answer) {
+                  got = std::move(answer);
+                  loop.quit();
+                });
+  if (!got.has_value()) {
+    loop.exec();
+  }
+  if (!*got) {
+    return Fail(got->m_error);
+  }
+  return std::move(*got->m_value);
+}
+
+Result<QJsonObject> DemoControl::Call(const std::string& method,
+                                      const std::string& path,
+                                      const std::string& body) {
+  http::RequestHead head;
+  head.m_method = method;
+  head.m_target = path;
+  BOOST_LEAF_AUTO(answer, Send(m_control, std::move(head), body));
+  const bool truncated = answer.m_body_bytes > answer.m_body.size();
+  if (answer.m_head.m_status >= 300 || truncated) {
+    return Fail(ErrorKind::kBadSettings,
+                path + ": the stand-ins answered " +
+                    std::to_string(answer.m_head.m_status) + " " +
+                    answer.m_body.substr(0, 200));
+  }
+  return QJsonDocument::fromJson(QByteArray::fromStdString(answer.m_body))
+      .object();
+}
+
+Result<QJsonObject> DemoControl::Get(const std::string& path) {
+  return Call("GET", path, "");
+}
+
+Result<QJsonObject> DemoControl::Post(const std::string& path,
+                                      const QJsonObject& body) {
+  return Call("POST", path, QJsonDocument(body).toJson().toStdString());
+}
+
+Result<DemoDeployment> DescribeDeployment(DemoControl* control) {
+  BOOST_LEAF_AUTO(json, control->Get("/deployment"));
+  DemoDeployment deployment;
+  deployment.m_name = Text(json["name"]);
+  deployment.m_region = Text(json["region"]);
+  for (const auto zone : json["zones"].toArray()) {
+    deployment.m_zones.push_back(Text(zone));
+  }
+  deployment.m_document = Text(json["document"]);
+  const bool complete =
+      ParseEndpoint(Text(json["control"]), &deployment.m_control) &&
+      ParseEndpoint(Text(json["log_service"]), &deployment.m_log_service) &&
+      ParseEndpoint(Text(json["instance_list"]), &deployment.m_instance_list) &&
+      !deployment.m_zones.empty();
+  if (!complete) {
+    return Fail(ErrorKind::kBadSettings,
+                "the stand-ins' description lacks an address");
+  }
+  BOOST_LEAF_ASSIGN(deployment.m_services,
+                    ParseDocument(deployment.m_document));
+  return deployment;
+}
+
+std::vector<load::LoadClass> DemoWorkload(const DemoDeployment& deployment,
+                                          double scale) {
+  std::vector<load::LoadClass> classes;
+  for (const ServiceConfig& service : deployment.m_services) {
+    for (const ClassConfig& rules : service.m_classes) {
+      classes.push_back(MakeLoadClass(service, rules, scale));
+    }
+  }
+  return classes;
+}
+
+}  // namespace guavacross::commands
--- /dev/null
+++ b/src/guavacross/demo_deployment.h
@@ -0,0 +1,65 @@
+#ifndef GUAVACROSS_GUAVACROSS_DEMO_DEPLOYMENT_H_
+#define GUAVACROSS_GUAVACROSS_DEMO_DEPLOYMENT_H_
+
+#include <QJsonObject>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "guavacross/document.h"
+#include "guavacross/error.h"
+#include "guavacross/identity.h"
+#include "load/http_client.h"
+#include "load/load_generator.h"
+
+/// The deployment of stand-ins that the demo runs against.
+namespace guavacross::commands {
+
+/// A deployment of `guavacross-standin deployment`, as it describes itself.
+struct DemoDeployment {
+  std::string m_name;
+  std::string m_region;
+  std::vector<std::string> m_zones;
+  Endpoint m_control;
+  Endpoint m_log_service;
+  Endpoint m_instance_list;
+  std::string m_document;
+  std::vector<ServiceConfig> m_services;
+
+  bool operator==(const DemoDeployment&) const = default;
+};
+
+/// Calls the stand-ins' control server and waits for the answer, running this
+/// thread's event loop meanwhile.
+class DemoControl {
+ public:
+  explicit DemoControl(const Endpoint& control) : m_control(control) {}
+
+  /// Errors: `kBadSettings` with what failed.
+  Result<QJsonObject> Get(const std::string& path);
+  Result<QJsonObject> Post(const std::string& path, const QJsonObject& body);
+  /// Sends a request and waits for its answer; the answer's body is dropped.
+  Result<load::ClientAnswer> Send(const Endpoint& to,
+                                  http::RequestHead head,
+                                  const std::string& body);
+
+ private:
+  Result<QJsonObject> Call(const std::string& method,
+                           const std::string& path,
+                           const std::string& body);
+
+  Endpoint m_control;
+  load::HttpClient m_client;
+};
+
+/// Asks the deployment for its description and checks it.
+Result<DemoDeployment> DescribeDeployment(DemoControl* control);
+
+/// The requests that the demo sends to a deployment. `scale` multiplies the
+/// rates.
+std::vector<load::LoadClass> DemoWorkload(const DemoDeployment& deployment,
+                                          double scale);
+
+}  // namespace guavacross::commands
+
+#endif  // GUAVACROSS_GUAVACROSS_DEMO_DEPLOYMENT_H_
--- /dev/null
+++ b/src/serve/instance.cc
@@ -0,0 +1,373 @@
+#include "serve/instance.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "backends/probe_runner.h"
+#include "callers/caller_server.h"
+#include "guavacross/document.h"
+#include "guavacross/routing.h"
+#include "instance_list/instance_poller.h"
+#include "ledger/request_ledger.h"
+#include "log_service/config_reader.h"
+#include "log_service/http_log_access.h"
+#include "peers/peer_network.h"
+#include "serve/control_thread.h"
+#include "util/hash.h"
+#include "util/log.h"
+#include "util/metrics.h"
+
+namespace guavacross::serve {
+
+namespace {
+
+constexpr Duration kInstanceCountInterval = std::chrono::milliseconds(200);
+
+// Incarnations must rise from start to start, without anything kept between
+// them: the wall clock does that, unless it is set back by more than the time
+// between two starts of the same name.
+std::uint64_t NewIncarnation(const Clock& clock) {
+  return static_cast<std::uint64_t>(
+      clock.m_wall_now().time_since_epoch().count());
+}
+
+std::vector<std::string> TargetNames(const ServiceConfig& service) {
+  std::vector<std::string> names;
+  for (const TargetConfig& target : service.m_targets) {
+    names.push_back(target.m_name);
+  }
+  return names;
+}
+
+}  // namespace
+
+// Members are destroyed in reverse order: what calls others comes last.
+struct Instance::Impl {
+  Impl(InstanceSettings settings, Clock clock);
+  ~Impl();
+
+  void MakeRouter();
+  void MakeConfig();
+  void MakePeers();
+  void MakeLedger();
+  void MakeCallers();
+  void MakeList();
+  Result<bool> Start();
+
+  void ApplySection(const SectionState& section);
+  void CountInstances();
+  void UpdateReady();
+  peers::LocalState LocalState() const;
+  double Load() const;
+  Member Self() const;
+  std::vector<Member> AllMembers() const;
+  std::vector<SectionState> SectionsInForce() const;
+
+  void Shutdown(std::function<void()> on_done);
+  void FinishRequests();
+  void HandOverAndEnd();
+
+  InstanceSettings m_settings;
+  Clock m_clock;
+  InstanceId m_self;
+  ControlThread m_control;
+  util::Metrics m_metrics;
+  LogAccess m_log;
+  std::unique_ptr<Router> m_router;
+  std::unique_ptr<log_service::ConfigReader> m_config;
+  std::unique_ptr<peers::PeerNetwork> m_peers;
+  std::unique_ptr<ledger::RequestLedger> m_ledger;
+  std::unique_ptr<backends::ProbeRunner> m_probes;
+  std::unique_ptr<callers::CallerServer> m_callers;
+  std::unique_ptr<instance_list::InstancePoller> m_list;
+  std::unique_ptr<Timer> m_count_timer;
+  std::unique_ptr<Timer> m_shutdown_timer;
+  std::function<void()> m_on_shut_down;
+  bool m_leaving = false;
+};
+
+Instance::Impl::Impl(InstanceSettings settings, Clock clock)
+    : m_settings(std::move(settings)),
+      m_clock(std::move(clock)),
+      m_self{.m_name = m_settings.m_name,
+             .m_incarnation = NewIncarnation(m_clock)},
+      m_log(log_service::MakeLogAccess(m_settings.m_log_service, m_clock)) {
+  MakeRouter();
+  MakeConfig();
+  MakePeers();
+  MakeLedger();
+  MakeCallers();
+  m_probes = std::make_unique<backends::ProbeRunner>(m_router.get(), m_clock,
+                                                     &m_metrics);
+}
+
+Instance::Impl::~Impl() {
+  // Threads of their own first, so that nothing is called half destroyed.
+  m_callers.reset();
+  m_peers->Stop();
+}
+
+void Instance::Impl::MakeRouter() {
+  // The router calls these on whichever thread learnt the news.
+  const auto post = m_control.poster();
+  RouterHooks hooks;
+  hooks.m_on_drain = [this, post](const DrainNotice& notice) {
+    post([this, notice] { m_peers->PushDrain(notice); });
+  };
+  hooks.m_on_quarantine = [this, post](const QuarantineNotice& notice) {
+    post([this, notice] { m_peers->PushQuarantine(notice); });
+  };
+  hooks.m_on_suspect = [this, post](const SuspectNotice& notice) {
+    post([this, notice] { m_peers->PushSuspect(notice); });
+  };
+  RouterOptions options;
+  options.m_zone = m_settings.m_zone;
+  options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
+  options.m_clock = m_clock;
+  m_router = std::make_unique<Router>(std::move(options), std::move(hooks));
+}
+
+void Instance::Impl::MakeConfig() {
+  log_service::ConfigReaderHooks hooks;
+  hooks.m_on_change = [this](const SectionState& section) {
+    ApplySection(section);
+  };
+  hooks.m_on_ready = [this] { UpdateReady(); };
+  m_config = std::make_unique<log_service::ConfigReader>(
+      log_service::ConfigReaderOptions{}, m_log, m_clock, m_metrics,
+      std::move(hooks));
+}
+
+void Instance::Impl::MakePeers() {
+  peers::PeerOptions options;
+  options.m_self = m_self;
+  options.m_region = m_settings.m_region;
+  options.m_zone = m_settings.m_zone;
+  options.m_callers = m_settings.m_callers;
+  options.m_listen = m_settings.m_peers;
+  options.m_clock = m_clock;
+  options.m_metrics = &m_metrics;
+  options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation + 1);
+
+  peers::PeerHooks hooks;
+  hooks.m_post = m_control.poster();
+  hooks.m_local_state = [this] { return LocalState(); };
+  hooks.m_sections = [this] { return SectionsInForce(); };
+  hooks.m_drains = [this] { return m_router->Drains(); };
+  hooks.m_quarantines = [this] { return m_router->Quarantines(); };
+  hooks.m_on_sections = [this](const std::vector<SectionState>& sections) {
+    m_config->MergeFromPeers(sections, false);
+  };
+  hooks.m_on_drain = [this](const DrainNotice& notice) {
+    m_router->LearnDrain(notice);
+  };
+  hooks.m_on_quarantine = [this](const QuarantineNotice& notice) {
+    m_router->LearnQuarantine(notice);
+  };
+  hooks.m_on_suspect = [this](const SuspectNotice& notice) {
+    m_router->LearnSuspect(notice);
+  };
+  hooks.m_on_in_flight = [this](const auto& peer, const auto& service,
+                                const auto& counts) {
+    m_router->SetPeerInFlight(peer, service, counts);
+  };
+  hooks.m_on_members = [this] { CountInstances(); };
+  hooks.m_answer_ledger = [this](const auto& question, auto reply) {
+    m_ledger->AnswerPeer(question, std::move(reply));
+  };
+  hooks.m_take_handover = [this](const ledger::LedgerHandover& part) {
+    return m_ledger->TakeHandover(part);
+  };
+  m_peers = std::make_unique<peers::PeerNetwork>(std::move(options),
+                                                 std::move(hooks));
+}
+
+void Instance::Impl::MakeLedger() {
+  ledger::LedgerOptions options;
+  options.m_self = m_self;
+  options.m_clock = m_clock;
+  options.m_metrics = &m_metrics;
+  options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation + 2);
+
+  ledger::LedgerHooks hooks;
+  hooks.m_log = m_log;
+  hooks.m_post = m_control.poster();
+  hooks.m_members = [this] { return m_peers->Members(); };
+  hooks.m_ask = [this](const auto& peer, const auto& question, auto reply) {
+    m_peers->AskLedger(peer, question, std::move(reply));
+  };
+  hooks.m_hand_over = [this](const auto& peer, const auto& part, auto done) {
+    m_peers->HandOver(peer, part, std::move(done));
+  };
+  m_ledger = std::make_unique<ledger::RequestLedger>(std::move(options),
+                                                     std::move(hooks));
+}
+
+void Instance::Impl::MakeCallers() {
+  callers::CallerServerOptions options;
+  options.m_listen = m_settings.m_callers;
+  options.m_workers = m_settings.m_workers;
+  options.m_max_connections = m_settings.m_max_caller_connections;
+  options.m_max_target_connections = m_settings.m_max_target_connections;
+  options.m_region = m_settings.m_region;
+  options.m_zone = m_settings.m_zone;
+  options.m_address_lifetime = m_settings.m_address_lifetime;
+  options.m_shutdown_limit = m_settings.m_shutdown_limit;
+
+  callers::CallerServerHooks hooks;
+  hooks.m_router = m_router.get();
+  hooks.m_ledger = m_ledger->access();
+  hooks.m_metrics = &m_metrics;
+  hooks.m_clock = m_clock;
+  hooks.m_members = [this] { return AllMembers(); };
+  hooks.m_mint_identity = [this] { return m_ledger->MintIdentity(); };
+  m_callers = std::make_unique<callers::CallerServer>(std::move(options),
+                                                      std::move(hooks));
+}
+
+void Instance::Impl::MakeList() {
+  instance_list::InstancePoller::Options options;
+  options.m_endpoint = m_settings.m_instance_list;
+  m_list = std::make_unique<instance_list::InstancePoller>(
+      std::move(options), m_clock, m_metrics,
+      [this](const std::vector<ListedInstance>& listed) {
+        m_peers->SetListed(listed);
+      });
+}
+
+Result<bool> Instance::Impl::Start() {
+  BOOST_LEAF_CHECK(m_callers->Start());
+  if (!m_peers->Start()) {
+    return Fail(ErrorKind::kBadSettings,
+                "peers: cannot listen on " + ToString(m_settings.m_peers));
+  }
+  MakeList();
+  m_config->Start();
+  m_ledger->Start();
+  m_probes->Start();
+  CountInstances();
+  util::LogChange("serve", "started",
+                  {{"callers", ToString(m_callers->endpoint())},
+                   {"peers", ToString(m_peers->listen_address())}});
+  return true;
+}
+
+// Puts a section's new version in force.
+void Instance::Impl::ApplySection(const SectionState& section) {
+  const std::optional<ServiceConfig> service = ServiceInForce(section);
+  if (service.has_value()) {
+    m_router->Configure(*service);
+    m_peers->SetTargets(section.m_section, TargetNames(*service));
+  } else if (section.m_toml.empty()) {
+    m_router->Remove(section.m_section);
+    m_peers->SetTargets(section.m_section, {});
+  }
+  m_peers->PushSections({section});
+}
+
+// Membership changes without notice too, as when a suspect dies, so the number
+// of instances is also read from time to time.
+void Instance::Impl::CountInstances() {
+  m_router->SetInstanceCount(m_peers->LiveCount());
+  m_count_timer = m_clock.m_call_after(kInstanceCountInterval,
+                                       [this] { CountInstances(); });
+}
+
+void Instance::Impl::UpdateReady() {
+  m_callers->SetReady(m_config->ready());
+  util::LogChange("serve", "ready");
+}
+
+peers::LocalState Instance::Impl::LocalState() const {
+  peers::LocalState state;
+  state.m_load = Load();
+  state.m_config_digest = m_config->in_force().Digest();
+  for (const auto& [name, section] : m_config->in_force().sections()) {
+    state.m_config_version =
+        std::max(state.m_config_version, section.m_version);
+  }
+  state.m_in_flight = m_router->InFlight();
+  return state;
+}
+
+// The share of this instance's caller connections that carry a request.
+double Instance::Impl::Load() const {
+  const auto status = m_callers->status();
+  return static_cast<double>(status.m_requests_in_flight) /
+         m_settings.m_max_caller_connections;
+}
+
+Member Instance::Impl::Self() const {
+  Member self;
+  self.m_id = m_self;
+  self.m_region = m_settings.m_region;
+  self.m_zone = m_settings.m_zone;
+  self.m_callers = m_settings.m_callers;
+  self.m_peers = m_settings.m_peers;
+  return self;
+}
+
+std::vector<Member> Instance::Impl::AllMembers() const {
+  std::vector<Member> members = m_peers->Members();
+  members.push_back(Self());
+  return members;
+}
+
+std::vector<SectionState> Instance::Impl::SectionsInForce() const {
+  std::vector<SectionState> sections;
+  for (const auto& [name, section] : m_config->in_force().sections()) {
+    sections.push_back(section);
+  }
+  return sections;
+}
+
+void Instance::Impl::Shutdown(std::function<void()> on_done) {
+  if (m_leaving) {
+    return;
+  }
+  m_leaving = true;
+  m_on_shut_down = std::move(on_done);
+  util::LogChange("serve", "leaving");
+  m_callers->BeginLeaving();
+  m_peers->AnnounceLeaving();
+  m_shutdown_timer = m_clock.m_call_after(m_settings.m_address_lifetime,
+                                          [this] { FinishRequests(); });
+}
+
+void Instance::Impl::FinishRequests() {
+  util::LogChange("serve", "finishing open requests");
+  m_callers->StopAccepting();
+  m_callers->Finish([this] { HandOverAndEnd(); });
+}
+
+void Instance::Impl::HandOverAndEnd() {
+  m_ledger->HandOver([this] {
+    util::LogChange("serve", "shut down");
+    m_probes->Stop();
+    const auto done = std::exchange(m_on_shut_down, nullptr);
+    done();
+  });
+}
+
+Instance::Instance(InstanceSettings settings, Clock clock)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(clock))) {}
+
+Instance::~Instance() = default;
+
+Result<bool> Instance::Start() {
+  return m_impl->Start();
+}
+
+void Instance::Shutdown(std::function<void()> on_done) {
+  m_impl->Shutdown(std::move(on_done));
+}
+
+Endpoint Instance::callers_endpoint() const {
+  return m_impl->m_callers->endpoint();
+}
+
+bool Instance::ready() const {
+  return m_impl->m_config->ready();
+}
+
+}  // namespace guavacross::serve
--- /dev/null
+++ b/src/util/signal_watcher.cc
@@ -0,0 +1,42 @@
+#include "util/signal_watcher.h"
+
+#include <pthread.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <QSocketNotifier>
+#include <csignal>
+#include <utility>
+
+namespace guavacross::util {
+
+SignalWatcher::SignalWatcher(std::function<void(int)> on_signal)
+    : m_on_signal(std::move(on_signal)) {
+  sigset_t caught;
+  sigemptyset(&caught);
+  sigaddset(&caught, SIGTERM);
+  sigaddset(&caught, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &caught, nullptr);
+  // A peer that closes its end must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  m_descriptor = signalfd(-1, &caught, SFD_NONBLOCK | SFD_CLOEXEC);
+  m_notifier =
+      std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
+  QObject::connect(m_notifier.get(), &QSocketNotifier::activated,
+                   [this] { ReadSignals(); });
+}
+
+SignalWatcher::~SignalWatcher() {
+  m_notifier.reset();
+  close(m_descriptor);
+}
+
+void SignalWatcher::ReadSignals() {
+  signalfd_siginfo info;
+  while (read(m_descriptor, &info, sizeof(info)) ==
+         static_cast<ssize_t>(sizeof(info))) {
+    m_on_signal(static_cast<int>(info.ssi_signo));
+  }
+}
+
+}  // namespace guavacross::util
