--- a/src/log_service/testing.h
+++ b/src/log_service/testing.h
@@ -10,7 +10,7 @@
 namespace guavacross::log_service {
 
 /// A section's text with one target and one class.
-inline std::string SmallSection(const std::string& team, int slots = 4) {
+inline std::string SmallSection(const std::string& team, int slot_count = 4) {
   return "team = \"" + team +
          "\"\n"
          "[[target]]\n"
@@ -18,7 +18,7 @@
          "address = \"10.0.0.1:80\"\n"
          "zone = \"a\"\n"
          "slots = " +
-         std::to_string(slots) +
+         std::to_string(slot_count) +
          "\n"
          "[[class]]\n"
          "name = \"all\"\n"
@@ -29,13 +29,13 @@
                            const std::string& team,
                            std::uint64_t based_on,
                            const std::string& edit_id,
-                           int slots = 4) {
+                           int slot_count = 4) {
   return {.m_schema = 1,
           .m_section = section,
           .m_team = team,
           .m_based_on = based_on,
           .m_edit_id = edit_id,
-          .m_toml = SmallSection(team, slots)};
+          .m_toml = SmallSection(team, slot_count)};
 }
 
 }  // namespace guavacross::log_service
--- /dev/null
+++ b/src/operators/commands_test.cc
@@ -0,0 +1,301 @@
+#include "operators/commands.h"
+
+#include <QFile>
+#include <QTemporaryDir>
+#include <sstream>
+
+#include "document/keys.h"
+#include "document/reference.h"
+#include "guavacross/document.h"
+#include "log_service/http_log_access.h"
+#include "log_service/testing.h"
+#include "net/http_fetcher.h"
+#include "net/raw_server.h"
+#include "operators/operator_server.h"
+#include "operators/read_file.h"
+#include "operators/status_page.h"
+#include "standin/log_service.h"
+#include "util/handle.h"
+#include "util/qt_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::operators {
+
+namespace {
+
+using util::Section;
+
+std::string SourceFile(const std::string& path) {
+  return std::string(GUAVACROSS_SOURCE_DIR) + "/" + path;
+}
+
+// A command's exit code and what it printed.
+struct Ran {
+  int m_code;
+  std::string m_out;
+  std::string m_err;
+};
+
+template <class Options>
+Ran Run(int (*command)(const Options&, std::ostream&, std::ostream&),
+        const Options& options) {
+  std::ostringstream out;
+  std::ostringstream err;
+  const int code = command(options, out, err);
+  return {code, out.str(), err.str()};
+}
+
+// An entry instance as far as operators see it.
+class Instance {
+ public:
+  Instance(const std::string& name, const Endpoint& log)
+      : m_reader({},
+                 log_service::MakeLogAccess(log, util::QtClock()),
+                 util::QtClock(),
+                 m_metrics,
+                 {}),
+        m_server({.m_readiness =
+                      [this] {
+                        return Readiness{.m_ready = m_reader.ready(),
+                                         .m_reason = "no configuration"};
+                      },
+                  .m_status = [this, name] { return StatusOf(name); },
+                  .m_metrics = [this] { return m_metrics.Text(); }}) {
+    CPPUNIT_ASSERT(m_server.Start({.m_ip = "127.0.0.1", .m_port = 0}));
+  }
+
+  void Start() { m_reader.Start(); }
+  Endpoint endpoint() const { return m_server.endpoint(); }
+
+ private:
+  InstanceStatus StatusOf(const std::string& name) const {
+    return {.m_id = {.m_name = name, .m_incarnation = 7},
+            .m_ready = m_reader.ready(),
+            .m_log = m_reader.log_status(),
+            .m_config_digest = m_reader.in_force().Digest(),
+            .m_sections = SectionRows(m_reader, {}),
+            .m_refused_edits = m_reader.RefusedEdits()};
+  }
+
+  util::Metrics m_metrics;
+  log_service::ConfigReader m_reader;
+  OperatorServer m_server;
+};
+
+// A log service, two instances and documents in a directory.
+class World {
+ public:
+  World() : m_log("log", util::QtClock()) {
+    CPPUNIT_ASSERT(m_log.Listen({.m_ip = "127.0.0.1", .m_port = 0}));
+    for (const char* name : {"entry-1", "entry-2"}) {
+      m_instances.push_back(std::make_unique<Instance>(name, m_log.endpoint()));
+    }
+  }
+
+  void StartInstances() {
+    for (const auto& instance : m_instances) {
+      instance->Start();
+    }
+  }
+
+  std::vector<Endpoint> endpoints() const {
+    std::vector<Endpoint> endpoints;
+    for (const auto& instance : m_instances) {
+      endpoints.push_back(instance->endpoint());
+    }
+    return endpoints;
+  }
+
+  std::string Write(const std::string& name, const std::string& text) {
+    const std::string path = m_directory.path().toStdString() + "/" + name;
+    QFile file(QString::fromStdString(path));
+    CPPUNIT_ASSERT(file.open(QIODevice::WriteOnly));
+    file.write(text.data(), static_cast<qint64>(text.size()));
+    return path;
+  }
+
+  PublishOptions Publish(const std::string& team, int slot_count) {
+    std::string text;
+    for (const char* section : {"archive", "catalog"}) {
+      const std::string table = std::string("section.") + section;
+      const std::string owner =
+          std::string(section) == "catalog" ? "imaging" : "archive";
+      text += "[" + table + "]\nteam = \"" + owner + "\"\n[[" + table +
+              ".target]]\nname = \"t1\"\naddress = \"10.0.0.1:80\"\nzone = "
+              "\"a\"\nslots = " +
+              std::to_string(slot_count) + "\n[[" + table +
+              ".class]]\nname = \"all\"\nrepeatable = true\n";
+    }
+    return {.m_file = Write("document.toml", text),
+            .m_team = team,
+            .m_log_service = m_log.endpoint(),
+            .m_instances = endpoints(),
+            .m_deadline = std::chrono::seconds(10)};
+  }
+
+  standin::LogService& log() { return m_log; }
+
+ private:
+  QTemporaryDir m_directory;
+  standin::LogService m_log;
+  std::vector<std::unique_ptr<Instance>> m_instances;
+};
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string Get(const Endpoint& endpoint, const std::string& path) {
+  net::HttpFetcher fetcher(util::QtClock());
+  std::optional<net::FetchResult> result;
+  fetcher.Get(endpoint, path, std::chrono::seconds(5),
+              [&result](const net::FetchResult& done) { result = done; });
+  CPPUNIT_ASSERT(net::RunUntil([&result] { return result.has_value(); }));
+  return std::to_string(result->m_status) + " " + result->m_body;
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(CheckCommand) {
+  Section("the examples are right", [] {
+    for (const char* name : {"darkframe", "cedarbloom"}) {
+      const Ran ran =
+          Run(&RunCheck,
+              CheckOptions{.m_files = {SourceFile(std::string("examples/") +
+                                                  name + ".toml")}});
+      CPPUNIT_ASSERT_EQUAL(std::string(), ran.m_err);
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitOk), ran.m_code);
+    }
+  });
+  Section("the reference page is what the command prints", [] {
+    const Ran ran = Run(&RunCheck, CheckOptions{.m_reference = true});
+    CPPUNIT_ASSERT_EQUAL(
+        ReadFile(SourceFile("docs/operators/document.md")).value(), ran.m_out);
+  });
+  Section("a missing file is a usage error", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        static_cast<int>(kExitUsage),
+        Run(&RunCheck, CheckOptions{.m_files = {"/nowhere"}}).m_code);
+  });
+}
+
+GUAVACROSS_STORY(DocumentDefaults) {
+  // A section that writes every default equals one that writes none.
+  const std::string small = log_service::SmallSection("imaging");
+  std::string full = small;
+  auto table = document::KeyTable::kSection;
+  std::string head;
+  for (const document::KeySpec& spec : document::AllKeys()) {
+    const std::string line =
+        std::string(spec.m_name) + " = " + std::string(spec.m_default) + "\n";
+    const bool is_written = spec.m_required ||
+                            spec.m_table == document::KeyTable::kTarget ||
+                            spec.m_table == document::KeyTable::kTenant ||
+                            spec.m_key == document::Key::kClassRepeatable;
+    if (is_written) {
+      continue;
+    }
+    if (spec.m_table == document::KeyTable::kSection) {
+      head += line;
+      continue;
+    }
+    // The small section ends inside of its class.
+    if (spec.m_table != table && spec.m_table != document::KeyTable::kClass) {
+      full += std::string(document::Heading(spec.m_table)) + "\n";
+    }
+    table = spec.m_table;
+    full += line;
+  }
+  const auto parse = [](const std::string& text) {
+    return util::Catch([&text] { return ParseSection("s", text); });
+  };
+  const auto written = parse(head + full);
+  CPPUNIT_ASSERT_EQUAL(std::string(), written.m_error.m_text);
+  CPPUNIT_ASSERT(*parse(small).m_value == *written.m_value);
+}
+
+GUAVACROSS_STORY(PublishCommand) {
+  World world;
+  Section("an instance is not ready before it holds a configuration", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::string("503 no configuration\n"),
+                         Get(world.endpoints()[0], "/readyz"));
+  });
+  world.StartInstances();
+  Section("a team publishes its own sections alone", [&] {
+    const Ran ran = Run(&RunPublish, world.Publish("imaging", 4));
+    CPPUNIT_ASSERT_EQUAL(std::string(), ran.m_err);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitOk), ran.m_code);
+    CPPUNIT_ASSERT(Has(ran.m_out, "archive: belongs to team archive"));
+    CPPUNIT_ASSERT(Has(ran.m_out, "catalog: accepted as version 1"));
+    CPPUNIT_ASSERT(Has(ran.m_out, "catalog: in force on 2 of 2 instances"));
+  });
+  Section("an unchanged section is left alone", [&] {
+    const Ran ran = Run(&RunPublish, world.Publish("imaging", 4));
+    CPPUNIT_ASSERT(Has(ran.m_out, "catalog: unchanged at version 1"));
+  });
+  Section("another team's edit is refused", [&] {
+    PublishOptions options = world.Publish("billing", 5);
+    options.m_sections = {"catalog"};
+    const Ran ran = Run(&RunPublish, options);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitRefused), ran.m_code);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("catalog: refused: team imaging owns the section\n"),
+        ran.m_err);
+  });
+  Section("a lost answer is settled by reading", [&] {
+    world.log().SetFaults({{"lose_answers", 1}});
+    const Ran ran = Run(&RunPublish, world.Publish("archive", 6));
+    CPPUNIT_ASSERT(Has(ran.m_out, "archive: in force on 2 of 2 instances"));
+  });
+  Section("a section is removed", [&] {
+    PublishOptions options = world.Publish("archive", 6);
+    options.m_file.clear();
+    options.m_removals = {"archive"};
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitOk),
+                         Run(&RunPublish, options).m_code);
+  });
+  Section("status shows sections and refusals", [&] {
+    const Ran ran =
+        Run(&RunStatus, StatusOptions{.m_instances = world.endpoints()});
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitOk), ran.m_code);
+    for (const char* part : {"entry-1", "entry-2", "catalog", "imaging",
+                             "removed", "team imaging owns the section"}) {
+      CPPUNIT_ASSERT(Has(ran.m_out, part));
+    }
+  });
+  Section("the pages answer", [&] {
+    const Endpoint endpoint = world.endpoints()[0];
+    CPPUNIT_ASSERT_EQUAL(std::string("200 ok\n"), Get(endpoint, "/healthz"));
+    CPPUNIT_ASSERT_EQUAL(std::string("200 ready\n"), Get(endpoint, "/readyz"));
+    CPPUNIT_ASSERT(Has(Get(endpoint, "/metrics"), "guavacross_config_version"));
+    CPPUNIT_ASSERT(Has(Get(endpoint, "/status"), "Sections in force"));
+    CPPUNIT_ASSERT(Has(Get(endpoint, "/status.json"), "\"refused_edits\""));
+  });
+  Section("with the store out, nothing is published", [&] {
+    world.log().SetFaults({{"outage", "refuse"}});
+    PublishOptions options = world.Publish("imaging", 7);
+    options.m_deadline = std::chrono::milliseconds(300);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(kExitUnavailable),
+                         Run(&RunPublish, options).m_code);
+  });
+}
+
+GUAVACROSS_STORY(StatusPages) {
+  InstanceStatus status;
+  status.m_id.m_name = "<entry>";
+  status.m_sections = {{.m_name = "catalog", .m_team = "imaging"}};
+  status.m_services = {{.m_name = "catalog", .m_targets = {{.m_name = "t1"}}},
+                       {.m_name = "archive", .m_targets = {{.m_name = "t2"}}}};
+  Section("names are escaped", [&] {
+    const std::string page = StatusPage(status, "");
+    CPPUNIT_ASSERT(Has(page, "&lt;entry&gt;"));
+    CPPUNIT_ASSERT(!Has(page, "<entry>"));
+  });
+  Section("one service's targets may be asked for", [&] {
+    const std::string page = StatusPage(status, "archive");
+    CPPUNIT_ASSERT(Has(page, "<td>t2</td>"));
+    CPPUNIT_ASSERT(!Has(page, "<td>t1</td>"));
+  });
+}
+
+}  // namespace guavacross::operators
--- a/src/operators/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-// placeholder
--- a/src/util/metrics.cc
+++ b/src/util/metrics.cc
@@ -3,6 +3,10 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
 namespace guavacross::util {
 
 namespace {
@@ -14,8 +18,39 @@
   return kBoundaries;
 }
 
+HistogramValue ValueOf(const std::string& name,
+                       const prometheus::ClientMetric& metric) {
+  HistogramValue value{.m_name = name,
+                       .m_count = metric.histogram.sample_count,
+                       .m_sum = metric.histogram.sample_sum};
+  for (const auto& label : metric.label) {
+    value.m_labels[label.name] = label.value;
+  }
+  for (const auto& bucket : metric.histogram.bucket) {
+    value.m_buckets.emplace_back(bucket.upper_bound, bucket.cumulative_count);
+  }
+  return value;
+}
+
 }  // namespace
 
+double Quantile(const HistogramValue& histogram, double q) {
+  const double rank = q * static_cast<double>(histogram.m_count);
+  double lower = 0;
+  double below = 0;
+  for (const auto& [upper, count] : histogram.m_buckets) {
+    if (static_cast<double>(count) >= rank && histogram.m_count > 0) {
+      const double inside = static_cast<double>(count) - below;
+      return std::isinf(upper) || inside <= 0
+                 ? lower
+                 : lower + (upper - lower) * (rank - below) / inside;
+    }
+    lower = upper;
+    below = static_cast<double>(count);
+  }
+  return 0;
+}
+
 Metrics::Metrics() : m_registry(std::make_shared<prometheus::Registry>()) {}
 
 Metrics::~Metrics() = default;
@@ -54,4 +89,22 @@
   return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
+std::vector<HistogramValue> Metrics::Histograms() const {
+  std::vector<HistogramValue> values;
+  for (const prometheus::MetricFamily& family : m_registry->Collect()) {
+    if (family.type != prometheus::MetricType::Histogram) {
+      continue;
+    }
+    for (const prometheus::ClientMetric& metric : family.metric) {
+      values.push_back(ValueOf(family.name, metric));
+    }
+  }
+  std::sort(values.begin(), values.end(),
+            [](const HistogramValue& a, const HistogramValue& b) {
+              return std::tie(a.m_name, a.m_labels) <
+                     std::tie(b.m_name, b.m_labels);
+            });
+  return values;
+}
+
 }  // namespace guavacross::util
