Test the data path: framing, pipelining, cut answers, claims, back-pressure

A stream tells that it has drained also when it connects: a large upload that had filled the buffer before the connection stood was never resumed.

--- a/src/callers/caller_connection_test.cc
+++ b/src/callers/caller_connection_test.cc
@@ -7,10 +7,25 @@
 
 namespace {
 
+using net::RunEvents;
 using net::TestPeer;
 using net::WaitUntil;
 using util::Section;
 
+// What a new caller gets for raw bytes, until the connection ends.
+std::string AnswerTo(WorkerFixture* fixture, const std::string& bytes) {
+  TestPeer& caller = fixture->Caller();
+  caller.Send(bytes);
+  WaitUntil([&] { return caller.ended(); });
+  return caller.received();
+}
+
+bool StartsWith(const std::string& text, const std::string& start) {
+  return text.rfind(start, 0) == 0;
+}
+
+}  // namespace
+
 GUAVACROSS_STORY(CallersRequest) {
   WorkerFixture fixture;
   TestPeer& caller = fixture.Caller();
@@ -35,8 +50,218 @@
     WaitUntil([&] { return caller.Received("again"); });
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.backend().peers().size());
   });
+
+  Section("shortens its class's deadline", [&] {
+    caller.Forget();
+    caller.Send(Get("/c", "Guavacross-Deadline-Ms: 70\r\n"));
+    fixture.BackendGot("Guavacross-Deadline-Ms: 70\r\n").Send(Reply("c"));
+    WaitUntil([&] { return caller.Received("\r\n\r\nc"); });
+  });
+
+  Section("without a body but with HEAD keeps the answer's length", [&] {
+    caller.Forget();
+    caller.Send("HEAD /h HTTP/1.1\r\nHost: shop\r\n\r\n");
+    fixture.BackendGot("HEAD /h ")
+        .Send("HTTP/1.1 200 OK\r\nContent-Length: 12345\r\n\r\n");
+    WaitUntil([&] { return caller.Received("Content-Length: 12345\r\n"); });
+    caller.Forget();
+    caller.Send(Get("/after-head"));
+    fixture.BackendGot("GET /after-head ").Send(Reply("next"));
+    WaitUntil([&] { return caller.Received("next"); });
+  });
 }
 
-}  // namespace
+GUAVACROSS_STORY(PipelinedRequests) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+  caller.Send(Get("/one") + Get("/two") + Get("/three"));
+
+  Section("wait for the answer before them", [&] {
+    TestPeer& backend = fixture.BackendGot("GET /one ");
+    RunEvents();
+    CPPUNIT_ASSERT(!backend.Received("/two"));
+    backend.Send(Reply("first-answer"));
+    WaitUntil([&] { return backend.Received("GET /two "); });
+    CPPUNIT_ASSERT(!backend.Received("/three"));
+    backend.Send(Reply("second-answer"));
+    WaitUntil([&] { return backend.Received("GET /three "); });
+    backend.Send(Reply("third-answer"));
+  });
+  Section("are answered in order", [&] {
+    WaitUntil([&] { return caller.Received("third-answer"); });
+    const std::string& all = caller.received();
+    CPPUNIT_ASSERT(all.find("first-answer") < all.find("second-answer"));
+    CPPUNIT_ASSERT(all.find("second-answer") < all.find("third-answer"));
+  });
+}
+
+GUAVACROSS_STORY(BadRequests) {
+  WorkerFixture fixture;
+
+  Section("with unclear framing are refused and the connection closed", [&] {
+    const std::string two_framings =
+        "POST / HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled";
+    const std::string answer = AnswerTo(&fixture, two_framings);
+    CPPUNIT_ASSERT(StartsWith(answer, "HTTP/1.1 400 "));
+    CPPUNIT_ASSERT(answer.find("Guavacross-Outcome: not-run\r\n") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(StartsWith(
+        AnswerTo(&fixture, "GET / HTTP/1.1\nHost: shop\n\n"), "HTTP/1.1 400 "));
+  });
+  Section("with a large head or body get their own statuses", [&] {
+    const std::string large(std::size_t{20} << 10, 'x');
+    CPPUNIT_ASSERT(StartsWith(
+        AnswerTo(&fixture, Get("/", "A: " + large + "\r\n")), "HTTP/1.1 431 "));
+    CPPUNIT_ASSERT(StartsWith(AnswerTo(&fixture,
+                                       "POST / HTTP/1.1\r\nHost: shop\r\n"
+                                       "Content-Length: 99999999\r\n\r\n"),
+                              "HTTP/1.1 413 "));
+  });
+  Section("for an unknown service or with a bad deadline are refused", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/", "Guavacross-Service: nowhere\r\n"));
+    WaitUntil([&] { return caller.Received("unknown-service"); });
+    caller.Send(Get("/", "Guavacross-Deadline-Ms: soon\r\n"));
+    WaitUntil([&] { return caller.Received("bad-request"); });
+  });
+  Section("that come too slowly are given up", [&] {
+    TestPeer& slow_head = fixture.Caller();
+    slow_head.Send("GET / HTTP/1.1\r\nHo");
+    TestPeer& slow_body = fixture.Caller();
+    slow_body.Send(
+        "POST /charge HTTP/1.1\r\nHost: shop\r\n"
+        "Idempotency-Key: k\r\nContent-Length: 9\r\n\r\nabc");
+    RunEvents();
+    fixture.m_clock.Advance(std::chrono::seconds(11));
+    WaitUntil([&] { return slow_head.ended(); });
+    CPPUNIT_ASSERT(StartsWith(slow_head.received(), "HTTP/1.1 408 "));
+  });
+  Section("reach no backend server",
+          [&] { CPPUNIT_ASSERT(fixture.backend().peers().empty()); });
+}
+
+GUAVACROSS_STORY(CallersEnd) {
+  WorkerFixture fixture;
+
+  Section("of its direction only leaves it the answer", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/half"));
+    caller.FinishWriting();
+    TestPeer& backend = fixture.BackendGot("GET /half ");
+    RunEvents();
+    backend.Send(Reply("for the half-closed"));
+    WaitUntil([&] { return caller.ended(); });
+    CPPUNIT_ASSERT(caller.Received("for the half-closed"));
+  });
+  Section("by a reset cancels the request", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/reset"));
+    TestPeer& backend = fixture.BackendGot("GET /reset ");
+    caller.Abort();
+    WaitUntil([&] { return backend.gone(); });
+  });
+  Section("by a close is found out and cancels the request", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/closed"));
+    TestPeer& backend = fixture.BackendGot("GET /closed ");
+    caller.Close();
+    RunEvents();
+    fixture.m_clock.Advance(std::chrono::milliseconds(200));
+    WaitUntil([&] { return backend.gone(); });
+    WaitUntil([&] { return fixture.m_worker->requests_in_flight() == 0; });
+  });
+}
+
+GUAVACROSS_STORY(CallerThatStopsReading) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+  caller.Send(Get("/large"));
+  TestPeer& backend = fixture.BackendGot("GET /large ");
+  caller.SetReading(false);
+  const std::string body(std::size_t{64} << 20, 'x');
+  backend.Send(Reply(body));
+
+  Section("makes the backend server wait", [&] {
+    RunEvents();
+    // What the kernel and the worker hold is far less than the answer.
+    CPPUNIT_ASSERT(backend.unsent() > body.size() / 2);
+  });
+  Section("gets the rest once it reads again", [&] {
+    caller.SetReading(true);
+    WaitUntil([&] { return caller.received().size() > body.size(); });
+    CPPUNIT_ASSERT_EQUAL(
+        body, caller.received().substr(caller.received().size() - body.size()));
+  });
+}
+
+GUAVACROSS_STORY(OldAndCautiousCallers) {
+  WorkerFixture fixture;
+
+  Section("of HTTP/1.0 get no chunks and a close", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send("GET /old HTTP/1.0\r\nHost: shop\r\n\r\n");
+    fixture.BackendGot("GET /old ")
+        .Send(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "5\r\nhello\r\n0\r\n\r\n");
+    WaitUntil([&] { return caller.ended(); });
+    CPPUNIT_ASSERT(!caller.Received("chunked"));
+    CPPUNIT_ASSERT(caller.Received("\r\n\r\nhello"));
+  });
+  Section("that expect 100 get it before they send the body", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(
+        "POST /p HTTP/1.1\r\nHost: shop\r\n"
+        "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+    WaitUntil([&] { return caller.Received("HTTP/1.1 100 "); });
+    caller.Send("body");
+    TestPeer& backend = fixture.BackendGot("\r\n\r\nbody");
+    CPPUNIT_ASSERT(!backend.Received("Expect"));
+    backend.Send(Reply("taken"));
+    WaitUntil([&] { return caller.Received("taken"); });
+  });
+}
+
+GUAVACROSS_STORY(ServerThatShutsDown) {
+  WorkerFixture fixture;
+  TestPeer& idle = fixture.Caller();
+  TestPeer& busy = fixture.Caller();
+  busy.Send(Get("/download"));
+  TestPeer& backend = fixture.BackendGot("GET /download ");
+  bool done = false;
+  fixture.m_state.m_finishing = true;
+  fixture.m_worker->Finish([&] { done = true; });
+
+  Section("closes idle connections and waits for requests", [&] {
+    fixture.m_clock.Advance(std::chrono::seconds(2));
+    WaitUntil([&] { return idle.gone(); });
+    fixture.m_clock.Advance(std::chrono::minutes(30));
+    CPPUNIT_ASSERT(!done && !busy.gone());
+  });
+  Section("is done after the last answer, which closes its connection", [&] {
+    backend.Send(Reply("at last"));
+    WaitUntil([&] { return busy.ended(); });
+    CPPUNIT_ASSERT(busy.Received("at last"));
+    CPPUNIT_ASSERT(busy.Received("Connection: close\r\n"));
+    busy.Close();
+    WaitUntil([&] { return done; });
+  });
+}
+
+GUAVACROSS_STORY(ServerThatIsNotReady) {
+  WorkerFixture fixture;
+  fixture.m_state.m_ready = false;
+  TestPeer& caller = fixture.Caller();
+  caller.Send(Get("/readyz"));
+  WaitUntil([&] { return caller.Received("not-ready"); });
+  caller.Forget();
+  caller.Send(Get("/"));
+  WaitUntil([&] { return caller.Received("not-ready"); });
+  CPPUNIT_ASSERT(caller.Received("Guavacross-Outcome: not-run\r\n"));
+  CPPUNIT_ASSERT(caller.Received("Retry-After: 1\r\n"));
+  caller.Send(Get("/healthz"));
+  WaitUntil([&] { return caller.Received("ok\n"); });
+}
 
 }  // namespace guavacross::callers
--- a/src/callers/worker_fixture.h
+++ b/src/callers/worker_fixture.h
@@ -53,7 +53,8 @@
 
   ~WorkerFixture() { m_callers.clear(); }
 
-  /// The service `shop`: reads at /, hedged ones at /quick, charges at /charge.
+  /// The service `shop`: charges at /charge, downloads without a deadline at
+  /// /download, reads elsewhere.
   ServiceConfig Service() const {
     ServiceConfig service;
     service.m_name = "shop";
@@ -70,7 +71,11 @@
     ClassConfig read;
     read.m_name = "read";
     read.m_max_body_bytes = 8 << 20;
-    service.m_classes = {charge, read};
+    ClassConfig download;
+    download.m_name = "download";
+    download.m_path_prefix = "/download";
+    download.m_deadline = Duration::zero();
+    service.m_classes = {charge, download, read};
     service.m_tenants = {{.m_name = "acme"}};
     service.m_retry.m_budget_share = 1;
     return service;
--- /dev/null
+++ b/src/forwarding/exchange_test.cc
@@ -0,0 +1,326 @@
+#include "forwarding/exchange.h"
+
+#include <string>
+
+#include "callers/worker_fixture.h"
+#include "util/story_test.h"
+
+namespace guavacross::forwarding {
+
+namespace {
+
+using callers::Get;
+using callers::Post;
+using callers::Reply;
+using callers::WorkerFixture;
+using net::RunEvents;
+using net::TestPeer;
+using net::WaitUntil;
+using util::Section;
+
+constexpr char kKey[] = "Idempotency-Key: k1\r\n";
+
+std::string Charge() {
+  return Post("/charge", "10 EUR", kKey);
+}
+
+// The backend server that the latest request has reached.
+TestPeer& LatestBackend(WorkerFixture* fixture, const std::string& text) {
+  TestPeer* found = nullptr;
+  WaitUntil([&] {
+    for (const auto& backend : fixture->m_backends) {
+      for (const auto& peer : backend->peers()) {
+        found = peer->Received(text) && !peer->gone() ? peer.get() : found;
+      }
+    }
+    return found != nullptr;
+  });
+  return *found;
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(AnswerCutShort) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+
+  Section("resets the caller's connection", [&] {
+    caller.Send(Get("/cut"));
+    TestPeer& backend = fixture.BackendGot("GET /cut ");
+    backend.Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this");
+    WaitUntil([&] { return caller.Received("only this"); });
+    backend.FinishWriting();
+    WaitUntil([&] { return caller.gone(); });
+    CPPUNIT_ASSERT(caller.reset() && !caller.ended());
+  });
+  Section("inside of a chunked body never ends the chunks", [&] {
+    TestPeer& second = fixture.Caller();
+    second.Send(Get("/chunks"));
+    TestPeer& backend = fixture.BackendGot("GET /chunks ");
+    backend.Send(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+    WaitUntil([&] { return second.Received("part"); });
+    backend.Abort();
+    WaitUntil([&] { return second.gone(); });
+    CPPUNIT_ASSERT(second.reset());
+    CPPUNIT_ASSERT(!second.Received("0\r\n\r\n"));
+  });
+}
+
+GUAVACROSS_STORY(BytesThatBelongToNobody) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+
+  Section("after an answer close the backend connection", [&] {
+    caller.Send(Get("/a"));
+    TestPeer& backend = fixture.BackendGot("GET /a ");
+    backend.Send(Reply("mine") + Reply("stray"));
+    WaitUntil([&] { return caller.Received("mine"); });
+    WaitUntil([&] { return backend.gone(); });
+    CPPUNIT_ASSERT(!caller.Received("stray"));
+  });
+  Section("on an idle connection close it", [&] {
+    caller.Send(Get("/b"));
+    TestPeer& backend = fixture.BackendGot("GET /b ");
+    backend.Send(Reply("own-b"));
+    WaitUntil([&] { return caller.Received("own-b"); });
+    backend.Send(Reply("stray"));
+    WaitUntil([&] { return backend.gone(); });
+  });
+  Section("such as an answer after the deadline are never passed on", [&] {
+    caller.Forget();
+    caller.Send(Get("/late", "Guavacross-Deadline-Ms: 50\r\n"));
+    TestPeer& backend = fixture.BackendGot("GET /late ");
+    fixture.m_clock.Advance(std::chrono::milliseconds(60));
+    WaitUntil([&] { return caller.Received("backend-timeout"); });
+    CPPUNIT_ASSERT(caller.Received("Guavacross-Outcome: unknown\r\n"));
+    backend.Send(Reply("too late"));
+    caller.Send(Get("/next"));
+    fixture.BackendGot("GET /next ").Send(Reply("in time"));
+    WaitUntil([&] { return caller.Received("in time"); });
+    CPPUNIT_ASSERT(!caller.Received("too late"));
+  });
+}
+
+GUAVACROSS_STORY(RepeatableRequest) {
+  WorkerFixture fixture(/*targets=*/2);
+  TestPeer& caller = fixture.Caller();
+
+  Section("goes to another target after a reset", [&] {
+    caller.Send(Get("/r"));
+    LatestBackend(&fixture, "GET /r ").Abort();
+    LatestBackend(&fixture, "GET /r ").Send(Reply("second try"));
+    WaitUntil([&] { return caller.Received("second try"); });
+  });
+  Section("goes to another target after a refusal", [&] {
+    caller.Send(Get("/s"));
+    TestPeer& first = LatestBackend(&fixture, "GET /s ");
+    first.Send(Reply("busy", "503 Busy", "Guavacross-Not-Run: 1\r\n"));
+    WaitUntil([&] {
+      return fixture.backend(0).peers().back()->Received("GET /s ") &&
+             fixture.backend(1).peers().back()->Received("GET /s ");
+    });
+    TestPeer& second = fixture.backend(0).peers().back().get() == &first
+                           ? *fixture.backend(1).peers().back()
+                           : *fixture.backend(0).peers().back();
+    second.Send(Reply("taken"));
+    WaitUntil([&] { return caller.Received("taken"); });
+    CPPUNIT_ASSERT(!caller.Received("busy"));
+  });
+}
+
+GUAVACROSS_STORY(StaleConnection) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+  caller.Send(Get("/a"));
+  TestPeer& first = fixture.BackendGot("GET /a ");
+  first.Send(Reply("answer a"));
+  WaitUntil([&] { return caller.Received("answer a"); });
+
+  Section("closed before the answer is replaced for a read", [&] {
+    caller.Send(Get("/b"));
+    WaitUntil([&] { return first.Received("GET /b "); });
+    first.Abort();
+    WaitUntil([&] { return fixture.backend().peers().size() == 2; });
+    fixture.BackendGot("GET /b ").Send(Reply("answer b"));
+    WaitUntil([&] { return caller.Received("answer b"); });
+  });
+  Section("is not used for a charge after a while", [&] {
+    fixture.m_clock.Advance(std::chrono::seconds(2));
+    caller.Send(Charge());
+    WaitUntil([&] { return fixture.backend().peers().size() == 3; });
+    fixture.BackendGot("POST /charge ").Send(Reply("charged"));
+    WaitUntil([&] { return caller.Received("charged"); });
+  });
+}
+
+GUAVACROSS_STORY(NonRepeatableRequest) {
+  WorkerFixture fixture(/*targets=*/2);
+  TestPeer& caller = fixture.Caller();
+
+  Section("needs a key", [&] {
+    caller.Send(Post("/charge", "x"));
+    WaitUntil([&] { return caller.ended(); });
+    CPPUNIT_ASSERT(caller.Received("key-missing"));
+    CPPUNIT_ASSERT(fixture.m_claims.empty());
+  });
+  Section("is claimed, run and recorded", [&] {
+    TestPeer& second = fixture.Caller();
+    second.Send(Charge());
+    LatestBackend(&fixture, "POST /charge ").Send(Reply("charged"));
+    WaitUntil([&] { return second.Received("charged"); });
+    CPPUNIT_ASSERT_EQUAL(std::string("k1"), fixture.m_claims[0].first.m_key);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_finished.size());
+    CPPUNIT_ASSERT(fixture.m_finished[0].m_outcome == Outcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::string("charged"),
+                         fixture.m_finished[0].m_answer.m_body);
+  });
+}
+
+GUAVACROSS_STORY(NonRepeatableRequestThatIsReset) {
+  WorkerFixture fixture(/*targets=*/2);
+  TestPeer& caller = fixture.Caller();
+  caller.Send(Charge());
+  LatestBackend(&fixture, "POST /charge ").Abort();
+
+  Section("is not sent again, and its outcome is unknown", [&] {
+    WaitUntil([&] { return caller.Received("Guavacross-Outcome: unknown"); });
+    CPPUNIT_ASSERT(caller.Received("backend-reset"));
+    RunEvents();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.backend(0).peers().size() +
+                                             fixture.backend(1).peers().size());
+  });
+  Section("ends its claim once", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_finished.size());
+    CPPUNIT_ASSERT(fixture.m_finished[0].m_outcome == Outcome::kUnknown);
+  });
+}
+
+GUAVACROSS_STORY(NonRepeatableRequestThatIsRefused) {
+  WorkerFixture fixture(/*targets=*/2);
+  TestPeer& caller = fixture.Caller();
+  const std::string refusal =
+      Reply("busy", "503 Busy", "Guavacross-Not-Run: 1\r\n");
+  caller.Send(Charge());
+  LatestBackend(&fixture, "POST /charge ").Send(refusal);
+  WaitUntil([&] {
+    return !fixture.backend(0).peers().empty() &&
+           !fixture.backend(1).peers().empty();
+  });
+
+  Section("is tried elsewhere, since it can't have run", [&] {
+    for (const auto& backend : fixture.m_backends) {
+      TestPeer& peer = *backend->peers().back();
+      WaitUntil([&] { return peer.Received("POST /charge "); });
+    }
+  });
+  Section("is answered as not run if all refuse, which frees its claim", [&] {
+    for (const auto& backend : fixture.m_backends) {
+      backend->peers().back()->Send(refusal);
+    }
+    WaitUntil([&] { return caller.Received("Guavacross-Outcome: not-run"); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_finished.size());
+    CPPUNIT_ASSERT(fixture.m_finished[0].m_outcome == Outcome::kNotRun);
+  });
+}
+
+GUAVACROSS_STORY(NonRepeatableRequestWhoseCallerLeaves) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+
+  Section("while it runs is run to its end and recorded", [&] {
+    caller.Send(Charge());
+    TestPeer& backend = fixture.BackendGot("POST /charge ");
+    caller.Abort();
+    RunEvents();
+    CPPUNIT_ASSERT(!backend.gone() && fixture.m_finished.empty());
+    backend.Send(Reply("charged anyway"));
+    WaitUntil([&] { return !fixture.m_finished.empty(); });
+    CPPUNIT_ASSERT(fixture.m_finished[0].m_outcome == Outcome::kDone);
+  });
+  Section("before its claim is granted isn't run", [&] {
+    fixture.m_grant_claims = false;
+    TestPeer& second = fixture.Caller();
+    second.Send(Charge());
+    WaitUntil([&] { return fixture.m_claims.size() == 2; });
+    second.Abort();
+    RunEvents();
+    fixture.Decide({.m_kind = ClaimDecision::Kind::kRun});
+    WaitUntil([&] { return fixture.m_finished.size() == 2; });
+    CPPUNIT_ASSERT(fixture.m_finished[1].m_outcome == Outcome::kNotRun);
+  });
+}
+
+GUAVACROSS_STORY(NonRepeatableRequestPastItsDeadline) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+  caller.Send(Charge());
+  TestPeer& backend = fixture.BackendGot("POST /charge ");
+  fixture.m_clock.Advance(std::chrono::seconds(11));
+
+  Section("is answered at once as unknown", [&] {
+    WaitUntil([&] { return caller.Received("backend-timeout"); });
+    CPPUNIT_ASSERT(caller.Received("Guavacross-Outcome: unknown\r\n"));
+  });
+  Section("is still recorded when its answer comes", [&] {
+    CPPUNIT_ASSERT(fixture.m_finished.empty());
+    backend.Send(Reply("charged late"));
+    WaitUntil([&] { return fixture.m_finished.size() == 1; });
+    CPPUNIT_ASSERT(fixture.m_finished[0].m_outcome == Outcome::kDone);
+    CPPUNIT_ASSERT(!caller.Received("charged late"));
+  });
+}
+
+GUAVACROSS_STORY(RecordedAnswers) {
+  WorkerFixture fixture;
+  fixture.m_grant_claims = false;
+  TestPeer& caller = fixture.Caller();
+  ClaimDecision replay{.m_kind = ClaimDecision::Kind::kReplay};
+
+  Section("are sent again and marked", [&] {
+    caller.Send(Charge());
+    WaitUntil([&] { return fixture.m_claims.size() == 1; });
+    replay.m_answer = {.m_status = 201, .m_body = "as before"};
+    fixture.Decide(replay);
+    WaitUntil([&] { return caller.Received("as before"); });
+    CPPUNIT_ASSERT(caller.Received("HTTP/1.1 201 "));
+    CPPUNIT_ASSERT(caller.Received("Guavacross-Replay: recorded\r\n"));
+  });
+  Section("that were too large are told to be lost but done", [&] {
+    caller.Forget();
+    caller.Send(Charge());
+    WaitUntil([&] { return fixture.m_claims.size() == 2; });
+    replay.m_answer = {};
+    fixture.Decide(replay);
+    WaitUntil([&] { return caller.Received("outcome-lost"); });
+    CPPUNIT_ASSERT(caller.Received("Guavacross-Outcome: done\r\n"));
+  });
+  CPPUNIT_ASSERT(fixture.m_finished.empty());
+}
+
+GUAVACROSS_STORY(LargeUpload) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+  const std::string body(std::size_t{5} << 20, 'u');
+  caller.Send(Post("/upload", body));
+  TestPeer& backend = fixture.BackendGot("POST /upload ");
+
+  Section("is streamed with back-pressure", [&] {
+    backend.SetReading(false);
+    RunEvents();
+    CPPUNIT_ASSERT(backend.received().size() < body.size());
+    backend.SetReading(true);
+    WaitUntil([&] { return backend.received().size() > body.size(); });
+    const std::string& received = backend.received();
+    CPPUNIT_ASSERT_EQUAL(body, received.substr(received.size() - body.size()));
+  });
+  Section("is answered on a connection that stays usable", [&] {
+    backend.Send(Reply("stored"));
+    WaitUntil([&] { return caller.Received("stored"); });
+    caller.Send(Get("/after"));
+    fixture.BackendGot("GET /after ").Send(Reply("fine"));
+    WaitUntil([&] { return caller.Received("fine"); });
+  });
+}
+
+}  // namespace guavacross::forwarding
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -249,6 +249,10 @@
   if (m_hooks.m_on_connected) {
     m_hooks.m_on_connected();
   }
+  // What was written before now was buffered.
+  if (open() && unsent() == 0 && m_hooks.m_on_drained) {
+    m_hooks.m_on_drained();
+  }
 }
 
 void Stream::HandleEvents(std::uint32_t events) {
--- a/src/net/test_peer.h
+++ b/src/net/test_peer.h
@@ -71,7 +71,8 @@
   bool ended() const { return m_ended; }
   /// The other end has reset the connection.
   bool reset() const { return m_reset; }
-  bool gone() const { return m_ended || m_reset; }
+  /// Either end has closed.
+  bool gone() const { return m_ended || m_reset || !m_stream->open(); }
 
  private:
   Stream::Hooks MakeHooks(SocketSet* set) {
