--- /dev/null
+++ b/src/policy/choice_test.cc
@@ -0,0 +1,131 @@
+// Load estimates, costs, slot shares and latencies: what a choice rests on.
+
+#include "policy/latency_window.h"
+#include "policy/slot_shares.h"
+#include "policy/target_choice.h"
+#include "policy/target_load.h"
+#include "util/story_test.h"
+
+namespace guavacross::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+}  // namespace
+
+GUAVACROSS_STORY(TargetLoadReadings) {
+  using util::Section;
+  const LoadAging aging;
+  TargetLoad load;
+  load.Sent();
+  load.Report(4, kStart);
+  Section("a report counts at once, less the own attempts", [&] {
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3, load.Others(aging, 0, kStart), 1e-9);
+  });
+  Section("own attempts sent later don't change the others' number", [&] {
+    load.Sent();
+    CPPUNIT_ASSERT_EQUAL(2, load.own());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3, load.Others(aging, 0, kStart), 1e-9);
+    CPPUNIT_ASSERT(load.IsFresh(aging, kStart));
+  });
+  Section("a reading is used a bounded number of times", [&] {
+    load.Sent();
+    CPPUNIT_ASSERT(!load.IsFresh(aging, kStart));
+  });
+  Section("an old reading gives way to what is usual", [&] {
+    const TimePoint later = kStart + aging.m_reading_life;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, load.Others(aging, 1.5, later), 1e-9);
+  });
+  Section("an older report doesn't replace a newer one", [&] {
+    load.Report(9, kStart - milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(3, load.reported_others());
+  });
+  Section("slowness shows with the first answer and fades", [&] {
+    load.RecordSlowness(TargetLoad::kFailureSlowness, aging, kStart);
+    CPPUNIT_ASSERT(load.Slowness(aging, kStart) > 2.5);
+    CPPUNIT_ASSERT(load.Slowness(aging, kStart + seconds(5)) < 1.01);
+  });
+  Section("peers that are idle for a moment may be between requests", [&] {
+    load.PeersReport(0, kStart);
+    CPPUNIT_ASSERT(!load.IsUnusedByPeers(kStart + milliseconds(100)));
+    load.PeersReport(0, kStart + milliseconds(300));
+    CPPUNIT_ASSERT(load.IsUnusedByPeers(kStart + milliseconds(300)));
+    CPPUNIT_ASSERT(!load.IsUnusedByPeers(kStart + seconds(5)));
+  });
+}
+
+GUAVACROSS_STORY(TargetCosts) {
+  using util::Section;
+  const Candidate idle{.m_load = 0, .m_slots = 4};
+  Section("of two targets with free slots the emptier goes first", [&] {
+    CPPUNIT_ASSERT(Cost(idle) < Cost({.m_load = 2, .m_slots = 4}));
+    CPPUNIT_ASSERT(Cost({.m_load = 3, .m_slots = 4}) <= kGoodCost);
+  });
+  Section("a full target is worse than any with a free slot", [] {
+    CPPUNIT_ASSERT(Cost({.m_load = 5, .m_slots = 4}) > kGoodCost);
+  });
+  Section("a failing idle target is worse than a full good one", [&] {
+    const Candidate failing{.m_load = 0, .m_slots = 4, .m_slowness = 4};
+    CPPUNIT_ASSERT(Cost(failing) > Cost({.m_load = 5, .m_slots = 4}));
+  });
+  Section("the own zone is preferred until it is busier", [] {
+    const Candidate far{.m_load = 1, .m_slots = 4, .m_other_zone = true};
+    CPPUNIT_ASSERT(Cost({.m_load = 1, .m_slots = 4}) < Cost(far));
+    CPPUNIT_ASSERT(Cost({.m_load = 4, .m_slots = 4}) > Cost(far));
+  });
+}
+
+GUAVACROSS_STORY(SlotShares) {
+  using util::Section;
+  const SlotView full{.m_slots = 4, .m_instances = 6, .m_others = 8};
+  Section("every instance may have one attempt on every target",
+          [&] { CPPUNIT_ASSERT(ClaimSlot(full) == SlotClaim::kShare); });
+  Section("more needs fresh evidence of room", [&] {
+    SlotView view{.m_slots = 4, .m_instances = 6, .m_own = 1};
+    CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kNone);
+    view.m_fresh = true;
+    CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kBorrowed);
+    view.m_others = 6;
+    CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kNone);
+  });
+  Section("slots that peers leave unused for long may all be taken", [] {
+    SlotView view{.m_slots = 4, .m_instances = 6, .m_own = 3};
+    view.m_unused_by_peers = true;
+    CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kBorrowed);
+    view.m_own = 4;
+    CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kNone);
+  });
+  Section("a single instance has all slots and no more", [] {
+    CPPUNIT_ASSERT(ClaimSlot({.m_slots = 4, .m_own = 3}) == SlotClaim::kShare);
+    CPPUNIT_ASSERT(ClaimSlot({.m_slots = 4, .m_own = 4}) == SlotClaim::kNone);
+  });
+  Section("bulk transfers never get all slots", [] {
+    CPPUNIT_ASSERT_EQUAL(2, BulkLimit(32, 6, 1.0 / 3, false));
+    CPPUNIT_ASSERT_EQUAL(24, BulkLimit(32, 1, 1.0 / 3, true));
+    CPPUNIT_ASSERT_EQUAL(1, BulkLimit(4, 6, 0.1, false));
+  });
+}
+
+GUAVACROSS_STORY(LatencyPercentiles) {
+  using util::Section;
+  LatencyWindow window;
+  for (int ms = 1; ms <= 100; ++ms) {
+    window.Record(milliseconds(ms));
+  }
+  Section("percentiles are right to a bucket's width", [&] {
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(50, Milliseconds(window.Percentile(50)), 8);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(99, Milliseconds(window.Percentile(99)), 15);
+  });
+  Section("old latencies fade", [&] {
+    for (int i = 0; i < 5000; ++i) {
+      window.Record(milliseconds(400));
+    }
+    CPPUNIT_ASSERT(window.median() > milliseconds(300));
+  });
+}
+
+}  // namespace guavacross::policy
--- a/src/policy/fair_queue.cc
+++ b/src/policy/fair_queue.cc
@@ -5,6 +5,13 @@
 
 namespace guavacross::policy {
 
+namespace {
+
+// Idle flows aren't looked for while there are fewer flows than this.
+constexpr std::size_t kLeastFlows = 64;
+
+}  // namespace
+
 void FairQueue::Charge(const FlowKey& flow, double weight, double cost) {
   Flow& charged = Touch(flow, weight);
   const double start = std::max(m_virtual_time, charged.m_last_finish);
@@ -44,7 +51,7 @@
   if (best == m_flows.end()) {
     return std::nullopt;
   }
-  Item item = std::move(best->second.m_items.front());
+  const Item item = best->second.m_items.front();
   best->second.m_items.pop_front();
   --m_size;
   m_time_before_pop = m_virtual_time;
@@ -162,9 +169,10 @@
 void FairQueue::ForgetIdleFlows() {
   std::erase_if(m_flows, [this](const auto& entry) {
     const Flow& flow = entry.second;
-    return flow.m_items.empty() && flow.m_last_finish <= m_virtual_time;
+    // While nothing waits, what a flow is ahead by is of no matter.
+    return flow.m_items.empty() &&
+           (m_size == 0 || flow.m_last_finish <= m_virtual_time);
   });
-  constexpr std::size_t kLeastFlows = 64;
   m_forget_at = std::max(kLeastFlows, 2 * m_flows.size());
 }
 
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -19,6 +19,7 @@
   std::string m_class_name;
   std::string m_tenant;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the linter misreads <=>.
   auto operator<=>(const FlowKey&) const = default;
 };
 
--- /dev/null
+++ b/src/policy/health_test.cc
@@ -0,0 +1,149 @@
+// Ejection, draining and quarantine: which targets and requests to keep away.
+
+#include "policy/draining.h"
+#include "policy/ejection.h"
+#include "policy/quarantine.h"
+#include "util/story_test.h"
+
+namespace guavacross::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr std::uint64_t kKiller = 7;
+
+}  // namespace
+
+GUAVACROSS_STORY(EjectionOfTargets) {
+  using util::Section;
+  const EjectionConfig config;
+  Ejection ejection;
+  for (int i = 0; i < config.m_consecutive_errors; ++i) {
+    ejection.Record(Verdict::kBad, config, kStart);
+  }
+  Section("consecutive errors eject", [&] {
+    CPPUNIT_ASSERT(ejection.IsEjected(kStart));
+    CPPUNIT_ASSERT(!ejection.IsEjected(kStart + config.m_base_time));
+  });
+  Section("one more error afterwards ejects for twice as long", [&] {
+    const TimePoint again = kStart + config.m_base_time;
+    CPPUNIT_ASSERT(ejection.Record(Verdict::kBad, config, again));
+    CPPUNIT_ASSERT(ejection.until() == again + 2 * config.m_base_time);
+  });
+  Section("a time limit bounds the doubling", [&] {
+    TimePoint now = ejection.until();
+    for (int i = 0; i < 20; ++i) {
+      ejection.Record(Verdict::kBad, config, now);
+      CPPUNIT_ASSERT(ejection.until() - now <= config.m_max_time);
+      now = ejection.until();
+    }
+  });
+  Section("errors among good answers eject by their rate", [&] {
+    Ejection mixed;
+    bool ejected = false;
+    for (int i = 0; i < 60; ++i) {
+      const Verdict verdict = i % 4 == 0 ? Verdict::kGood : Verdict::kBad;
+      ejected = mixed.Record(verdict, config, kStart) || ejected;
+    }
+    CPPUNIT_ASSERT(ejected);
+  });
+  Section("shedding some load isn't an error", [&] {
+    Ejection busy;
+    for (int i = 0; i < 100; ++i) {
+      const Verdict verdict = i % 2 == 0 ? Verdict::kGood : Verdict::kRefused;
+      CPPUNIT_ASSERT(!busy.Record(verdict, config, kStart));
+    }
+  });
+  Section("too many ejected targets mean panic", [&] {
+    CPPUNIT_ASSERT(!IsPanic(15, 30, config));
+    CPPUNIT_ASSERT(IsPanic(16, 30, config));
+  });
+}
+
+GUAVACROSS_STORY(DrainingTargets) {
+  using util::Section;
+  Draining draining;
+  draining.LearnFromTarget(false, "run-1");
+  Section("one word of it is enough", [&] {
+    CPPUNIT_ASSERT(draining.LearnFromTarget(true, "run-1").m_started_draining);
+  });
+  Section("a health endpoint that says ready doesn't undo it", [&] {
+    draining.LearnFromTarget(false, "run-1");
+    draining.LearnFromTarget(false, "");
+    CPPUNIT_ASSERT(draining.is_draining());
+  });
+  Section("another run at the address does", [&] {
+    CPPUNIT_ASSERT(draining.LearnFromTarget(false, "run-2").m_restarted);
+    CPPUNIT_ASSERT(!draining.is_draining());
+  });
+  Section("a peer's late notice of the earlier run is ignored", [&] {
+    draining.LearnFromPeer("run-1");
+    CPPUNIT_ASSERT(!draining.is_draining());
+  });
+  Section("a peer's notice of a run not yet seen holds", [&] {
+    draining.LearnFromPeer("run-3");
+    CPPUNIT_ASSERT(draining.is_draining());
+    CPPUNIT_ASSERT_EQUAL(std::string("run-3"), draining.incarnation());
+  });
+  Section("a late answer of an earlier run doesn't undo it for long", [&] {
+    draining.LearnFromTarget(false, "run-2");
+    draining.LearnFromTarget(false, "run-3");
+    CPPUNIT_ASSERT(draining.is_draining());
+  });
+  Section("without incarnations, a refused connection shows the restart", [] {
+    Draining unnamed;
+    unnamed.LearnFromTarget(true, "");
+    unnamed.LearnFromTarget(false, "");
+    CPPUNIT_ASSERT(unnamed.is_draining());
+    unnamed.ConnectFailed();
+    CPPUNIT_ASSERT(unnamed.LearnFromTarget(false, "").m_restarted);
+    CPPUNIT_ASSERT(!unnamed.is_draining());
+  });
+}
+
+GUAVACROSS_STORY(QuarantineOfRequests) {
+  using util::Section;
+  const SuspectNotice first{kKiller, "catalog", "a"};
+  const SuspectNotice second{kKiller, "catalog", "b"};
+  Section("two distinct targets lost are enough", [&] {
+    Quarantine quarantine;
+    CPPUNIT_ASSERT(!quarantine.AddSuspect(first, kStart));
+    CPPUNIT_ASSERT(!quarantine.AddSuspect(first, kStart));
+    CPPUNIT_ASSERT(!quarantine.IsQuarantined(kKiller, kStart));
+    CPPUNIT_ASSERT(quarantine.AddSuspect(second, kStart));
+    CPPUNIT_ASSERT(quarantine.IsQuarantined(kKiller, kStart));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, quarantine.Notices(kStart).size());
+    const TimePoint later = kStart + Quarantine::kQuarantineTime;
+    CPPUNIT_ASSERT(!quarantine.IsQuarantined(kKiller, later));
+  });
+  Section("a complete answer clears a request of the company it kept", [&] {
+    Quarantine quarantine;
+    quarantine.AddSuspect(first, kStart);
+    quarantine.Answered(kKiller, kStart);
+    CPPUNIT_ASSERT(!quarantine.AddSuspect(second, kStart + seconds(1)));
+    CPPUNIT_ASSERT(!quarantine.IsQuarantined(kKiller, kStart + seconds(1)));
+  });
+  Section("a peer's quarantine holds for the time that remains", [&] {
+    Quarantine quarantine;
+    quarantine.Learn({kKiller, minutes(1)}, kStart);
+    CPPUNIT_ASSERT(quarantine.IsQuarantined(kKiller, kStart));
+    CPPUNIT_ASSERT(!quarantine.IsQuarantined(kKiller, kStart + minutes(1)));
+  });
+  Section("a target that resets again and again accuses nobody", [] {
+    ResetHistory history;
+    history.RecordReset(kStart);
+    history.RecordReset(kStart + milliseconds(1));
+    history.RecordReset(kStart + milliseconds(2));
+    CPPUNIT_ASSERT(!history.IsUnreliable(kStart));
+    history.RecordReset(kStart + seconds(1));
+    history.RecordReset(kStart + seconds(2));
+    CPPUNIT_ASSERT(history.IsUnreliable(kStart + seconds(2)));
+    CPPUNIT_ASSERT(!history.IsUnreliable(kStart + minutes(1)));
+  });
+}
+
+}  // namespace guavacross::policy
--- a/src/policy/slot_shares.cc
+++ b/src/policy/slot_shares.cc
@@ -13,20 +13,22 @@
 
 }  // namespace
 
-bool MaySend(const SlotView& view) {
-  if (view.m_instances <= 1) {
-    return view.m_own < view.m_slots;
+SlotClaim ClaimSlot(const SlotView& view) {
+  const int share = std::max(1, view.m_slots / std::max(1, view.m_instances));
+  if (view.m_own < share) {
+    return SlotClaim::kShare;
   }
-  if (view.m_own == 0) {
-    return true;
+  if (view.m_instances <= 1) {
+    return SlotClaim::kNone;
   }
   if (view.m_fresh) {
-    return view.m_own + view.m_others + 1 <= view.m_slots;
-  }
-  if (view.m_unused_by_peers) {
-    return view.m_own < view.m_slots;
+    const int allowed = view.m_slots + view.m_instances / 2;
+    return view.m_own + view.m_others + 1 <= allowed ? SlotClaim::kBorrowed
+                                                     : SlotClaim::kNone;
   }
-  return view.m_own < view.m_slots / view.m_instances;
+  return view.m_unused_by_peers && view.m_own < view.m_slots
+             ? SlotClaim::kBorrowed
+             : SlotClaim::kNone;
 }
 
 int BulkLimit(int total_slots,
--- a/src/policy/slot_shares.h
+++ b/src/policy/slot_shares.h
@@ -4,10 +4,14 @@
 /// How the instances divide a target's slots without asking each other.
 ///
 /// An instance may always have one attempt on a target, so that none is locked
-/// out. It goes beyond that only on evidence that a slot is free: a fresh
-/// report of the target, used a bounded number of times, or peers that tell
-/// that they don't use it. Without evidence it keeps to an equal share. In sum
-/// a target sees at most its slots and about one attempt per instance.
+/// out. It goes beyond that only on evidence: a young report of the target,
+/// used a bounded number of times, that shows less than its slots and half an
+/// attempt per instance in flight, or peers that tell that they don't use it.
+/// Without evidence it keeps to an equal share. The other half per instance is
+/// for what the instances send before they see each other's attempts, so that
+/// in sum a target sees at most its slots and one attempt per instance. The
+/// attempts beyond the slots wait on the target, in the order in which they
+/// came from all instances, which is fairer than waiting in one instance.
 namespace guavacross::policy {
 
 /// One target's slots as one instance sees them.
@@ -16,9 +20,9 @@
   /// Live instances, this one included.
   int m_instances = 1;
   int m_own = 0;
-  /// The estimate of other instances' attempts.
-  double m_others = 0;
-  /// Whether the estimate rests on a fresh reading.
+  /// Other instances' attempts as of the last report.
+  int m_others = 0;
+  /// Whether that report is young and not used up.
   bool m_fresh = false;
   /// Whether peers tell that they have nothing in flight there.
   bool m_unused_by_peers = false;
@@ -26,8 +30,18 @@
   bool operator==(const SlotView&) const = default;
 };
 
-/// Whether another attempt may be sent to the target. Pure.
-bool MaySend(const SlotView& view);
+/// Whose slot another attempt on a target would take.
+enum class SlotClaim {
+  /// One of this instance's share.
+  kShare,
+  /// One that the other instances leave unused.
+  kBorrowed,
+  /// None is to be had.
+  kNone,
+};
+
+/// The slot that the next attempt on the target may take. Pure.
+SlotClaim ClaimSlot(const SlotView& view);
 
 /// The most attempts of bulk classes that one instance may have in flight, out
 /// of `total_slots` of the service: bulk transfers hold their slots for long,
--- a/src/policy/target_choice.cc
+++ b/src/policy/target_choice.cc
@@ -13,6 +13,13 @@
 // A target in this zone loses its advantage when it is half busier.
 constexpr double kZoneCost = 0.12;
 
+// Targets on which this instance has its share already come later: what others
+// have sent meanwhile isn't known, what this instance has sent is.
+constexpr double kBorrowCost = 0.5;
+
+// Service times vary; a target is slow only beyond this.
+constexpr double kUsualSlowness = 2.5;
+
 }  // namespace
 
 double Cost(const Candidate& candidate) {
@@ -20,8 +27,11 @@
   const double occupancy = (candidate.m_load + 1) / slots;
   const double queueing = std::max(1.0, occupancy);
   const double zone = candidate.m_other_zone ? kZoneCost : 0;
-  return candidate.m_slowness * queueing +
-         kOccupancyCost * std::min(1.0, occupancy) + zone;
+  const double borrowing = candidate.m_borrows ? kBorrowCost : 0;
+  const double slowness =
+      candidate.m_slowness > kUsualSlowness ? candidate.m_slowness : 1;
+  return slowness * queueing + kOccupancyCost * std::min(1.0, occupancy) +
+         zone + borrowing;
 }
 
 }  // namespace guavacross::policy
--- a/src/policy/target_choice.h
+++ b/src/policy/target_choice.h
@@ -16,11 +16,12 @@
 struct Candidate {
   /// Attempts in flight, own ones and the others' estimated ones.
   double m_load = 0;
-  /// Slots that may be used now; fewer than the target has in slow start.
   double m_slots = 1;
   /// How many times slower than usual the target answers.
   double m_slowness = 1;
   bool m_other_zone = false;
+  /// Whether the attempt would take more than this instance's share.
+  bool m_borrows = false;
 
   bool operator==(const Candidate&) const = default;
 };
--- a/src/policy/target_load.cc
+++ b/src/policy/target_load.cc
@@ -10,6 +10,9 @@
 // Peers tell their counts several times a second.
 constexpr Duration kPeersLife = std::chrono::seconds(2);
 
+// Peers that have told of no use for this long are taken to go on so.
+constexpr Duration kUnusedAfter = std::chrono::milliseconds(300);
+
 // The part of a new latency in the average.
 constexpr double kSlownessGain = 0.3;
 constexpr double kMaxSlowness = 20;
@@ -37,6 +40,8 @@
 void TargetLoad::PeersReport(int in_flight, TimePoint at) {
   m_peers = std::max(0, in_flight);
   m_peers_at = at;
+  m_unused_since =
+      m_peers > 0 ? TimePoint::max() : std::min(m_unused_since, at);
 }
 
 void TargetLoad::RecordSlowness(double ratio,
@@ -49,7 +54,7 @@
 }
 
 bool TargetLoad::IsFresh(const LoadAging& aging, TimePoint now) const {
-  return ReadingAge(now) < aging.m_reading_life &&
+  return ReadingAge(now) < aging.m_evidence_life &&
          m_uses < aging.m_uses_per_reading;
 }
 
@@ -59,8 +64,8 @@
 }
 
 bool TargetLoad::IsUnusedByPeers(TimePoint now) const {
-  return m_peers == 0 && m_peers_at != TimePoint::min() &&
-         now - m_peers_at < kPeersLife;
+  return m_peers_at != TimePoint::min() && now - m_peers_at < kPeersLife &&
+         m_unused_since <= now - kUnusedAfter;
 }
 
 double TargetLoad::Others(const LoadAging& aging,
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -9,6 +9,8 @@
 struct LoadAging {
   /// A reported in-flight count counts less and less over this time.
   Duration m_reading_life = std::chrono::milliseconds(500);
+  /// A report younger than this is evidence of free slots.
+  Duration m_evidence_life = std::chrono::milliseconds(50);
   /// Requests that may be sent on the strength of one reading.
   int m_uses_per_reading = 2;
   /// A slow or failing target is taken for a usual one again at this rate.
@@ -58,7 +60,7 @@
   bool IsFresh(const LoadAging& aging, TimePoint now) const;
   /// The time since the last report; very long if there was none.
   Duration ReadingAge(TimePoint now) const;
-  /// Whether the other instances have told lately that they don't use the
+  /// Whether the other instances have told for a while that they don't use the
   /// target.
   bool IsUnusedByPeers(TimePoint now) const;
 
@@ -76,6 +78,8 @@
   int m_peers = 0;
   TimePoint m_reported_at = TimePoint::min();
   TimePoint m_peers_at = TimePoint::min();
+  // Since when the other instances tell that they don't use the target.
+  TimePoint m_unused_since = TimePoint::max();
   double m_slowness = 1;
   TimePoint m_slowness_at = TimePoint::min();
 };
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -17,6 +17,11 @@
 // A class that has had no request for this long leaves its slots to others.
 constexpr Duration kClassIdleAfter = std::chrono::seconds(5);
 
+// On busy targets second copies make the others wait: only the latest requests
+// are hedged.
+constexpr double kBusyUtilization = 0.8;
+constexpr double kBusyHedgePercentile = 99;
+
 }  // namespace
 
 ServiceRouter::ServiceRouter(std::shared_ptr<const ServiceConfig> config,
@@ -149,9 +154,11 @@
       !IsEnabled(Mechanism::kHedging)) {
     return std::nullopt;
   }
-  const double percentile =
-      std::max(m_config->m_hedge.m_percentile,
-               m_pool.parameters().m_least_hedge_percentile);
+  double percentile = std::max(m_config->m_hedge.m_percentile,
+                               m_pool.parameters().m_least_hedge_percentile);
+  if (m_pool.Utilization() > kBusyUtilization) {
+    percentile = std::max(percentile, kBusyHedgePercentile);
+  }
   return std::max(m_config->m_hedge.m_min_delay,
                   state->m_latency.Percentile(percentile));
 }
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -251,6 +251,11 @@
   return policy::IsPanic(ejected, present, m_config->m_ejection);
 }
 
+double TargetPool::Utilization() const {
+  const double others = m_usual_others * static_cast<double>(m_targets.size());
+  return (m_own_in_flight + others) / std::max(1, m_total_slots);
+}
+
 bool TargetPool::IsSlowStart(const Target& target, TimePoint now) const {
   return target.m_cold_since != TimePoint::min() &&
          now < target.m_cold_since + m_config->m_slow_start.m_window;
@@ -316,23 +321,23 @@
   const policy::TargetLoad& load = target.m_load;
   const policy::LoadAging& aging = m_parameters.m_aging;
   const double others = load.Others(aging, m_usual_others, now);
-  const double slots =
-      std::max(1.0, Warmth(target, now) * target.m_config.m_slots);
   const policy::SlotView view{
-      .m_slots = static_cast<int>(slots),
+      .m_slots = target.m_config.m_slots,
       .m_instances = IsEnabled(Mechanism::kSlotShares) ? m_instances : 1,
       .m_own = load.own(),
-      .m_others = others,
+      .m_others = load.reported_others(),
       .m_fresh = load.IsFresh(aging, now),
       .m_unused_by_peers = load.IsUnusedByPeers(now)};
-  if (!policy::MaySend(view)) {
+  const policy::SlotClaim claim = policy::ClaimSlot(view);
+  if (claim == policy::SlotClaim::kNone) {
     return std::nullopt;
   }
   return policy::Cost({.m_load = load.own() + others,
-                       .m_slots = slots,
+                       .m_slots = static_cast<double>(target.m_config.m_slots),
                        .m_slowness = SlownessOf(target, now),
                        .m_other_zone = target.m_other_zone &&
-                                       IsEnabled(Mechanism::kZonePreference)});
+                                       IsEnabled(Mechanism::kZonePreference),
+                       .m_borrows = claim == policy::SlotClaim::kBorrowed});
 }
 
 }  // namespace guavacross::routing
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -69,6 +69,8 @@
   /// This instance's attempts in flight on all targets.
   int own_in_flight() const { return m_own_in_flight; }
   int total_slots() const { return m_total_slots; }
+  /// The estimate of all instances' attempts in flight over all slots.
+  double Utilization() const;
   bool IsPanic(TimePoint now) const;
   bool IsSlowStart(const Target& target, TimePoint now) const;
 
