--- /dev/null
+++ b/src/log_service/config_bench.cc
@@ -0,0 +1,229 @@
+#include "log_service/config_bench.h"
+
+#include <malloc.h>
+
+#include <QByteArray>
+#include <QFile>
+#include <cstdint>
+#include <ctime>
+#include <iomanip>
+#include <string>
+
+#include "guavacross/config_state.h"
+#include "guavacross/document.h"
+#include "log_service/config_reader.h"
+#include "log_service/fake_log.h"
+#include "log_service/http_log_access.h"
+#include "log_service/snapshot_parts.h"
+#include "util/handle.h"
+#include "util/manual_clock.h"
+
+namespace guavacross::log_service {
+
+namespace {
+
+constexpr int kTargetsPerSectionTimes100 = 549;
+constexpr int kZones = 16;
+constexpr double kKilobyte = 1024;
+
+double ProcessorSeconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+// The process's private memory in bytes, without what the allocator could give
+// back.
+double PrivateBytes() {
+  malloc_trim(0);
+  QFile file("/proc/self/smaps_rollup");
+  if (!file.open(QIODevice::ReadOnly)) {
+    return 0;
+  }
+  double kilobytes = 0;
+  for (const QByteArray& line : file.readAll().split('\n')) {
+    if (line.startsWith("Private_")) {
+      kilobytes += line.simplified().split(' ').value(1).toDouble();
+    }
+  }
+  return kilobytes * kKilobyte;
+}
+
+std::string Quoted(const std::string& key, const std::string& value) {
+  return key + " = \"" + value + "\"\n";
+}
+
+std::string TargetText(int section, int target) {
+  const std::string number = std::to_string(target);
+  const std::string host = std::to_string(section % 250) + "." + number;
+  return "[[target]]\n" + Quoted("name", "target-" + number) +
+         Quoted("address",
+                "10." + std::to_string(section / 250) + "." + host + ":8080") +
+         Quoted("zone", "zone-" + std::to_string(target % kZones)) +
+         "slots = 4\n";
+}
+
+// A section with its share of the targets, three classes and two tenants.
+ConfigEdit MakeSectionEdit(int index) {
+  const int targets = (index + 1) * kTargetsPerSectionTimes100 / 100 -
+                      index * kTargetsPerSectionTimes100 / 100;
+  std::string toml = Quoted("team", "team-" + std::to_string(index % 100));
+  for (int target = 0; target < targets; ++target) {
+    toml += TargetText(index, target);
+  }
+  toml +=
+      "[[class]]\nname = \"reads\"\nmethods = [\"GET\"]\nhedge = true\n"
+      "deadline_ms = 1500\nqueue_wait_ms = 200\n"
+      "[[class]]\nname = \"orders\"\nmethods = [\"POST\"]\n"
+      "path_prefix = \"/orders\"\nrepeatable = false\n"
+      "[[class]]\nname = \"rest\"\nrepeatable = false\n"
+      "[[tenant]]\nname = \"one\"\nweight = 2\n"
+      "[[tenant]]\nname = \"two\"\n"
+      "[probe]\nprobes_per_second = 20\ntime_share = 0.01\n";
+  const std::string name = "service-" + std::to_string(index);
+  return {.m_schema = kDocumentSchema,
+          .m_section = name,
+          .m_team = "team-" + std::to_string(index % 100),
+          .m_edit_id = "edit-" + std::to_string(index),
+          .m_toml = toml};
+}
+
+// The body of the answer that holds these records.
+std::string AnswerBody(const std::vector<std::string>& records) {
+  std::string body =
+      "{\"first\": 0, \"end\": " + std::to_string(records.size()) +
+      ", \"records\": [";
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    body += std::string(i == 0 ? "" : ",") +
+            "{\"offset\": " + std::to_string(i) + ", \"data\": \"" +
+            QByteArray::fromStdString(records[i]).toBase64().toStdString() +
+            "\"}";
+  }
+  return body + "]}";
+}
+
+// Figures at one size.
+struct Figures {
+  int m_sections = 0;
+  std::size_t m_targets = 0;
+  double m_parse_s = 0;
+  double m_fold_s = 0;
+  double m_fold_bytes = 0;
+  double m_parsed_bytes = 0;
+  double m_snapshot_bytes = 0;
+  double m_encode_s = 0;
+  double m_answer_decode_s = 0;
+  double m_start_s = 0;
+};
+
+void MeasureParsing(const std::vector<ConfigEdit>& edits, Figures* figures) {
+  std::vector<ServiceConfig> services;
+  services.reserve(edits.size());
+  const double bytes_before = PrivateBytes();
+  const double start = ProcessorSeconds();
+  for (const ConfigEdit& edit : edits) {
+    const auto service = util::Catch(
+        [&edit] { return ParseSection(edit.m_section, edit.m_toml); });
+    figures->m_targets += service.m_value->m_targets.size();
+    services.push_back(*service.m_value);
+  }
+  figures->m_parse_s = ProcessorSeconds() - start;
+  figures->m_parsed_bytes = PrivateBytes() - bytes_before;
+}
+
+ConfigFold MeasureFold(const std::vector<ConfigEdit>& edits, Figures* figures) {
+  ConfigFold fold;
+  const double bytes_before = PrivateBytes();
+  const double start = ProcessorSeconds();
+  for (std::size_t i = 0; i < edits.size(); ++i) {
+    fold.Apply(i, EncodeEdit(edits[i]));
+  }
+  figures->m_fold_s = ProcessorSeconds() - start;
+  figures->m_fold_bytes = PrivateBytes() - bytes_before;
+  return fold;
+}
+
+void MeasureSnapshot(const ConfigFold& fold, FakeLog* log, Figures* figures) {
+  const double start = ProcessorSeconds();
+  const auto parts = EncodeParts(fold.state(), 0);
+  figures->m_encode_s = ProcessorSeconds() - start;
+  for (const std::string& part : parts) {
+    log->Append(kSnapshotStream, part);
+    figures->m_snapshot_bytes += static_cast<double>(part.size());
+  }
+  const std::string body = AnswerBody(parts);
+  const double decode_start = ProcessorSeconds();
+  const auto batch = util::Catch([&body] { return ParseBatch(body); });
+  figures->m_answer_decode_s = ProcessorSeconds() - decode_start;
+}
+
+// From nothing to ready, through the snapshot, parsing each section.
+void MeasureStart(util::ManualClock* clock, FakeLog* log, Figures* figures) {
+  util::Metrics metrics;
+  std::vector<ServiceConfig> services;
+  const double start = ProcessorSeconds();
+  ConfigReader reader({}, log->access(), clock->clock(), metrics,
+                      {.m_on_change = [&services](const SectionState& section) {
+                        services.push_back(*ServiceInForce(section));
+                      }});
+  reader.Start();
+  while (!reader.ready()) {
+    clock->Advance(std::chrono::milliseconds(1));
+  }
+  figures->m_start_s = ProcessorSeconds() - start;
+}
+
+Figures Measure(int section_count) {
+  Figures figures{.m_sections = section_count};
+  std::vector<ConfigEdit> edits;
+  for (int i = 0; i < section_count; ++i) {
+    edits.push_back(MakeSectionEdit(i));
+  }
+  MeasureParsing(edits, &figures);
+  const ConfigFold fold = MeasureFold(edits, &figures);
+  util::ManualClock clock;
+  FakeLog log(clock.clock());
+  log.Expire(kConfigStream, 0);
+  for (int i = 0; i < section_count; ++i) {
+    log.Append(kConfigStream, "");
+  }
+  MeasureSnapshot(fold, &log, &figures);
+  MeasureStart(&clock, &log, &figures);
+  return figures;
+}
+
+void Print(const Figures& figures, std::ostream& out) {
+  constexpr double microseconds = 1e6;
+  constexpr double milliseconds = 1e3;
+  const double sections = figures.m_sections;
+  out << std::setw(8) << figures.m_sections << std::setw(8) << figures.m_targets
+      << std::fixed << std::setprecision(1) << std::setw(12)
+      << figures.m_parse_s / sections * microseconds << std::setw(12)
+      << figures.m_fold_s / sections * microseconds << std::setw(12)
+      << figures.m_fold_bytes / sections << std::setw(12)
+      << figures.m_parsed_bytes / sections << std::setw(12)
+      << figures.m_snapshot_bytes / kKilobyte << std::setw(12)
+      << figures.m_encode_s * milliseconds << std::setw(12)
+      << figures.m_answer_decode_s * milliseconds << std::setw(12)
+      << figures.m_start_s * milliseconds << "\n";
+}
+
+}  // namespace
+
+void RunConfigBench(const std::vector<int>& section_counts, std::ostream& out) {
+  out << "processor time; private bytes from /proc/self/smaps_rollup\n";
+  for (const char* heading : {"sections", "targets"}) {
+    out << std::setw(8) << heading;
+  }
+  for (const char* heading :
+       {"parse us/s", "fold us/s", "fold B/s", "parsed B/s", "snapshot KB",
+        "encode ms", "answer ms", "start ms"}) {
+    out << std::setw(12) << heading;
+  }
+  out << "\n";
+  for (const int count : section_counts) {
+    Print(Measure(count), out);
+  }
+  out << "us/s and B/s: per section. answer: decoding the log service's JSON. "
+         "start: to ready through a snapshot, without that.\n";
+}
+
+}  // namespace guavacross::log_service
--- a/src/operators/commands_test.cc
+++ b/src/operators/commands_test.cc
@@ -107,7 +107,7 @@
   }
 
   std::string Write(const std::string& name, const std::string& text) {
-    const std::string path = m_directory.path().toStdString() + "/" + name;
+    std::string path = m_directory.path().toStdString() + "/" + name;
     QFile file(QString::fromStdString(path));
     CPPUNIT_ASSERT(file.open(QIODevice::WriteOnly));
     file.write(text.data(), static_cast<qint64>(text.size()));
--- a/src/operators/status_page.cc
+++ b/src/operators/status_page.cc
@@ -21,6 +21,9 @@
     ".good{color:#1d7a46}.bad{color:#b3261e;font-weight:600}"
     ".note{color:#51605a}nav a{margin-right:1em}";
 
+constexpr double kMinuteSeconds = 60;
+constexpr double kHourSeconds = 3600;
+
 // One cell: its text, whether it is a number, and a class for its colour.
 struct Cell {
   std::string m_text;
@@ -45,15 +48,13 @@
 
 std::string AgeText(Duration age) {
   const double seconds = Seconds(age);
-  constexpr double kMinute = 60;
-  constexpr double kHour = 3600;
-  if (seconds < 2 * kMinute) {
+  if (seconds < 2 * kMinuteSeconds) {
     return Format("%.0f s", seconds);
   }
-  if (seconds < 2 * kHour) {
-    return Format("%.0f min", seconds / kMinute);
+  if (seconds < 2 * kHourSeconds) {
+    return Format("%.0f min", seconds / kMinuteSeconds);
   }
-  return Format("%.1f h", seconds / kHour);
+  return Format("%.1f h", seconds / kHourSeconds);
 }
 
 std::string MillisecondsText(double seconds) {
