--- a/src/include/guavacross/settings.h
+++ b/src/include/guavacross/settings.h
@@ -6,6 +6,7 @@
 
 #include "guavacross/error.h"
 #include "guavacross/identity.h"
+#include "guavacross/routing.h"
 #include "guavacross/time.h"
 
 namespace guavacross {
@@ -36,6 +37,8 @@
   /// Longest graceful shutdown; zero means no bound.
   Duration m_shutdown_limit = Duration::zero();
   std::string m_log_level = "info";
+  /// How targets are picked; all but the first are baselines to compare with.
+  ChoicePolicy m_choice_policy = ChoicePolicy::kGuavacross;
 
   bool operator==(const InstanceSettings&) const = default;
 };
--- a/src/standin/standin_main.cc
+++ b/src/standin/standin_main.cc
@@ -14,6 +14,7 @@
 #include "standin/control_server.h"
 #include "standin/deployment.h"
 #include "standin/instance_list.h"
+#include "standin/load_command.h"
 #include "standin/log_service.h"
 #include "standin/proxy.h"
 #include "util/qt_clock.h"
@@ -253,8 +254,12 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
   const std::string command = argc > 1 ? argv[1] : "--help";
+  if (command == "load") {
+    QCoreApplication application(argc, argv);
+    return guavacross::standin::RunLoadCommand(argc - 1, argv + 1);
+  }
+  cxxopts::Options options = MakeOptions();
   try {
     const cxxopts::ParseResult flags = options.parse(argc, argv);
     if (flags.count("help") != 0 || command == "--help") {
--- a/src/util/settings.cc
+++ b/src/util/settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <boost/leaf/error.hpp>
 
@@ -38,6 +39,24 @@
   return text;
 }
 
+void ReadChoicePolicy(util::TomlReader* reader, ChoicePolicy* policy) {
+  constexpr std::array<std::pair<std::string_view, ChoicePolicy>, 4> kPolicies =
+      {{{"guavacross", ChoicePolicy::kGuavacross},
+        {"random", ChoicePolicy::kRandom},
+        {"round-robin", ChoicePolicy::kRoundRobin},
+        {"least-in-flight", ChoicePolicy::kLeastInFlight}}};
+  std::string name = "guavacross";
+  reader->ReadString("choice_policy", util::Presence::kOptional, &name);
+  for (const auto& [known, value] : kPolicies) {
+    if (name == known) {
+      *policy = value;
+      return;
+    }
+  }
+  reader->FailAt("choice_policy",
+                 "must be guavacross, random, round-robin or least-in-flight");
+}
+
 }  // namespace
 
 Result<InstanceSettings> ParseSettings(
@@ -71,6 +90,7 @@
       kLogLevels.end()) {
     reader.FailAt("log_level", "must be debug, info, warn or error");
   }
+  ReadChoicePolicy(&reader, &settings.m_choice_policy);
   BOOST_LEAF_CHECK(reader.Finish());
   return settings;
 }
