--- a/src/guavacross/commands.h
+++ b/src/guavacross/commands.h
@@ -12,6 +12,14 @@
 
 /// Runs an entry instance until SIGTERM.
 int Serve(int argc, char** argv);
+/// Checks documents.
+int Check(int argc, char** argv);
+/// Publishes sections of a document.
+int Publish(int argc, char** argv);
+/// Shows what is in force.
+int Status(int argc, char** argv);
+/// Asks for a service's addresses, as callers do.
+int Addresses(int argc, char** argv);
 /// Runs a deployment against stand-ins and prints a table.
 int Demo(int argc, char** argv);
 }  // namespace guavacross::commands
--- a/src/guavacross/guavacross_main.cc
+++ b/src/guavacross/guavacross_main.cc
@@ -16,6 +16,11 @@
 
 constexpr std::array kCommands = {
     Command{"serve", commands::Serve, "run an entry instance"},
+    Command{"check", commands::Check, "check a configuration document"},
+    Command{"publish", commands::Publish, "publish sections of a document"},
+    Command{"status", commands::Status,
+            "show what the instances have in force"},
+    Command{"addresses", commands::Addresses, "ask which addresses to use"},
     Command{"demo", commands::Demo, "run a deployment against stand-ins"},
 };
 
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -11,6 +11,7 @@
 #include "ledger/request_ledger.h"
 #include "log_service/config_reader.h"
 #include "log_service/http_log_access.h"
+#include "operators/operator_server.h"
 #include "peers/peer_network.h"
 #include "serve/control_thread.h"
 #include "util/hash.h"
@@ -52,6 +53,7 @@
   void MakeLedger();
   void MakeCallers();
   void MakeList();
+  void MakeOperators();
   Result<bool> Start();
 
   void ApplySection(const SectionState& section);
@@ -59,6 +61,8 @@
   void UpdateReady();
   peers::LocalState LocalState() const;
   double Load() const;
+  operators::Readiness Readiness() const;
+  operators::InstanceStatus Status() const;
   Member Self() const;
   std::vector<Member> AllMembers() const;
   std::vector<SectionState> SectionsInForce() const;
@@ -80,6 +84,7 @@
   std::unique_ptr<backends::ProbeRunner> m_probes;
   std::unique_ptr<callers::CallerServer> m_callers;
   std::unique_ptr<instance_list::InstancePoller> m_list;
+  std::unique_ptr<operators::OperatorServer> m_operators;
   std::unique_ptr<Timer> m_count_timer;
   std::unique_ptr<Timer> m_shutdown_timer;
   std::function<void()> m_on_shut_down;
@@ -97,6 +102,7 @@
   MakePeers();
   MakeLedger();
   MakeCallers();
+  MakeOperators();
   m_probes = std::make_unique<backends::ProbeRunner>(m_router.get(), m_clock,
                                                      &m_metrics);
 }
@@ -236,8 +242,47 @@
       });
 }
 
+void Instance::Impl::MakeOperators() {
+  operators::OperatorHooks hooks;
+  hooks.m_readiness = [this] { return Readiness(); };
+  hooks.m_status = [this] { return Status(); };
+  hooks.m_metrics = [this] { return m_metrics.Text(); };
+  m_operators = std::make_unique<operators::OperatorServer>(std::move(hooks));
+}
+
+operators::Readiness Instance::Impl::Readiness() const {
+  if (!m_config->ready()) {
+    return {.m_reason = "no configuration yet"};
+  }
+  if (m_leaving) {
+    return {.m_reason = "shutting down"};
+  }
+  return {.m_ready = true};
+}
+
+operators::InstanceStatus Instance::Impl::Status() const {
+  operators::InstanceStatus status;
+  status.m_id = m_self;
+  status.m_region = m_settings.m_region;
+  status.m_zone = m_settings.m_zone;
+  status.m_ready = m_config->ready();
+  status.m_leaving = m_leaving;
+  status.m_log = m_config->log_status();
+  status.m_config_digest = m_config->in_force().Digest();
+  status.m_members = m_peers->Members();
+  status.m_sections = operators::SectionRows(*m_config, status.m_members);
+  status.m_refused_edits = m_config->RefusedEdits();
+  status.m_services = m_router->Status();
+  status.m_latencies = m_metrics.Histograms();
+  return status;
+}
+
 Result<bool> Instance::Impl::Start() {
   BOOST_LEAF_CHECK(m_callers->Start());
+  if (!m_operators->Start(m_settings.m_operators)) {
+    return Fail(ErrorKind::kBadSettings, "operators: cannot listen on " +
+                                             ToString(m_settings.m_operators));
+  }
   if (!m_peers->Start()) {
     return Fail(ErrorKind::kBadSettings,
                 "peers: cannot listen on " + ToString(m_settings.m_peers));
