--- /dev/null
+++ b/src/peers/grpc_transport.cc
@@ -0,0 +1,338 @@
+#include "peers/grpc_transport.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include "peers.grpc.pb.h"
+
+namespace guavacross::peers {
+
+namespace {
+
+constexpr int kFirstReconnectMs = 100;
+constexpr int kMaxReconnectMs = 1000;
+
+// A step of a call that the completion queue reports.
+class Event {
+ public:
+  virtual ~Event() = default;
+  // `ok` is false if the step failed or the queue shuts down. Returns whether
+  // the event is over and may be destroyed.
+  virtual bool OnDone(bool ok) = 0;
+};
+
+grpc::ChannelArguments ChannelOptions(int max_message_bytes) {
+  grpc::ChannelArguments arguments;
+  arguments.SetMaxReceiveMessageSize(max_message_bytes);
+  arguments.SetMaxSendMessageSize(max_message_bytes);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kFirstReconnectMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kFirstReconnectMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  return arguments;
+}
+
+}  // namespace
+
+// Lock order: `m_mutex` is taken alone and guards what the queue's thread and
+// the control thread share. No callback runs under it.
+struct GrpcTransport::Impl {
+  using Stub = proto::Peers::Stub;
+  using Respond = std::function<void(const proto::PeerReply&)>;
+
+  class ServerCall;
+  class ClientCall;
+
+  TransportOptions m_options;
+  TransportHooks m_hooks;
+  TransportCounts m_counts;
+  Endpoint m_listen_address;
+  proto::Peers::AsyncService m_service;
+  std::unique_ptr<grpc::ServerCompletionQueue> m_queue;
+  std::unique_ptr<grpc::Server> m_server;
+  std::thread m_thread;
+  std::map<Endpoint, std::unique_ptr<Stub>> m_stubs;
+  // Posted functions check this token, which the control thread resets.
+  std::shared_ptr<int> m_alive;
+
+  std::mutex m_mutex;
+  bool m_stopping = false;
+  std::unordered_map<Event*, std::unique_ptr<Event>> m_events;
+  int m_open_requests = 0;
+
+  void Serve();
+  void AcceptNext();
+  void Post(std::function<void()> call);
+  void CancelClientCalls();
+};
+
+// One request from a peer: waits for it, hands it on, sends the answer.
+class GrpcTransport::Impl::ServerCall : public Event {
+ public:
+  explicit ServerCall(Impl* impl) : m_impl(impl), m_writer(&m_context) {}
+
+  // With `m_mutex` held and not stopping.
+  void Wait() {
+    m_impl->m_service.RequestExchange(&m_context, &m_request, &m_writer,
+                                      m_impl->m_queue.get(),
+                                      m_impl->m_queue.get(), this);
+  }
+
+  bool OnDone(bool ok) override {
+    if (m_has_request || !ok) {
+      CloseRequest();
+      return true;
+    }
+    m_has_request = true;
+    m_impl->AcceptNext();
+    m_impl->m_counts.m_received_messages += 1;
+    m_impl->m_counts.m_received_bytes += m_request.ByteSizeLong();
+    if (IsTooMany()) {
+      m_impl->m_counts.m_overload_refusals += 1;
+      Finish(nullptr);
+      return false;
+    }
+    m_impl->Post([this, impl = m_impl] {
+      impl->m_hooks.m_on_request(
+          std::move(m_request),
+          [this, impl, alive = std::weak_ptr<int>(impl->m_alive)](
+              const proto::PeerReply& reply) {
+            if (!alive.expired()) {
+              Finish(&reply);
+            }
+          });
+    });
+    return false;
+  }
+
+ private:
+  bool IsTooMany() {
+    const std::lock_guard lock(m_impl->m_mutex);
+    m_is_counted = true;
+    return ++m_impl->m_open_requests > m_impl->m_options.m_max_open_requests;
+  }
+
+  void CloseRequest() {
+    if (m_is_counted) {
+      const std::lock_guard lock(m_impl->m_mutex);
+      --m_impl->m_open_requests;
+    }
+  }
+
+  // Null refuses the request.
+  void Finish(const proto::PeerReply* reply) {
+    const std::lock_guard lock(m_impl->m_mutex);
+    if (m_impl->m_stopping || m_is_finished) {
+      return;
+    }
+    m_is_finished = true;
+    if (reply == nullptr) {
+      m_writer.FinishWithError(
+          grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "too many"), this);
+      return;
+    }
+    m_impl->m_counts.m_sent_messages += 1;
+    m_impl->m_counts.m_sent_bytes += reply->ByteSizeLong();
+    m_writer.Finish(*reply, grpc::Status::OK, this);
+  }
+
+  Impl* m_impl;
+  grpc::ServerContext m_context;
+  proto::PeerRequest m_request;
+  grpc::ServerAsyncResponseWriter<proto::PeerReply> m_writer;
+  bool m_has_request = false;
+  bool m_is_counted = false;
+  bool m_is_finished = false;
+};
+
+// One request to a peer.
+class GrpcTransport::Impl::ClientCall : public Event {
+ public:
+  using Done = std::function<void(std::optional<proto::PeerReply>)>;
+
+  ClientCall(Impl* impl, Done done) : m_impl(impl), m_done(std::move(done)) {}
+
+  // With `m_mutex` held and not stopping.
+  void Begin(Stub* stub, const proto::PeerRequest& request, Duration timeout) {
+    m_context.set_deadline(
+        std::chrono::system_clock::now() +
+        std::chrono::ceil<std::chrono::milliseconds>(timeout));
+    m_reader = stub->AsyncExchange(&m_context, request, m_impl->m_queue.get());
+    m_reader->Finish(&m_reply, &m_status, this);
+  }
+
+  bool OnDone(bool ok) override {
+    std::optional<proto::PeerReply> reply;
+    if (ok && m_status.ok()) {
+      m_impl->m_counts.m_received_messages += 1;
+      m_impl->m_counts.m_received_bytes += m_reply.ByteSizeLong();
+      reply = std::move(m_reply);
+    }
+    m_impl->Post(
+        [done = std::move(m_done), reply = std::move(reply)] { done(reply); });
+    return true;
+  }
+
+  void Cancel() { m_context.TryCancel(); }
+
+ private:
+  Impl* m_impl;
+  Done m_done;
+  grpc::ClientContext m_context;
+  std::unique_ptr<grpc::ClientAsyncResponseReader<proto::PeerReply>> m_reader;
+  proto::PeerReply m_reply;
+  grpc::Status m_status;
+};
+
+void GrpcTransport::Impl::Post(std::function<void()> call) {
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_stopping) {
+      return;
+    }
+  }
+  m_hooks.m_post([alive = std::weak_ptr<int>(m_alive), call = std::move(call)] {
+    if (!alive.expired()) {
+      call();
+    }
+  });
+}
+
+void GrpcTransport::Impl::AcceptNext() {
+  const std::lock_guard lock(m_mutex);
+  if (m_stopping) {
+    return;
+  }
+  auto call = std::make_unique<ServerCall>(this);
+  ServerCall* waiting = call.get();
+  m_events.emplace(waiting, std::move(call));
+  waiting->Wait();
+}
+
+void GrpcTransport::Impl::Serve() {
+  void* tag = nullptr;
+  bool ok = false;
+  while (m_queue->Next(&tag, &ok)) {
+    Event* event = static_cast<Event*>(tag);
+    if (!event->OnDone(ok)) {
+      continue;
+    }
+    std::unique_ptr<Event> over;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_events.find(event);
+    over = std::move(found->second);
+    m_events.erase(found);
+  }
+}
+
+void GrpcTransport::Impl::CancelClientCalls() {
+  const std::lock_guard lock(m_mutex);
+  for (const auto& [event, owner] : m_events) {
+    if (auto* call = dynamic_cast<ClientCall*>(event)) {
+      call->Cancel();
+    }
+  }
+}
+
+GrpcTransport::GrpcTransport(TransportOptions options, TransportHooks hooks)
+    : m_impl(std::make_unique<Impl>()) {
+  m_impl->m_options = std::move(options);
+  m_impl->m_hooks = std::move(hooks);
+  m_impl->m_alive = std::make_shared<int>(0);
+}
+
+GrpcTransport::~GrpcTransport() {
+  Stop();
+}
+
+bool GrpcTransport::Start() {
+  grpc::ServerBuilder builder;
+  int port = 0;
+  const Endpoint& listen = m_impl->m_options.m_listen;
+  builder.AddListeningPort(ToString(listen), grpc::InsecureServerCredentials(),
+                           &port);
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.SetMaxReceiveMessageSize(m_impl->m_options.m_max_message_bytes);
+  builder.RegisterService(&m_impl->m_service);
+  m_impl->m_queue = builder.AddCompletionQueue();
+  m_impl->m_server = builder.BuildAndStart();
+  if (m_impl->m_server == nullptr || port == 0) {
+    m_impl->m_server.reset();
+    m_impl->m_queue->Shutdown();
+    void* tag = nullptr;
+    bool ok = false;
+    while (m_impl->m_queue->Next(&tag, &ok)) {
+    }
+    return false;
+  }
+  m_impl->m_listen_address = {.m_ip = listen.m_ip,
+                              .m_port = static_cast<std::uint16_t>(port)};
+  m_impl->AcceptNext();
+  m_impl->m_thread = std::thread([impl = m_impl.get()] { impl->Serve(); });
+  return true;
+}
+
+void GrpcTransport::Stop() {
+  m_impl->m_alive.reset();
+  if (!m_impl->m_thread.joinable()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(m_impl->m_mutex);
+    m_impl->m_stopping = true;
+  }
+  m_impl->CancelClientCalls();
+  m_impl->m_server->Shutdown(std::chrono::system_clock::now());
+  m_impl->m_queue->Shutdown();
+  m_impl->m_thread.join();
+  // Requests that were never answered have no event to end them.
+  m_impl->m_events.clear();
+  m_impl->m_server.reset();
+  m_impl->m_stubs.clear();
+}
+
+Endpoint GrpcTransport::listen_address() const {
+  return m_impl->m_listen_address;
+}
+
+void GrpcTransport::Call(
+    const Endpoint& peer,
+    const proto::PeerRequest& request,
+    Duration timeout,
+    std::function<void(std::optional<proto::PeerReply>)> done) {
+  if (!m_impl->m_thread.joinable()) {
+    return;
+  }
+  std::unique_ptr<Impl::Stub>& stub = m_impl->m_stubs[peer];
+  if (stub == nullptr) {
+    stub = proto::Peers::NewStub(grpc::CreateCustomChannel(
+        "ipv4:" + ToString(peer), grpc::InsecureChannelCredentials(),
+        ChannelOptions(m_impl->m_options.m_max_message_bytes)));
+  }
+  m_impl->m_counts.m_sent_messages += 1;
+  m_impl->m_counts.m_sent_bytes += request.ByteSizeLong();
+  auto call = std::make_unique<Impl::ClientCall>(m_impl.get(), std::move(done));
+  Impl::ClientCall* begun = call.get();
+  const std::lock_guard lock(m_impl->m_mutex);
+  m_impl->m_events.emplace(begun, std::move(call));
+  begun->Begin(stub.get(), request, timeout);
+}
+
+void GrpcTransport::Forget(const Endpoint& peer) {
+  m_impl->m_stubs.erase(peer);
+}
+
+const TransportCounts& GrpcTransport::counts() const {
+  return m_impl->m_counts;
+}
+
+}  // namespace guavacross::peers
--- /dev/null
+++ b/src/peers/heartbeat_exchange.cc
@@ -0,0 +1,334 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "peers/peer_codec.h"
+#include "peers/peer_network_impl.h"
+#include "util/hash.h"
+
+// Heartbeats, the news that ride on them, and anti-entropy.
+namespace guavacross::peers {
+
+namespace {
+
+constexpr std::size_t kRumorsPerHeartbeat = 4;
+constexpr std::size_t kMaxNotices = 256;
+// The least time between two full lists of notices to one peer.
+constexpr Duration kNoticesInterval = std::chrono::seconds(2);
+constexpr Duration kRecentFor = std::chrono::seconds(10);
+constexpr std::size_t kRecentBytesPerMessage = 64 << 10;
+constexpr int kDigestsBeforeRepair = 2;
+constexpr std::size_t kPageBytes = 256 << 10;
+constexpr std::size_t kSmallestPageBytes = 4 << 10;
+
+std::size_t BytesOf(const SectionState& section) {
+  return section.m_section.size() + section.m_team.size() +
+         section.m_toml.size();
+}
+
+}  // namespace
+
+void PeerNetwork::Impl::Beat() {
+  m_beat_timer = m_options.m_clock.m_call_after(m_options.m_heartbeat_interval,
+                                                [this] { Beat(); });
+  m_local.reset();
+  const TimePoint now = m_options.m_clock.m_now();
+  while (!m_recent.empty() && now - m_recent.front().m_at > kRecentFor) {
+    m_recent.pop_front();
+  }
+  m_table.Tick(now);
+  OnMembersChanged();
+  const auto turns =
+      m_table.TakeTurns(static_cast<std::size_t>(m_options.m_fanout));
+  for (const Member& member : turns) {
+    SendHeartbeat(member);
+  }
+  m_metrics.Report(m_transport->counts(), m_table.Members());
+}
+
+void PeerNetwork::Impl::SendHeartbeat(const Member& member) {
+  proto::PeerRequest request;
+  proto::Heartbeat* heartbeat = request.mutable_heartbeat();
+  WriteHeartbeat(member.m_id.m_name, heartbeat);
+  WriteInFlight(Local().m_in_flight, heartbeat);
+  for (std::string& name : m_table.Suspects()) {
+    heartbeat->add_suspects(std::move(name));
+  }
+  Send(member, 0, std::move(request),
+       [this](const std::optional<proto::PeerReply>& reply) {
+         if (reply && reply->has_heartbeat()) {
+           OnHeartbeat({.m_name = reply->header().from(),
+                        .m_incarnation = reply->header().from_incarnation()},
+                       reply->heartbeat());
+         }
+       });
+}
+
+const LocalState& PeerNetwork::Impl::Local() {
+  if (!m_local) {
+    m_local = m_hooks.m_local_state ? m_hooks.m_local_state() : LocalState{};
+  }
+  return *m_local;
+}
+
+void PeerNetwork::Impl::WriteHeartbeat(const std::string& peer,
+                                       proto::Heartbeat* out) {
+  const LocalState& local = Local();
+  out->set_region(m_options.m_region);
+  out->set_zone(m_options.m_zone);
+  FromEndpoint(m_options.m_callers, out->mutable_callers());
+  FromEndpoint(m_transport->listen_address(), out->mutable_peers());
+  out->set_leaving(m_leaving);
+  out->set_load(static_cast<float>(local.m_load));
+  out->set_config_digest(local.m_config_digest);
+  out->set_config_version(local.m_config_version);
+  out->set_notices_digest(NoticesDigest());
+  WriteRumors(out);
+  PeerRecord& record = m_records[peer];
+  if (record.m_owes_notices) {
+    WriteNotices(&record, out->mutable_news());
+  }
+  if (record.m_digests_differed > 0) {
+    WriteRecentSections(&record, out->mutable_news());
+  }
+}
+
+// While each heartbeat reaches every member, nobody needs second-hand word.
+void PeerNetwork::Impl::WriteRumors(proto::Heartbeat* out) {
+  const std::size_t members = m_table.Members().size();
+  if (members <= static_cast<std::size_t>(m_options.m_fanout)) {
+    return;
+  }
+  const auto rumors =
+      m_table.TakeRumors(kRumorsPerHeartbeat, m_options.m_clock.m_now());
+  for (const Rumor& rumor : rumors) {
+    FromRumor(rumor, out->add_rumors());
+  }
+}
+
+void PeerNetwork::Impl::WriteNotices(PeerRecord* record, proto::News* out) {
+  const TimePoint now = m_options.m_clock.m_now();
+  if (record->m_notices_sent_at &&
+      now - *record->m_notices_sent_at < kNoticesInterval) {
+    return;
+  }
+  record->m_notices_sent_at = now;
+  record->m_owes_notices = false;
+  if (m_hooks.m_drains) {
+    for (const DrainNotice& notice : m_hooks.m_drains()) {
+      if (static_cast<std::size_t>(out->drains_size()) < kMaxNotices) {
+        FromDrain(notice, out->add_drains());
+      }
+    }
+  }
+  if (m_hooks.m_quarantines) {
+    for (const QuarantineNotice& notice : m_hooks.m_quarantines()) {
+      if (static_cast<std::size_t>(out->quarantines_size()) < kMaxNotices) {
+        FromQuarantine(notice, out->add_quarantines());
+      }
+    }
+  }
+}
+
+void PeerNetwork::Impl::WriteRecentSections(PeerRecord* record,
+                                            proto::News* out) {
+  std::size_t bytes = 0;
+  for (const RecentSection& recent : m_recent) {
+    if (recent.m_number <= record->m_sent_section) {
+      continue;
+    }
+    bytes += BytesOf(recent.m_section);
+    if (bytes > kRecentBytesPerMessage) {
+      return;
+    }
+    FromSection(recent.m_section, out->add_sections());
+    record->m_sent_section = recent.m_number;
+  }
+}
+
+// A sum of hashes: the same for the same notices in any order.
+std::uint64_t PeerNetwork::Impl::NoticesDigest() const {
+  std::uint64_t digest = 0;
+  if (m_hooks.m_drains) {
+    for (const DrainNotice& notice : m_hooks.m_drains()) {
+      digest +=
+          util::Hash(notice.m_incarnation,
+                     util::Hash(notice.m_target, util::Hash(notice.m_service)));
+    }
+  }
+  if (m_hooks.m_quarantines) {
+    for (const QuarantineNotice& notice : m_hooks.m_quarantines()) {
+      digest += util::Hash("quarantine", notice.m_fingerprint);
+    }
+  }
+  return digest;
+}
+
+// Returns false for the message of an incarnation that has ended.
+bool PeerNetwork::Impl::OnHeartbeat(const InstanceId& from,
+                                    const proto::Heartbeat& heartbeat) {
+  const TimePoint now = m_options.m_clock.m_now();
+  const Member member{.m_id = from,
+                      .m_region = heartbeat.region(),
+                      .m_zone = heartbeat.zone(),
+                      .m_callers = ToEndpoint(heartbeat.callers()),
+                      .m_peers = ToEndpoint(heartbeat.peers()),
+                      .m_state = heartbeat.leaving() ? MemberState::kLeaving
+                                                     : MemberState::kLive,
+                      .m_load = std::clamp<double>(heartbeat.load(), 0, 1),
+                      .m_config_digest = heartbeat.config_digest(),
+                      .m_config_version = heartbeat.config_version()};
+  if (!m_table.Hear(member, now)) {
+    m_metrics.CountRefusal("old-incarnation");
+    return false;
+  }
+  for (const proto::Rumor& rumor : heartbeat.rumors()) {
+    m_table.HearRumor(ToRumor(rumor), now);
+  }
+  OnMembersChanged();
+  OnNews(from, heartbeat.news());
+  OnInFlight(from.m_name, heartbeat);
+  CompareDigests(from, heartbeat);
+  return true;
+}
+
+void PeerNetwork::Impl::CompareDigests(const InstanceId& from,
+                                       const proto::Heartbeat& heartbeat) {
+  PeerRecord& record = m_records[from.m_name];
+  if (heartbeat.notices_digest() != NoticesDigest()) {
+    record.m_owes_notices = true;
+  }
+  const LocalState& local = Local();
+  if (heartbeat.config_digest() == local.m_config_digest) {
+    record.m_digests_differed = 0;
+    return;
+  }
+  ++record.m_digests_differed;
+  const bool has_nothing =
+      local.m_config_version == 0 && heartbeat.config_version() > 0;
+  if (has_nothing || record.m_digests_differed >= kDigestsBeforeRepair) {
+    BeginRepair(from);
+  }
+}
+
+void PeerNetwork::Impl::OnInFlight(const std::string& peer,
+                                   const proto::Heartbeat& heartbeat) {
+  if (!heartbeat.has_in_flight() || !m_hooks.m_on_in_flight) {
+    return;
+  }
+  CountsByService& old_counts = m_records[peer].m_in_flight;
+  CountsByService counts = m_targets.Read(heartbeat);
+  for (const auto& [service, targets] : old_counts) {
+    if (!counts.contains(service)) {
+      m_hooks.m_on_in_flight(peer, service, {});
+    }
+  }
+  for (const auto& [service, targets] : counts) {
+    const auto found = old_counts.find(service);
+    if (found == old_counts.end() || found->second != targets) {
+      m_hooks.m_on_in_flight(peer, service, targets);
+    }
+  }
+  old_counts = std::move(counts);
+}
+
+void PeerNetwork::Impl::OnNews(const InstanceId& from,
+                               const proto::News& news) {
+  for (const proto::Drain& notice : news.drains()) {
+    if (m_hooks.m_on_drain) {
+      m_hooks.m_on_drain(ToDrain(notice));
+    }
+  }
+  for (const proto::Quarantine& notice : news.quarantines()) {
+    if (m_hooks.m_on_quarantine) {
+      m_hooks.m_on_quarantine(ToQuarantine(notice));
+    }
+  }
+  for (const proto::Suspect& notice : news.suspects()) {
+    if (m_hooks.m_on_suspect) {
+      m_hooks.m_on_suspect(ToSuspect(notice));
+    }
+  }
+  if (news.sections_size() > 0 && m_hooks.m_on_sections) {
+    std::vector<SectionState> sections;
+    for (const proto::Section& section : news.sections()) {
+      sections.push_back(ToSection(section));
+    }
+    m_hooks.m_on_sections(sections);
+    m_local.reset();
+  }
+  if (news.leaving()) {
+    m_table.HearRumor({.m_id = from, .m_leaving = true},
+                      m_options.m_clock.m_now());
+    OnMembersChanged();
+  }
+}
+
+void PeerNetwork::Impl::BeginRepair(const InstanceId& peer) {
+  if (m_repairing) {
+    return;
+  }
+  m_repairing = true;
+  m_repair_is_first = !m_hooks.m_sections || m_hooks.m_sections().empty();
+  FetchPage(peer, "");
+}
+
+void PeerNetwork::Impl::FetchPage(const InstanceId& peer,
+                                  const std::string& after) {
+  const auto member = FindMember(peer);
+  if (!member) {
+    m_repairing = false;
+    return;
+  }
+  std::vector<SectionState> sections;
+  if (m_hooks.m_sections) {
+    sections = m_hooks.m_sections();
+  }
+  const std::size_t available = m_budget.Available(m_options.m_clock.m_now());
+  if (!m_repair_is_first && available < kSmallestPageBytes) {
+    const double missing = static_cast<double>(kSmallestPageBytes - available);
+    m_repair_timer = m_options.m_clock.m_call_after(
+        FromSeconds(missing / m_options.m_repair_bytes_per_second),
+        [this, peer, after] { FetchPage(peer, after); });
+    return;
+  }
+  proto::PeerRequest request;
+  proto::SectionsRequest* wanted = request.mutable_sections();
+  for (const std::uint64_t digest : BucketDigests(sections)) {
+    wanted->add_bucket_digests(digest);
+  }
+  wanted->set_after(after);
+  wanted->set_max_bytes(static_cast<std::uint32_t>(
+      m_repair_is_first ? kPageBytes : std::min(available, kPageBytes)));
+  Send(*member, 0, std::move(request),
+       [this, peer](const std::optional<proto::PeerReply>& reply) {
+         OnPage(peer, reply);
+       });
+}
+
+void PeerNetwork::Impl::OnPage(const InstanceId& peer,
+                               const std::optional<proto::PeerReply>& reply) {
+  if (!reply || !reply->has_sections()) {
+    m_repairing = false;
+    return;
+  }
+  const proto::SectionsReply& page = reply->sections();
+  const std::size_t bytes = page.ByteSizeLong();
+  m_metrics.CountRepairedBytes(bytes);
+  std::vector<SectionState> sections;
+  for (const proto::Section& section : page.sections()) {
+    sections.push_back(ToSection(section));
+  }
+  m_budget.Charge(bytes);
+  if (m_hooks.m_on_sections) {
+    m_hooks.m_on_sections(sections);
+  }
+  m_local.reset();
+  if (page.more()) {
+    FetchPage(peer, page.last_name());
+  } else {
+    m_repairing = false;
+  }
+}
+
+}  // namespace guavacross::peers
--- /dev/null
+++ b/src/peers/member_table.cc
@@ -0,0 +1,247 @@
+#include "peers/member_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavacross::peers {
+
+namespace {
+
+// A pause of this instance that is longer than this share of the time to
+// suspicion says nothing about the others.
+constexpr int kPauseShare = 2;
+
+// The entry after the one named `last`, going round.
+template <class Map>
+auto NextRound(Map& entries, const std::string& last) {
+  const auto next = entries.upper_bound(last);
+  return next == entries.end() ? entries.begin() : next;
+}
+
+}  // namespace
+
+MemberTable::MemberTable(MemberTableOptions options)
+    : m_options(std::move(options)) {}
+
+// Intervals until each member has had its turn.
+int MemberTable::Rounds() const {
+  const int members = static_cast<int>(m_entries.size());
+  return std::max(1, (members + m_options.m_fanout - 1) / m_options.m_fanout);
+}
+
+Duration MemberTable::SuspectAfter() const {
+  return m_options.m_suspect_after * Rounds();
+}
+
+Duration MemberTable::DeadAfter() const {
+  return m_options.m_dead_after * Rounds();
+}
+
+void MemberTable::SetListed(const std::vector<ListedInstance>& listed,
+                            TimePoint now) {
+  for (auto& [name, entry] : m_entries) {
+    entry.m_listed = false;
+  }
+  for (const ListedInstance& instance : listed) {
+    if (instance.m_name == m_options.m_self) {
+      continue;
+    }
+    Entry& entry = EntryFor(instance.m_name, now);
+    entry.m_listed = true;
+    if (entry.m_has_evidence && entry.m_member.m_state != MemberState::kDead) {
+      // Its own word about its addresses is newer than the list.
+      continue;
+    }
+    entry.m_member.m_region = instance.m_region;
+    entry.m_member.m_zone = instance.m_zone;
+    entry.m_member.m_callers = instance.m_callers;
+    entry.m_member.m_peers = instance.m_peers;
+  }
+}
+
+MemberTable::Entry& MemberTable::EntryFor(const std::string& name,
+                                          TimePoint now) {
+  const auto [it, is_new] = m_entries.try_emplace(name);
+  Entry& entry = it->second;
+  if (is_new) {
+    entry.m_member.m_id.m_name = name;
+    // It may be running: it counts until the time to be heard of is over.
+    entry.m_member.m_state = MemberState::kSuspect;
+    entry.m_evidence = now;
+  }
+  return entry;
+}
+
+bool MemberTable::Hear(const Member& member, TimePoint now) {
+  if (member.m_id.m_name == m_options.m_self) {
+    return false;
+  }
+  Entry& entry = EntryFor(member.m_id.m_name, now);
+  if (member.m_id.m_incarnation < entry.m_member.m_id.m_incarnation) {
+    return false;
+  }
+  const bool is_leaving = member.m_state == MemberState::kLeaving;
+  const bool was_leaving = entry.m_member.m_state == MemberState::kLeaving;
+  const bool is_same = entry.m_member.m_id == member.m_id;
+  const MemberState old_state = entry.m_member.m_state;
+  entry.m_member = member;
+  entry.m_member.m_state = old_state;
+  // A message that was overtaken doesn't take back a leave.
+  const MemberState state = is_leaving || (was_leaving && is_same)
+                                ? MemberState::kLeaving
+                                : MemberState::kLive;
+  if (!is_same) {
+    entry.m_member.m_state = MemberState::kSuspect;
+  }
+  Revive(&entry, state, now);
+  return true;
+}
+
+void MemberTable::Revive(Entry* entry, MemberState state, TimePoint evidence) {
+  entry->m_has_evidence = true;
+  entry->m_evidence = std::max(entry->m_evidence, evidence);
+  SetState(entry, state);
+}
+
+void MemberTable::SetState(Entry* entry, MemberState state) {
+  if (entry->m_member.m_state != state) {
+    entry->m_member.m_state = state;
+    m_changes.push_back({.m_id = entry->m_member.m_id, .m_state = state});
+  }
+}
+
+void MemberTable::HearRumor(const Rumor& rumor, TimePoint now) {
+  const bool is_stale = rumor.m_age >= SuspectAfter();
+  if (rumor.m_id.m_name == m_options.m_self || is_stale) {
+    return;
+  }
+  Entry& entry = EntryFor(rumor.m_id.m_name, now);
+  if (rumor.m_id.m_incarnation < entry.m_member.m_id.m_incarnation) {
+    return;
+  }
+  const bool is_same = entry.m_member.m_id == rumor.m_id;
+  if (!is_same) {
+    entry.m_member.m_id = rumor.m_id;
+    entry.m_member.m_peers = rumor.m_peers;
+    entry.m_member.m_state = MemberState::kSuspect;
+  }
+  const bool was_leaving = entry.m_member.m_state == MemberState::kLeaving;
+  Revive(&entry,
+         rumor.m_leaving || was_leaving ? MemberState::kLeaving
+                                        : MemberState::kLive,
+         now - rumor.m_age);
+}
+
+void MemberTable::Tick(TimePoint now) {
+  const Duration since_tick = m_has_ticked ? now - m_last_tick : Duration();
+  m_has_ticked = true;
+  m_last_tick = now;
+  if (since_tick > SuspectAfter() / kPauseShare) {
+    // This instance was paused; the others get the time once more.
+    for (auto& [name, entry] : m_entries) {
+      entry.m_evidence = std::min(entry.m_evidence + since_tick, now);
+    }
+  }
+  for (auto it = m_entries.begin(); it != m_entries.end();) {
+    Entry& entry = it->second;
+    const MemberState state = StateWithout(entry, now);
+    if (state == MemberState::kDead &&
+        entry.m_member.m_state != MemberState::kDead) {
+      entry.m_died = now;
+    }
+    SetState(&entry, state);
+    const bool is_over = state == MemberState::kDead && !entry.m_listed &&
+                         now - entry.m_died >= m_options.m_forget_after;
+    it = is_over ? m_entries.erase(it) : std::next(it);
+  }
+}
+
+MemberState MemberTable::StateWithout(const Entry& entry, TimePoint now) const {
+  const Duration silence = now - entry.m_evidence;
+  const MemberState state = entry.m_member.m_state;
+  if (state == MemberState::kDead || silence >= SuspectAfter() + DeadAfter()) {
+    return MemberState::kDead;
+  }
+  if (silence >= SuspectAfter() && state == MemberState::kLive) {
+    return MemberState::kSuspect;
+  }
+  return state;
+}
+
+std::vector<MemberChange> MemberTable::TakeChanges() {
+  return std::exchange(m_changes, {});
+}
+
+std::vector<Member> MemberTable::Members() const {
+  std::vector<Member> members;
+  members.reserve(m_entries.size());
+  for (const auto& [name, entry] : m_entries) {
+    members.push_back(entry.m_member);
+  }
+  return members;
+}
+
+int MemberTable::LiveCount() const {
+  return static_cast<int>(
+      std::count_if(m_entries.begin(), m_entries.end(), [](const auto& item) {
+        return item.second.m_member.m_state != MemberState::kDead;
+      }));
+}
+
+std::vector<std::string> MemberTable::Suspects() const {
+  std::vector<std::string> names;
+  for (const auto& [name, entry] : m_entries) {
+    if (entry.m_member.m_state == MemberState::kSuspect) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+Rumor MemberTable::RumorOf(const Entry& entry, TimePoint now) const {
+  return {.m_id = entry.m_member.m_id,
+          .m_age = now - entry.m_evidence,
+          .m_leaving = entry.m_member.m_state == MemberState::kLeaving,
+          .m_peers = entry.m_member.m_peers};
+}
+
+std::vector<Rumor> MemberTable::RumorsOf(const std::vector<std::string>& names,
+                                         TimePoint now) const {
+  std::vector<Rumor> rumors;
+  for (const std::string& name : names) {
+    const auto found = m_entries.find(name);
+    if (found != m_entries.end() && found->second.m_has_evidence) {
+      rumors.push_back(RumorOf(found->second, now));
+    }
+  }
+  return rumors;
+}
+
+std::vector<Member> MemberTable::TakeTurns(std::size_t count) {
+  std::vector<Member> turns;
+  for (std::size_t i = 0; i < m_entries.size() && turns.size() < count; ++i) {
+    const auto next = NextRound(m_entries, m_last_turn);
+    m_last_turn = next->first;
+    const Entry& entry = next->second;
+    if (entry.m_member.m_state != MemberState::kDead || entry.m_listed) {
+      turns.push_back(entry.m_member);
+    }
+  }
+  return turns;
+}
+
+std::vector<Rumor> MemberTable::TakeRumors(std::size_t count, TimePoint now) {
+  std::vector<Rumor> rumors;
+  for (std::size_t i = 0; i < m_entries.size() && rumors.size() < count; ++i) {
+    const auto next = NextRound(m_entries, m_last_rumor);
+    m_last_rumor = next->first;
+    const Entry& entry = next->second;
+    const bool is_fresh = now - entry.m_evidence < SuspectAfter();
+    if (entry.m_has_evidence && is_fresh) {
+      rumors.push_back(RumorOf(entry, now));
+    }
+  }
+  return rumors;
+}
+
+}  // namespace guavacross::peers
--- /dev/null
+++ b/src/peers/member_table_test.cc
@@ -0,0 +1,209 @@
+#include "peers/member_table.h"
+
+#include <rapidcheck.h>
+
+#include "util/story_test.h"
+
+namespace guavacross::peers {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using util::Section;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+MemberTableOptions Options() {
+  return {.m_self = "self",
+          .m_suspect_after = seconds(2),
+          .m_dead_after = seconds(3),
+          .m_forget_after = seconds(60)};
+}
+
+Member Live(const std::string& name, std::uint64_t incarnation) {
+  return {.m_id = {.m_name = name, .m_incarnation = incarnation}};
+}
+
+ListedInstance Listed(const std::string& name) {
+  return {.m_name = name, .m_zone = "a", .m_peers = {"127.0.0.1", 7}};
+}
+
+MemberState StateOf(const MemberTable& table, const std::string& name) {
+  for (const Member& member : table.Members()) {
+    if (member.m_id.m_name == name) {
+      return member.m_state;
+    }
+  }
+  CPPUNIT_FAIL("no member " + name);
+  return MemberState::kDead;
+}
+
+// Lets time pass in steps shorter than what counts as a pause.
+void Pass(MemberTable* table, TimePoint* now, Duration duration) {
+  for (Duration passed{}; passed < duration; passed += milliseconds(500)) {
+    *now += milliseconds(500);
+    table->Tick(*now);
+  }
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(MemberStates) {
+  MemberTable table(Options());
+  TimePoint now = kStart;
+  table.Tick(now);
+  Section("a listed instance counts before it is heard of", [&] {
+    table.SetListed({Listed("a"), Listed("self")}, now);
+    CPPUNIT_ASSERT_EQUAL(1, table.LiveCount());
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kSuspect);
+  });
+  Section("a message shows it live", [&] {
+    CPPUNIT_ASSERT(table.Hear(Live("a", 5), now));
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kLive);
+  });
+  Section("silence makes it suspect, then dead", [&] {
+    Pass(&table, &now, seconds(2));
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kSuspect);
+    CPPUNIT_ASSERT_EQUAL(1, table.LiveCount());
+    Pass(&table, &now, seconds(3));
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kDead);
+    CPPUNIT_ASSERT_EQUAL(0, table.LiveCount());
+  });
+  Section("a message brings it back", [&] {
+    CPPUNIT_ASSERT(table.Hear(Live("a", 5), now));
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kLive);
+  });
+  Section("second-hand evidence keeps it from being suspected", [&] {
+    Pass(&table, &now, milliseconds(1500));
+    table.HearRumor(
+        {.m_id = {.m_name = "a", .m_incarnation = 5}, .m_age = milliseconds(1)},
+        now);
+    Pass(&table, &now, milliseconds(1500));
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kLive);
+  });
+  Section("an older incarnation's message changes nothing", [&] {
+    CPPUNIT_ASSERT(!table.Hear(Live("a", 4), now));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
+                         table.Members()[0].m_id.m_incarnation);
+  });
+  Section("leaving is kept until a new incarnation comes", [&] {
+    Member leaving = Live("a", 5);
+    leaving.m_state = MemberState::kLeaving;
+    table.Hear(leaving, now);
+    table.Hear(Live("a", 5), now);
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kLeaving);
+    table.Hear(Live("a", 6), now);
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kLive);
+  });
+}
+
+GUAVACROSS_STORY(MemberTableAndTheInstanceList) {
+  MemberTable table(Options());
+  TimePoint now = kStart;
+  table.Tick(now);
+  table.SetListed({Listed("a")}, now);
+  table.Hear(Live("a", 1), now);
+  Section("a list that drops a live instance changes nothing", [&] {
+    table.SetListed({}, now);
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kLive);
+  });
+  Section("a list that keeps a dead instance doesn't revive it", [&] {
+    table.SetListed({Listed("a")}, now);
+    Pass(&table, &now, seconds(100));
+    table.SetListed({Listed("a")}, now);
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kDead);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.TakeTurns(5).size());
+  });
+  Section("a dead instance that left the list is forgotten", [&] {
+    table.SetListed({}, now);
+    Pass(&table, &now, seconds(1));
+    CPPUNIT_ASSERT(table.Members().empty());
+  });
+  Section("an instance that the list doesn't show yet counts when heard", [&] {
+    table.Hear(Live("b", 1), now);
+    CPPUNIT_ASSERT_EQUAL(1, table.LiveCount());
+  });
+}
+
+GUAVACROSS_STORY(MemberTableAfterAPause) {
+  MemberTable table(Options());
+  table.Tick(kStart);
+  table.Hear(Live("a", 1), kStart);
+  Section("this instance's own pause doesn't make others suspect", [&] {
+    TimePoint now = kStart + seconds(60);
+    table.Tick(now);
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kLive);
+    Pass(&table, &now, seconds(5));
+    CPPUNIT_ASSERT(StateOf(table, "a") == MemberState::kDead);
+  });
+}
+
+GUAVACROSS_STORY(MemberTurns) {
+  MemberTable table(Options());
+  for (int i = 0; i < 12; ++i) {
+    table.Hear(Live("m" + std::to_string(i), 1), kStart);
+  }
+  Section("every member gets its turn", [&] {
+    std::map<std::string, int> turns;
+    for (int round = 0; round < 12; ++round) {
+      for (const Member& member : table.TakeTurns(5)) {
+        ++turns[member.m_id.m_name];
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, turns.size());
+    for (const auto& [name, count] : turns) {
+      CPPUNIT_ASSERT_EQUAL(5, count);
+    }
+  });
+  Section("with more members than turns, suspicion takes longer", [&] {
+    TimePoint now = kStart;
+    table.Tick(now);
+    Pass(&table, &now, seconds(5));
+    CPPUNIT_ASSERT(StateOf(table, "m1") == MemberState::kLive);
+    Pass(&table, &now, seconds(1));
+    CPPUNIT_ASSERT(StateOf(table, "m1") == MemberState::kSuspect);
+  });
+}
+
+GUAVACROSS_STORY(MemberTableUnderAnyMessages) {
+  Section("incarnations only rise, and death needs silence", [] {
+    CPPUNIT_ASSERT(rc::check([](const std::vector<std::uint16_t>& steps) {
+      MemberTable table(Options());
+      TimePoint now = kStart;
+      table.Tick(now);
+      std::uint64_t highest = 0;
+      TimePoint heard = kStart;
+      for (const std::uint16_t step : steps) {
+        const std::uint64_t incarnation = 1 + (step >> 4) % 4U;
+        switch (step % 4) {
+          case 0:
+            if (table.Hear(Live("a", incarnation), now)) {
+              highest = std::max(highest, incarnation);
+              heard = now;
+            }
+            break;
+          case 1:
+            table.HearRumor(
+                {.m_id = {.m_name = "a", .m_incarnation = incarnation},
+                 .m_age = milliseconds(step >> 4)},
+                now);
+            break;
+          case 2:
+            table.SetListed({Listed("a")}, now);
+            break;
+          default:
+            now += milliseconds(500);
+            table.Tick(now);
+        }
+        for (const Member& member : table.Members()) {
+          RC_ASSERT(member.m_id.m_incarnation >= highest);
+          const bool is_early = now - heard < seconds(5);
+          RC_ASSERT(!is_early || member.m_state != MemberState::kDead);
+        }
+      }
+    }));
+  });
+}
+
+}  // namespace guavacross::peers
--- /dev/null
+++ b/src/peers/peer_codec.h
@@ -0,0 +1,46 @@
+#ifndef GUAVACROSS_PEERS_PEER_CODEC_H_
+#define GUAVACROSS_PEERS_PEER_CODEC_H_
+
+#include "guavacross/config_state.h"
+#include "guavacross/routing.h"
+#include "ledger/ledger_messages.h"
+#include "peers.pb.h"
+#include "peers/member_table.h"
+
+/// Conversions between the messages on the wire and plain values.
+///
+/// `To...` functions read untrusted messages: those that can be malformed
+/// return false and leave a partly filled value.
+namespace guavacross::peers {
+
+void FromEndpoint(const Endpoint& endpoint, proto::Address* out);
+Endpoint ToEndpoint(const proto::Address& in);
+
+void FromRumor(const Rumor& rumor, proto::Rumor* out);
+Rumor ToRumor(const proto::Rumor& in);
+
+void FromSection(const SectionState& section, proto::Section* out);
+SectionState ToSection(const proto::Section& in);
+
+void FromDrain(const DrainNotice& notice, proto::Drain* out);
+DrainNotice ToDrain(const proto::Drain& in);
+void FromQuarantine(const QuarantineNotice& notice, proto::Quarantine* out);
+QuarantineNotice ToQuarantine(const proto::Quarantine& in);
+void FromSuspect(const SuspectNotice& notice, proto::Suspect* out);
+SuspectNotice ToSuspect(const proto::Suspect& in);
+
+void FromQuestion(const ledger::LedgerQuestion& question, proto::Question* out);
+/// `asker` is the sender of the message.
+bool ToQuestion(const proto::Question& in,
+                const InstanceId& asker,
+                ledger::LedgerQuestion* question);
+void FromReply(const ledger::LedgerReply& reply, proto::Answer* out);
+bool ToReply(const proto::Answer& in, ledger::LedgerReply* reply);
+void FromHandover(const ledger::LedgerHandover& part, proto::Handover* out);
+bool ToHandover(const proto::Handover& in,
+                const InstanceId& from,
+                ledger::LedgerHandover* part);
+
+}  // namespace guavacross::peers
+
+#endif  // GUAVACROSS_PEERS_PEER_CODEC_H_
--- /dev/null
+++ b/src/peers/peer_metrics.h
@@ -0,0 +1,31 @@
+#ifndef GUAVACROSS_PEERS_PEER_METRICS_H_
+#define GUAVACROSS_PEERS_PEER_METRICS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "guavacross/membership.h"
+#include "peers/grpc_transport.h"
+#include "util/metrics.h"
+
+namespace guavacross::peers {
+
+/// The metrics of the connections to other instances.
+class PeerMetrics {
+ public:
+  /// `metrics` may be null: nothing is counted then.
+  explicit PeerMetrics(util::Metrics* metrics);
+
+  void CountRefusal(const std::string& reason);
+  void CountRepairedBytes(std::uint64_t bytes);
+  void Report(const TransportCounts& counts,
+              const std::vector<Member>& members);
+
+ private:
+  util::Metrics* m_metrics;
+};
+
+}  // namespace guavacross::peers
+
+#endif  // GUAVACROSS_PEERS_PEER_METRICS_H_
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -156,7 +156,7 @@
 
  private:
   struct Impl;
-  std::shared_ptr<Impl> m_impl;
+  std::unique_ptr<Impl> m_impl;
 };
 
 }  // namespace guavacross::peers
--- /dev/null
+++ b/src/peers/peer_network_impl.h
@@ -0,0 +1,116 @@
+#ifndef GUAVACROSS_PEERS_PEER_NETWORK_IMPL_H_
+#define GUAVACROSS_PEERS_PEER_NETWORK_IMPL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "peers.pb.h"
+#include "peers/grpc_transport.h"
+#include "peers/in_flight_codec.h"
+#include "peers/member_table.h"
+#include "peers/peer_metrics.h"
+#include "peers/peer_network.h"
+#include "peers/section_repair.h"
+
+namespace guavacross::peers {
+
+/// What stands behind `PeerNetwork`. All functions are for the control thread.
+struct PeerNetwork::Impl {
+  Impl(PeerOptions options, PeerHooks hooks);
+
+  /// What this instance keeps about its exchange with one peer.
+  struct PeerRecord {
+    /// Successive heartbeats with another configuration digest.
+    int m_digests_differed = 0;
+    /// The number of the last recent section sent to it.
+    std::uint64_t m_sent_section = 0;
+    bool m_owes_notices = false;
+    std::optional<TimePoint> m_notices_sent_at;
+    CountsByService m_in_flight;
+  };
+
+  /// A section that has just come in force.
+  struct RecentSection {
+    std::uint64_t m_number = 0;
+    TimePoint m_at;
+    SectionState m_section;
+  };
+
+  // Heartbeats (heartbeat_exchange.cc).
+  void Beat();
+  void SendHeartbeat(const Member& member);
+  void WriteHeartbeat(const std::string& peer, proto::Heartbeat* out);
+  void WriteRumors(proto::Heartbeat* out);
+  void WriteNotices(PeerRecord* record, proto::News* out);
+  void WriteRecentSections(PeerRecord* record, proto::News* out);
+  bool OnHeartbeat(const InstanceId& from, const proto::Heartbeat& heartbeat);
+  void OnInFlight(const std::string& peer, const proto::Heartbeat& heartbeat);
+  void OnNews(const InstanceId& from, const proto::News& news);
+  void CompareDigests(const InstanceId& from,
+                      const proto::Heartbeat& heartbeat);
+  std::uint64_t NoticesDigest() const;
+  const LocalState& Local();
+
+  // Requests and answers (peer_network.cc).
+  void OnRequest(const proto::PeerRequest& request,
+                 std::function<void(const proto::PeerReply&)> respond);
+  void Answer(const proto::PeerRequest& request,
+              const InstanceId& from,
+              proto::PeerReply reply,
+              std::function<void(const proto::PeerReply&)> respond);
+  proto::PeerReply::Refusal Check(const proto::PeerRequest& request) const;
+  void WriteHeader(std::uint64_t to_incarnation, proto::Header* out) const;
+  bool IsTrusted(const proto::PeerReply& reply, const InstanceId& from);
+  /// Sends to a member; `done` gets nothing if there was no good answer.
+  void Send(const Member& member,
+            std::uint64_t to_incarnation,
+            proto::PeerRequest request,
+            std::function<void(std::optional<proto::PeerReply>)> done);
+  void SendNews(const proto::News& news);
+  std::optional<Member> FindMember(const InstanceId& id) const;
+
+  // Anti-entropy (heartbeat_exchange.cc).
+  void BeginRepair(const InstanceId& peer);
+  void FetchPage(const InstanceId& peer, const std::string& after);
+  void OnPage(const InstanceId& peer,
+              const std::optional<proto::PeerReply>& reply);
+
+  // Members.
+  void OnMembersChanged();
+  void PublishMembers();
+
+  PeerOptions m_options;
+  PeerHooks m_hooks;
+  MemberTable m_table;
+  PeerMetrics m_metrics;
+  TargetNames m_targets;
+  RepairBudget m_budget;
+  std::unique_ptr<GrpcTransport> m_transport;
+  std::map<std::string, PeerRecord> m_records;
+  std::deque<RecentSection> m_recent;
+  std::uint64_t m_recent_number = 0;
+  std::optional<LocalState> m_local;
+  bool m_leaving = false;
+  bool m_repairing = false;
+  /// The repair under way began with no sections and isn't slowed down.
+  bool m_repair_is_first = false;
+  bool m_stopped = false;
+  std::unique_ptr<Timer> m_beat_timer;
+  std::unique_ptr<Timer> m_push_timer;
+  std::unique_ptr<Timer> m_repair_timer;
+
+  // Guards the copy of the members that other threads read.
+  mutable std::mutex m_mutex;
+  std::vector<Member> m_members;
+};
+
+}  // namespace guavacross::peers
+
+#endif  // GUAVACROSS_PEERS_PEER_NETWORK_IMPL_H_
--- /dev/null
+++ b/src/peers/peer_network_test.cc
@@ -0,0 +1,399 @@
+#include "peers/peer_network.h"
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+
+#include "peers/grpc_transport.h"
+#include "peers/section_repair.h"
+#include "util/manual_clock.h"
+#include "util/metrics.h"
+#include "util/story_test.h"
+
+namespace guavacross::peers {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using util::Section;
+
+// Bounds a test that waits for something that doesn't come.
+constexpr int kMaxRounds = 20'000;
+
+// The control thread of several networks in one process: runs what gRPC's
+// threads post, and lets manual time pass while nothing is posted.
+class ControlLoop {
+ public:
+  Clock clock() { return m_manual.clock(); }
+
+  std::function<void(std::function<void()>)> poster() {
+    return [this](std::function<void()> call) {
+      const std::lock_guard lock(m_mutex);
+      m_calls.push_back(std::move(call));
+      m_posted.notify_one();
+    };
+  }
+
+  // Runs until `is_done`; fails the test if it never comes.
+  void RunUntil(const std::string& what, const std::function<bool()>& is_done) {
+    for (int round = 0; round < kMaxRounds && !is_done(); ++round) {
+      RunOne();
+    }
+    CPPUNIT_ASSERT_MESSAGE(what, is_done());
+  }
+
+ private:
+  void RunOne() {
+    std::function<void()> call;
+    {
+      std::unique_lock lock(m_mutex);
+      m_posted.wait_for(lock, milliseconds(1),
+                        [this] { return !m_calls.empty(); });
+      if (!m_calls.empty()) {
+        call = std::move(m_calls.front());
+        m_calls.pop_front();
+      }
+    }
+    if (call) {
+      call();
+    } else {
+      m_manual.Advance(milliseconds(5));
+    }
+  }
+
+  util::ManualClock m_manual;
+  std::mutex m_mutex;
+  std::condition_variable m_posted;
+  std::deque<std::function<void()>> m_calls;
+};
+
+// One instance: a network with a small world behind its hooks.
+struct Node {
+  Node(ControlLoop* loop,
+       const std::string& name,
+       std::uint64_t incarnation,
+       const std::string& cluster = "test") {
+    PeerOptions options{
+        .m_self = {.m_name = name, .m_incarnation = incarnation},
+        .m_cluster = cluster,
+        .m_zone = "a",
+        .m_listen = {.m_ip = "127.0.7.1"},
+        .m_clock = loop->clock(),
+        .m_metrics = &m_metrics};
+    PeerHooks hooks;
+    hooks.m_post = loop->poster();
+    hooks.m_local_state = [this] { return m_local; };
+    hooks.m_sections = [this] { return m_sections; };
+    hooks.m_drains = [this] { return m_drains; };
+    hooks.m_on_sections = [this](const std::vector<SectionState>& sections) {
+      Merge(sections);
+    };
+    hooks.m_on_drain = [this](const DrainNotice& notice) {
+      if (std::find(m_drains.begin(), m_drains.end(), notice) ==
+          m_drains.end()) {
+        m_drains.push_back(notice);
+      }
+    };
+    hooks.m_on_in_flight = [this](const auto& peer, const auto& service,
+                                  const auto& counts) {
+      m_in_flight = peer + "/" + service;
+      for (const auto& [target, count] : counts) {
+        m_in_flight += "/" + target + "=" + std::to_string(count);
+      }
+    };
+    hooks.m_answer_ledger =
+        [](const ledger::LedgerQuestion& question,
+           const std::function<void(ledger::LedgerReply)>& reply) {
+          reply({.m_status = ledger::LedgerReply::Status::kDone,
+                 .m_attempt = question.m_attempt,
+                 .m_answer = {.m_status = 201,
+                              .m_headers = {{"A", "b"}},
+                              .m_body = question.m_asker.m_name}});
+        };
+    hooks.m_take_handover = [this](const ledger::LedgerHandover& part) {
+      m_handed = part;
+      return true;
+    };
+    m_network = std::make_unique<PeerNetwork>(options, hooks);
+    CPPUNIT_ASSERT(m_network->Start());
+  }
+
+  void Merge(const std::vector<SectionState>& sections) {
+    for (const SectionState& section : sections) {
+      const auto found = std::find_if(
+          m_sections.begin(), m_sections.end(), [&](const SectionState& known) {
+            return known.m_section == section.m_section;
+          });
+      if (found == m_sections.end()) {
+        m_sections.push_back(section);
+      } else if (found->m_version < section.m_version) {
+        *found = section;
+      }
+    }
+    m_local.m_config_digest = 0;
+    for (const SectionState& section : m_sections) {
+      m_local.m_config_digest += section.m_version * 1'000'003;
+      m_local.m_config_version =
+          std::max(m_local.m_config_version, section.m_version);
+    }
+  }
+
+  void Knows(const Node& other, const std::string& name) const {
+    ListedInstance listed;
+    listed.m_name = name;
+    listed.m_peers = other.m_network->listen_address();
+    m_network->SetListed({listed});
+  }
+
+  std::optional<Member> Sees(const std::string& name) const {
+    for (const Member& member : m_network->Members()) {
+      if (member.m_id.m_name == name) {
+        return member;
+      }
+    }
+    return std::nullopt;
+  }
+
+  bool SeesLive(const std::string& name) const {
+    const auto member = Sees(name);
+    return member && member->m_state == MemberState::kLive;
+  }
+
+  util::Metrics m_metrics;
+  LocalState m_local;
+  std::vector<SectionState> m_sections;
+  std::vector<DrainNotice> m_drains;
+  std::string m_in_flight;
+  ledger::LedgerHandover m_handed;
+  std::unique_ptr<PeerNetwork> m_network;
+};
+
+SectionState MakeSection(const std::string& name, std::uint64_t version) {
+  return {.m_section = name,
+          .m_team = "t",
+          .m_version = version,
+          .m_toml = "x = 1\n",
+          .m_schema = 1};
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(PeersMeet) {
+  ControlLoop loop;
+  Node a(&loop, "a", 1);
+  Node b(&loop, "b", 1);
+  Section("one listed address is enough for both to see each other", [&] {
+    a.Knows(b, "b");
+    loop.RunUntil("a and b see each other",
+                  [&] { return a.SeesLive("b") && b.SeesLive("a"); });
+    CPPUNIT_ASSERT_EQUAL(2, a.m_network->LiveCount());
+  });
+  Section("a drain reaches the peer", [&] {
+    const DrainNotice notice{.m_service = "catalog", .m_target = "t1"};
+    a.m_drains.push_back(notice);
+    a.m_network->PushDrain(notice);
+    loop.RunUntil("b knows the drain", [&] { return b.m_drains.size() == 1; });
+  });
+  Section("a drain that was never pushed is found by digest", [&] {
+    b.m_drains.push_back({.m_service = "archive", .m_target = "t2"});
+    loop.RunUntil("a knows b's drain", [&] { return a.m_drains.size() == 2; });
+  });
+  Section("a section in force on one comes in force on the other", [&] {
+    a.Merge({MakeSection("catalog", 7)});
+    a.m_network->PushSections({MakeSection("catalog", 7)});
+    loop.RunUntil("b has the section",
+                  [&] { return b.m_sections.size() == 1; });
+  });
+  Section("an older version doesn't replace a newer one", [&] {
+    b.Merge({MakeSection("catalog", 9)});
+    loop.RunUntil("a has the newer version",
+                  [&] { return a.m_sections[0].m_version == 9; });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, b.m_sections[0].m_version);
+  });
+  Section("in-flight counts arrive by name", [&] {
+    b.m_network->SetTargets("catalog", {"t1", "t2"});
+    a.m_local.m_in_flight = {{"catalog", {{"t2", 3}}}};
+    loop.RunUntil("b hears a's counts",
+                  [&] { return b.m_in_flight == "a/catalog/t2=3"; });
+    a.m_local.m_in_flight.clear();
+    loop.RunUntil("b hears that they are gone",
+                  [&] { return b.m_in_flight == "a/catalog"; });
+  });
+  Section("a question to the ledger is answered", [&] {
+    std::optional<ledger::LedgerReply> reply;
+    a.m_network->AskLedger({.m_name = "b", .m_incarnation = 1},
+                           {.m_attempt = 4},
+                           [&](const ledger::LedgerReply& r) { reply = r; });
+    loop.RunUntil("the answer comes", [&] { return reply.has_value(); });
+    CPPUNIT_ASSERT(reply->m_status == ledger::LedgerReply::Status::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), reply->m_answer.m_body);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{4}, reply->m_attempt);
+  });
+  Section("a question to another incarnation has no answer", [&] {
+    std::optional<ledger::LedgerReply> reply;
+    a.m_network->AskLedger({.m_name = "b", .m_incarnation = 2}, {},
+                           [&](const ledger::LedgerReply& r) { reply = r; });
+    loop.RunUntil("the answer comes", [&] { return reply.has_value(); });
+    CPPUNIT_ASSERT(reply->m_status ==
+                   ledger::LedgerReply::Status::kUnreachable);
+  });
+  Section("a handover arrives as it was sent", [&] {
+    ledger::HandedClaim given;
+    given.m_key = {.m_high = 1, .m_low = 2};
+    given.m_attempt = 3;
+    given.m_minted = true;
+    given.m_given_to = InstanceId{.m_name = "c", .m_incarnation = 8};
+    ledger::HandedClaim done;
+    done.m_key = {.m_high = 4, .m_low = 5};
+    done.m_end.m_outcome = Outcome::kDone;
+    done.m_end.m_answer.m_status = 200;
+    done.m_end.m_answer.m_headers = {{"X", "y"}};
+    done.m_end.m_answer.m_body = "z";
+    ledger::LedgerHandover part;
+    part.m_from = {.m_name = "a", .m_incarnation = 1};
+    part.m_claims = {given, done};
+    part.m_last = true;
+    part.m_minters = {part.m_from};
+    part.m_ages_ms = {17};
+    bool taken = false;
+    a.m_network->HandOver({.m_name = "b", .m_incarnation = 1}, part,
+                          [&](bool was_taken) { taken = was_taken; });
+    loop.RunUntil("it is taken", [&] { return taken; });
+    CPPUNIT_ASSERT(b.m_handed == part);
+  });
+  Section("leaving is told at once", [&] {
+    a.m_network->AnnounceLeaving();
+    loop.RunUntil("b sees a leaving", [&] {
+      return b.Sees("a")->m_state == MemberState::kLeaving;
+    });
+  });
+  Section("an instance that ended becomes dead", [&] {
+    a.m_network->Stop();
+    loop.RunUntil("b sees a dead",
+                  [&] { return b.Sees("a")->m_state == MemberState::kDead; });
+    CPPUNIT_ASSERT_EQUAL(1, b.m_network->LiveCount());
+  });
+}
+
+GUAVACROSS_STORY(PeersGossip) {
+  ControlLoop loop;
+  Node a(&loop, "a", 1);
+  Node b(&loop, "b", 1);
+  Node c(&loop, "c", 1);
+  Section("a first fetch brings all sections, in pages", [&] {
+    std::vector<SectionState> sections;
+    for (std::uint64_t i = 1; i <= 3000; ++i) {
+      sections.push_back(MakeSection("s" + std::to_string(i), i));
+      sections.back().m_toml = std::string(300, 'x');
+    }
+    a.Merge(sections);
+    b.Knows(a, "a");
+    loop.RunUntil("b has all sections",
+                  [&] { return b.m_sections.size() == 3000; });
+  });
+  Section("an instance that the list doesn't show is heard of anyway", [&] {
+    c.Knows(a, "a");
+    loop.RunUntil("a sees c", [&] { return a.SeesLive("c"); });
+  });
+}
+
+GUAVACROSS_STORY(PeersRefuse) {
+  ControlLoop loop;
+  Node a(&loop, "a", 5);
+  Section("an instance of another cluster", [&] {
+    Node stranger(&loop, "x", 1, "other");
+    stranger.Knows(a, "a");
+    loop.RunUntil("the refusal is counted", [&] {
+      return a.m_metrics.Text().find("reason=\"incompatible\"") !=
+             std::string::npos;
+    });
+    CPPUNIT_ASSERT(!a.Sees("x"));
+    CPPUNIT_ASSERT(!stranger.SeesLive("a"));
+  });
+  GrpcTransport raw({.m_listen = {.m_ip = "127.0.7.2"}},
+                    {.m_post = loop.poster(), .m_on_request = {}});
+  CPPUNIT_ASSERT(raw.Start());
+  const auto ask = [&](const proto::PeerRequest& request) {
+    std::optional<std::optional<proto::PeerReply>> reply;
+    raw.Call(a.m_network->listen_address(), request, seconds(5),
+             [&](std::optional<proto::PeerReply> r) { reply = std::move(r); });
+    loop.RunUntil("an answer", [&] { return reply.has_value(); });
+    return *reply;
+  };
+  proto::PeerRequest request;
+  request.mutable_header()->set_version(1);
+  request.mutable_header()->set_cluster("test");
+  request.mutable_header()->set_from("raw");
+  request.mutable_header()->set_from_incarnation(3);
+  Section("a message without a body", [&] {
+    CPPUNIT_ASSERT(ask(request)->refusal() == proto::PeerReply::BAD_MESSAGE);
+  });
+  Section("a protocol version from the future", [&] {
+    proto::PeerRequest newer = request;
+    newer.mutable_header()->set_version(2);
+    newer.mutable_news();
+    CPPUNIT_ASSERT(ask(newer)->refusal() == proto::PeerReply::INCOMPATIBLE);
+  });
+  Section("counts that don't match their targets", [&] {
+    proto::PeerRequest bad = request;
+    bad.mutable_heartbeat()->add_in_flight(1);
+    CPPUNIT_ASSERT(ask(bad)->refusal() == proto::PeerReply::BAD_MESSAGE);
+  });
+  Section("a question that isn't one", [&] {
+    proto::PeerRequest bad = request;
+    bad.mutable_question()->set_kind(99);
+    CPPUNIT_ASSERT(ask(bad)->refusal() == proto::PeerReply::BAD_MESSAGE);
+  });
+  Section("a message that is too large", [&] {
+    proto::PeerRequest large = request;
+    large.mutable_news()->add_sections()->set_toml(std::string(1 << 20, 'x'));
+    CPPUNIT_ASSERT(!ask(large).has_value());
+  });
+  Section("and none of them left a trace",
+          [&] { CPPUNIT_ASSERT(!a.Sees("raw") && a.m_sections.empty()); });
+}
+
+GUAVACROSS_STORY(SectionRepairPages) {
+  std::vector<SectionState> sections;
+  for (int i = 0; i < 50; ++i) {
+    sections.push_back(MakeSection("s" + std::to_string(i), 1));
+  }
+  Section("equal sections need none", [&] {
+    proto::SectionsRequest request;
+    for (const std::uint64_t digest : BucketDigests(sections)) {
+      request.add_bucket_digests(digest);
+    }
+    proto::SectionsReply reply;
+    AnswerSections(request, sections, 1 << 20, &reply);
+    CPPUNIT_ASSERT_EQUAL(0, reply.sections_size());
+  });
+  Section("pages add up to all sections", [&] {
+    proto::SectionsRequest request;
+    int count = 0;
+    bool more = true;
+    while (more) {
+      proto::SectionsReply reply;
+      AnswerSections(request, sections, 100, &reply);
+      CPPUNIT_ASSERT(reply.sections_size() > 0);
+      count += reply.sections_size();
+      request.set_after(reply.last_name());
+      more = reply.more();
+    }
+    CPPUNIT_ASSERT_EQUAL(50, count);
+  });
+  Section("the budget refills at its rate and no further than its burst", [] {
+    RepairBudget budget(100, 1000);
+    const TimePoint start{std::chrono::hours(1)};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, budget.Available(start));
+    budget.Charge(1500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, budget.Available(start + seconds(5)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100},
+                         budget.Available(start + seconds(6)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1000},
+                         budget.Available(start + seconds(600)));
+  });
+}
+
+}  // namespace guavacross::peers
