--- a/src/include/guavacross/settings.h
+++ b/src/include/guavacross/settings.h
@@ -1,6 +1,7 @@
 #ifndef GUAVACROSS_SETTINGS_H_
 #define GUAVACROSS_SETTINGS_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   std::string m_log_level = "info";
   /// How targets are picked; all but the first are baselines to compare with.
   ChoicePolicy m_choice_policy = ChoicePolicy::kGuavacross;
+  /// Parts of the policy that are switched off, for measurements only.
+  std::set<Mechanism> m_disabled_mechanisms;
 
   bool operator==(const InstanceSettings&) const = default;
 };
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -129,6 +129,7 @@
   RouterOptions options;
   options.m_zone = m_settings.m_zone;
   options.m_policy = m_settings.m_choice_policy;
+  options.m_disabled = m_settings.m_disabled_mechanisms;
   options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
   options.m_clock = m_clock;
   m_router = std::make_unique<Router>(std::move(options), std::move(hooks));
--- a/src/util/settings.cc
+++ b/src/util/settings.cc
@@ -57,6 +57,33 @@
                  "must be guavacross, random, round-robin or least-in-flight");
 }
 
+void ReadDisabledMechanisms(util::TomlReader* reader,
+                            std::set<Mechanism>* disabled) {
+  constexpr std::array<std::pair<std::string_view, Mechanism>, 10> kMechanisms =
+      {{{"readings", Mechanism::kReadings},
+        {"slowness", Mechanism::kSlowness},
+        {"zone-preference", Mechanism::kZonePreference},
+        {"slow-start", Mechanism::kSlowStart},
+        {"slot-shares", Mechanism::kSlotShares},
+        {"hedging", Mechanism::kHedging},
+        {"ejection", Mechanism::kEjection},
+        {"fair-queue", Mechanism::kFairQueue},
+        {"early-refusal", Mechanism::kEarlyRefusal},
+        {"probes", Mechanism::kProbes}}};
+  std::vector<std::string> names;
+  reader->ReadStrings("disabled_mechanisms", util::Presence::kOptional, &names);
+  for (const std::string& name : names) {
+    const auto* const found = std::find_if(
+        kMechanisms.begin(), kMechanisms.end(),
+        [&name](const auto& entry) { return entry.first == name; });
+    if (found == kMechanisms.end()) {
+      reader->FailAt("disabled_mechanisms", "unknown mechanism " + name);
+    } else {
+      disabled->insert(found->second);
+    }
+  }
+}
+
 }  // namespace
 
 Result<InstanceSettings> ParseSettings(
@@ -91,6 +118,7 @@
     reader.FailAt("log_level", "must be debug, info, warn or error");
   }
   ReadChoicePolicy(&reader, &settings.m_choice_policy);
+  ReadDisabledMechanisms(&reader, &settings.m_disabled_mechanisms);
   BOOST_LEAF_CHECK(reader.Finish());
   return settings;
 }
