--- a/src/include/guavacross/settings.h
+++ b/src/include/guavacross/settings.h
@@ -37,6 +37,9 @@
   Duration m_address_lifetime = std::chrono::seconds(5);
   /// Longest graceful shutdown; zero means no bound.
   Duration m_shutdown_limit = Duration::zero();
+  /// How long the platform's log service keeps a record, at the least. A
+  /// snapshot of the configuration is renewed four times in this time.
+  Duration m_log_retention = std::chrono::hours(1);
   std::string m_log_level = "info";
   /// How targets are picked; all but the first are baselines to compare with.
   ChoicePolicy m_choice_policy = ChoicePolicy::kGuavacross;
--- a/src/util/settings.cc
+++ b/src/util/settings.cc
@@ -112,6 +112,9 @@
                           600000, &settings.m_address_lifetime);
   reader.ReadMilliseconds("shutdown_limit_ms", Presence::kOptional, 0, 86400000,
                           &settings.m_shutdown_limit);
+  reader.ReadMilliseconds("log_retention_ms", Presence::kOptional, 1000,
+                          std::int64_t{366} * 86400000,
+                          &settings.m_log_retention);
   reader.ReadString("log_level", Presence::kOptional, &settings.m_log_level);
   if (std::find(kLogLevels.begin(), kLogLevels.end(), settings.m_log_level) ==
       kLogLevels.end()) {
