Tell a writer that has seen much buffered when a deferred send takes it all

Small writes from inside of a hook are sent after it. If a writer had paused on what they left buffered and that send took everything, nothing resumed it.

--- a/src/net/socket_set.cc
+++ b/src/net/socket_set.cc
@@ -81,10 +81,12 @@
 }
 
 void SocketSet::Flush() {
-  for (Stream* const stream : m_to_flush) {
+  // Flushing may call a hook that writes to another stream.
+  while (!m_to_flush.empty()) {
+    Stream* const stream = m_to_flush.back();
+    m_to_flush.pop_back();
     stream->Flush();
   }
-  m_to_flush.clear();
 }
 
 void SocketSet::ScheduleDeletion() {
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -129,7 +129,8 @@
   const bool blocked = unsent() > 0 && !m_flush_pending;
   if (m_connecting || blocked) {
     m_unsent.append(bytes);
-  } else if (m_set->m_dispatching && bytes.size() < kSmallWriteBytes) {
+  } else if (m_set->m_dispatching &&
+             unsent() + bytes.size() < kSmallWriteBytes) {
     m_unsent.append(bytes);
     if (!std::exchange(m_flush_pending, true)) {
       m_set->FlushLater(this);
@@ -160,6 +161,15 @@
 }
 
 void Stream::Flush() {
+  // A writer that has seen this much buffered may wait to be told.
+  const bool was_much = unsent() >= kSmallWriteBytes;
+  SendBuffered();
+  if (was_much && unsent() == 0 && m_hooks.m_on_drained) {
+    m_hooks.m_on_drained();
+  }
+}
+
+void Stream::SendBuffered() {
   m_flush_pending = false;
   if (unsent() > 0) {
     Send({});
@@ -189,7 +199,7 @@
   }
   m_finish_writing = true;
   if (!m_connecting && (unsent() == 0 || m_flush_pending)) {
-    Flush();
+    SendBuffered();
   }
 }
 
@@ -244,7 +254,7 @@
     return;
   }
   m_connecting = false;
-  Flush();
+  SendBuffered();
   UpdateInterest();
   if (m_hooks.m_on_connected) {
     m_hooks.m_on_connected();
@@ -261,7 +271,7 @@
     return;
   }
   if ((events & EPOLLOUT) != 0 && unsent() > 0) {
-    Flush();
+    SendBuffered();
     if (unsent() == 0 && m_hooks.m_on_drained) {
       m_hooks.m_on_drained();
     }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -99,6 +99,8 @@
   void HandleConnected();
   // Sends what is buffered and `more`, which is buffered if need be.
   void Send(std::string_view more);
+  void SendBuffered();
+  // What `SocketSet` calls after an event.
   void Flush();
   void UpdateInterest();
   std::uint32_t Interest() const;
