--- a/src/backends/attempt.h
+++ b/src/backends/attempt.h
@@ -10,6 +10,7 @@
 #include "guavacross/identity.h"
 #include "guavacross/routing.h"
 #include "http/message.h"
+#include "net/stream.h"
 
 namespace guavacross::backends {
 
@@ -37,6 +38,10 @@
   std::function<void(std::string_view)> m_on_body;
   std::function<void()> m_on_end;
   std::function<void(const AttemptFailure&)> m_on_failure;
+  /// Where the body's bytes may be moved to directly, or null. Bytes that have
+  /// been moved are told by `m_on_moved` instead of `m_on_body`.
+  std::function<net::Stream*()> m_move_to;
+  std::function<void()> m_on_moved;
   /// What was buffered of the request's body has been sent.
   std::function<void()> m_on_drained;
 };
--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -1,5 +1,6 @@
 #include "backends/backend_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "backends/backend_pool.h"
@@ -12,6 +13,9 @@
 // A longer rest of a discarded answer isn't worth reading.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} << 10;
 
+// A shorter rest of a body isn't worth moving from socket to socket.
+constexpr std::uint64_t kMinMovedBytes = std::uint64_t{256} << 10;
+
 constexpr int kSwitchingProtocols = 101;
 
 bool IsInterim(int status) {
@@ -76,6 +80,8 @@
   m_reader = http::MessageReader::ForResponse(limits, m_head_request,
                                               std::move(hooks));
   m_interim_head = false;
+  m_body_left = 0;
+  m_moving = false;
 }
 
 void BackendConnection::OnConnected() {
@@ -112,7 +118,38 @@
   m_stream->SetReading(true);
 }
 
+bool BackendConnection::MoveBody() {
+  if (m_body_left < (m_moving ? 1 : kMinMovedBytes) || m_attempt == nullptr ||
+      !m_attempt->m_hooks.m_move_to) {
+    return false;
+  }
+  net::Stream* const to = m_attempt->m_hooks.m_move_to();
+  if (to == nullptr || !to->CanMove()) {
+    return false;
+  }
+  const net::Stream::MoveResult moved =
+      to->MoveFrom(m_stream.get(), m_body_left);
+  if (moved.m_status == net::Stream::ReadStatus::kNothingYet) {
+    return true;
+  }
+  if (moved.m_status != net::Stream::ReadStatus::kBytes) {
+    FailReset("connection closed inside of an answer");
+    return true;
+  }
+  // From here on the reader has not seen all of the answer.
+  m_moving = true;
+  m_body_left -= moved.m_bytes;
+  m_attempt->m_hooks.m_on_moved();
+  if (m_body_left == 0 && !m_retired) {
+    OnComplete(/*surplus=*/m_stream->HasPendingInput());
+  }
+  return true;
+}
+
 void BackendConnection::OnReadable() {
+  if (MoveBody()) {
+    return;
+  }
   const net::Stream::ReadResult read = m_stream->Read(m_pool->m_set->scratch());
   if (m_idle && read.m_status != net::Stream::ReadStatus::kNothingYet) {
     Retire();
@@ -160,6 +197,9 @@
 void BackendConnection::OnHead(const http::ResponseHead& head) {
   m_keep_alive = head.m_keep_alive;
   m_interim_head = IsInterim(head.m_status);
+  if (head.m_framing == http::BodyFraming::kLength && !m_head_request) {
+    m_body_left = head.m_length;
+  }
   if (head.m_status == kSwitchingProtocols) {
     Fail(AttemptEnd::kReset, ErrorKind::kBackendBadAnswer,
          "the backend server switched protocols");
@@ -169,6 +209,7 @@
 }
 
 void BackendConnection::OnBody(std::string_view bytes) {
+  m_body_left -= std::min<std::uint64_t>(m_body_left, bytes.size());
   if (m_attempt != nullptr) {
     m_attempt->m_hooks.m_on_body(bytes);
     return;
--- a/src/backends/backend_connection.h
+++ b/src/backends/backend_connection.h
@@ -2,6 +2,7 @@
 #define GUAVACROSS_BACKENDS_BACKEND_CONNECTION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +56,8 @@
   void OnConnected();
   void OnReadable();
   void OnClosed();
+  // Moves body bytes straight to the caller's connection, if that is possible.
+  bool MoveBody();
   void OnBytes(std::string_view bytes);
   void OnPeerEnd();
   void OnHead(const http::ResponseHead& head);
@@ -73,6 +76,9 @@
   Attempt* m_attempt = nullptr;
   TimePoint m_unattended_since;
   std::size_t m_discarded_bytes = 0;
+  // Of a body of known length.
+  std::uint64_t m_body_left = 0;
+  bool m_moving = false;
   int m_requests = 0;
   bool m_connected = false;
   bool m_idle = false;
--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -230,6 +230,11 @@
     CutShort();
   };
   hooks.m_on_body_wanted = [this] { m_stream->SetReading(true); };
+  hooks.m_raw_stream = [this] {
+    const bool raw = m_answer_framing == http::BodyFraming::kLength &&
+                     !m_head_request && !m_closed;
+    return raw ? m_stream.get() : nullptr;
+  };
   hooks.m_unsent = [this] { return m_stream->unsent(); };
   return hooks;
 }
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -273,6 +273,11 @@
   hooks.m_on_failure = [this, sent](const backends::AttemptFailure& failure) {
     OnFailure(sent, failure);
   };
+  hooks.m_move_to = [this, sent] {
+    const bool plain = sent == m_winner && m_caller_present && !m_claimed;
+    return plain ? m_hooks.m_raw_stream() : nullptr;
+  };
+  hooks.m_on_moved = [this, sent] { PauseIfBuffered(sent, 0); };
   hooks.m_on_drained = [this] { AskForBody(); };
   sent->m_sent_at = now();
   sent->m_attempt =
@@ -401,8 +406,11 @@
     return;
   }
   m_hooks.m_on_body(bytes);
-  if (m_caller_present && !m_reading_paused &&
-      m_hooks.m_unsent() > kMaxBufferedBytes) {
+  PauseIfBuffered(from, kMaxBufferedBytes);
+}
+
+void Exchange::PauseIfBuffered(Try* from, std::size_t limit) {
+  if (m_caller_present && !m_reading_paused && m_hooks.m_unsent() > limit) {
     m_reading_paused = true;
     from->m_attempt->SetReading(false);
   }
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -93,6 +93,8 @@
   bool RetriesServerError(const http::ResponseHead& head);
   void OnWinner(Try* winner, const http::ResponseHead& head);
   void OnAnswerBody(Try* from, std::string_view bytes);
+  // Stops reading the answer while more than `limit` bytes of it are buffered.
+  void PauseIfBuffered(Try* from, std::size_t limit);
   void OnAnswerEnd(Try* from);
   void OnFailure(Try* from, const backends::AttemptFailure& failure);
 
--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -67,6 +67,56 @@
   });
 }
 
+// Large bodies of known length move from socket to socket inside the kernel.
+GUAVACROSS_STORY(LargeDownload) {
+  WorkerFixture fixture;
+  const std::string body(std::size_t{8} << 20, 'd');
+
+  Section("is passed on whole, and both connections stay usable", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/download"));
+    fixture.BackendGot("GET /download ").Send(Reply(body));
+    WaitUntil([&] { return caller.received().size() > body.size(); });
+    RunEvents();
+    const std::string& received = caller.received();
+    CPPUNIT_ASSERT_EQUAL(body, received.substr(received.size() - body.size()));
+    caller.Forget();
+    caller.Send(Get("/small"));
+    fixture.BackendGot("GET /small ").Send(Reply("small one"));
+    WaitUntil([&] { return caller.Received("small one"); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.backend().peers().size());
+  });
+  Section("with bytes after it keeps them from the caller", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/download/surplus"));
+    TestPeer& backend = fixture.BackendGot("GET /download/surplus ");
+    backend.Send(Reply(body) + "surplus");
+    WaitUntil([&] { return backend.gone(); });
+    WaitUntil([&] { return caller.received().size() > body.size(); });
+    RunEvents();
+    CPPUNIT_ASSERT(!caller.Received("surplus"));
+  });
+  Section("that is cut short resets the caller's connection", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/download/cut"));
+    TestPeer& backend = fixture.BackendGot("GET /download/cut ");
+    backend.Send(Reply(body).substr(0, body.size() / 2));
+    WaitUntil([&] { return caller.received().size() >= body.size() / 2; });
+    backend.FinishWriting();
+    WaitUntil([&] { return caller.gone(); });
+    CPPUNIT_ASSERT(caller.reset());
+  });
+  Section("whose caller leaves is cancelled", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/download/left"));
+    TestPeer& backend = fixture.BackendGot("GET /download/left ");
+    backend.Send(Reply(body).substr(0, body.size() / 2));
+    WaitUntil([&] { return caller.received().size() >= body.size() / 2; });
+    caller.Abort();
+    WaitUntil([&] { return backend.gone(); });
+  });
+}
+
 GUAVACROSS_STORY(BytesThatBelongToNobody) {
   WorkerFixture fixture;
   TestPeer& caller = fixture.Caller();
--- a/src/forwarding/request_forwarder.h
+++ b/src/forwarding/request_forwarder.h
@@ -17,6 +17,7 @@
 #include "guavacross/time.h"
 #include "http/message.h"
 #include "net/socket_set.h"
+#include "net/stream.h"
 
 namespace guavacross::forwarding {
 
@@ -47,6 +48,9 @@
   std::function<void()> m_on_abort;
   /// More of the request's body can be taken.
   std::function<void()> m_on_body_wanted;
+  /// The caller's connection, if the answer's body goes there as it is;
+  /// otherwise null.
+  std::function<net::Stream*()> m_raw_stream;
   /// Bytes of the answer that are buffered towards the caller.
   std::function<std::size_t()> m_unsent;
 };
--- a/src/net/socket_set.cc
+++ b/src/net/socket_set.cc
@@ -1,5 +1,6 @@
 #include "net/socket_set.h"
 
+#include <signal.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -18,6 +19,7 @@
 
 constexpr std::size_t kScratchBytes = std::size_t{128} << 10;
 constexpr int kEventsPerBatch = 64;
+constexpr std::size_t kMaxKeptPipes = 4;
 
 }  // namespace
 
@@ -26,6 +28,10 @@
       m_scratch(kScratchBytes),
       m_notifier(
           std::make_unique<QSocketNotifier>(m_epoll, QSocketNotifier::Read)) {
+  sigset_t blocked;
+  sigemptyset(&blocked);
+  sigaddset(&blocked, SIGPIPE);
+  pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
   QObject::connect(m_notifier.get(), &QSocketNotifier::activated,
                    [this] { Dispatch(); });
 }
@@ -100,6 +106,21 @@
   });
 }
 
+std::unique_ptr<Pipe> SocketSet::TakePipe() {
+  if (m_pipes.empty()) {
+    return Pipe::Make();
+  }
+  std::unique_ptr<Pipe> pipe = std::move(m_pipes.back());
+  m_pipes.pop_back();
+  return pipe;
+}
+
+void SocketSet::KeepPipe(std::unique_ptr<Pipe> pipe) {
+  if (m_pipes.size() < kMaxKeptPipes) {
+    m_pipes.push_back(std::move(pipe));
+  }
+}
+
 void SocketSet::DeleteDeferred() {
   // Destroying an object may defer further ones.
   while (!m_deferred.empty()) {
--- a/src/net/socket_set.h
+++ b/src/net/socket_set.h
@@ -6,6 +6,8 @@
 #include <span>
 #include <vector>
 
+#include "net/pipe.h"
+
 class QSocketNotifier;
 
 namespace guavacross::net {
@@ -17,7 +19,8 @@
 /// All sockets sit in one epoll set, whose own descriptor is watched by one
 /// QSocketNotifier: Qt's event loop polls one descriptor however many
 /// connections there are. Make one on each thread that has sockets; it must
-/// outlive its streams. Not thread safe.
+/// outlive its streams. It blocks SIGPIPE on its thread, since moving bytes to
+/// a closed socket raises that signal. Not thread safe.
 class SocketSet {
  public:
   SocketSet();
@@ -57,6 +60,9 @@
   void Flush();
   void ScheduleDeletion();
   void DeleteDeferred();
+  // Takes an empty pipe, or null, and gives it back.
+  std::unique_ptr<Pipe> TakePipe();
+  void KeepPipe(std::unique_ptr<Pipe> pipe);
 
   int m_epoll = -1;
   std::vector<char> m_scratch;
@@ -64,6 +70,7 @@
   // The streams of the batch of events that is being handled.
   std::vector<Stream*> m_batch;
   std::vector<Stream*> m_to_flush;
+  std::vector<std::unique_ptr<Pipe>> m_pipes;
   bool m_dispatching = false;
   bool m_deletion_scheduled = false;
   std::vector<std::unique_ptr<Deferred>> m_deferred;
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -23,6 +23,10 @@
 constexpr int kKeepAliveIntervalSeconds = 5;
 constexpr int kKeepAliveProbes = 3;
 
+// Moves larger than this wait for the next event, so that one connection
+// doesn't keep the others waiting.
+constexpr std::size_t kMaxBytesPerMove = std::size_t{1} << 20;
+
 // A larger buffer is freed once it is empty.
 constexpr std::size_t kKeptBufferBytes = std::size_t{16} << 10;
 
@@ -169,9 +173,57 @@
   }
 }
 
+bool Stream::CanMove() {
+  if (m_flush_pending) {
+    SendBuffered();
+  }
+  return open() && !m_connecting && unsent() == 0;
+}
+
+Stream::MoveResult Stream::MoveFrom(Stream* source, std::size_t max) {
+  m_pipe = m_set->TakePipe();
+  if (m_pipe == nullptr) {
+    return {.m_status = ReadStatus::kFailed};
+  }
+  MoveResult result;
+  const std::size_t limit = std::min(max, kMaxBytesPerMove);
+  while (result.m_bytes < limit && m_pipe->size() == 0) {
+    const long moved =
+        m_pipe->FillFrom(source->m_descriptor, limit - result.m_bytes);
+    if (moved <= 0) {
+      result.m_status = moved == 0          ? ReadStatus::kEnd
+                        : WouldBlock(errno) ? ReadStatus::kNothingYet
+                                            : ReadStatus::kFailed;
+      break;
+    }
+    result.m_bytes += static_cast<std::size_t>(moved);
+    m_bytes_sent += static_cast<std::size_t>(moved);
+    m_pipe->DrainTo(m_descriptor);
+  }
+  if (result.m_bytes > 0) {
+    // What ended the loop will show again at the next call.
+    result.m_status = ReadStatus::kBytes;
+  }
+  DrainPipe();
+  return result;
+}
+
+// Moves on what is in the pipe, and gives the pipe back once it is empty.
+void Stream::DrainPipe() {
+  if (m_pipe != nullptr) {
+    m_pipe->DrainTo(m_descriptor);
+    if (m_pipe->size() == 0) {
+      m_set->KeepPipe(std::move(m_pipe));
+    }
+    UpdateInterest();
+  }
+}
+
 void Stream::SendBuffered() {
   m_flush_pending = false;
-  if (unsent() > 0) {
+  if (m_pipe != nullptr) {
+    DrainPipe();
+  } else if (unsent() > 0) {
     Send({});
   }
   if (m_finish_writing && unsent() == 0) {
@@ -209,6 +261,7 @@
     close(std::exchange(m_descriptor, -1));
     m_unsent.clear();
     m_unsent_start = 0;
+    m_pipe.reset();
     m_flush_pending = false;
   }
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "guavacross/identity.h"
+#include "net/pipe.h"
 #include "net/socket_set.h"
 
 namespace guavacross::net {
@@ -67,8 +68,24 @@
   /// inside of a hook are sent together once the hook has returned.
   void Write(std::string_view bytes);
 
+  struct MoveResult {
+    ReadStatus m_status = ReadStatus::kNothingYet;
+    std::size_t m_bytes = 0;
+  };
+  /// Sends up to `max` bytes that wait to be read from `source`, without
+  /// copying them. Call only while nothing is unsent. What the kernel has taken
+  /// from `source` but not yet for this stream counts as unsent. `kFailed` with
+  /// `CanMove` still true concerns `source`.
+  MoveResult MoveFrom(Stream* source, std::size_t max);
+
+  /// Whether `MoveFrom` can be called now.
+  bool CanMove();
+
   /// Bytes that are buffered.
-  std::size_t unsent() const { return m_unsent.size() - m_unsent_start; }
+  std::size_t unsent() const {
+    return m_unsent.size() - m_unsent_start +
+           (m_pipe != nullptr ? m_pipe->size() : 0);
+  }
 
   /// Bytes that the kernel has taken since the start.
   std::uint64_t bytes_sent() const { return m_bytes_sent; }
@@ -100,6 +117,7 @@
   // Sends what is buffered and `more`, which is buffered if need be.
   void Send(std::string_view more);
   void SendBuffered();
+  void DrainPipe();
   // What `SocketSet` calls after an event.
   void Flush();
   void UpdateInterest();
@@ -110,6 +128,8 @@
   Hooks m_hooks;
   std::string m_unsent;
   std::size_t m_unsent_start = 0;
+  // Holds moved bytes that the kernel hasn't taken yet; null without any.
+  std::unique_ptr<Pipe> m_pipe;
   std::uint64_t m_bytes_sent = 0;
   std::uint32_t m_interest = 0;
   bool m_connecting;
