--- a/src/ledger/held_table.cc
+++ b/src/ledger/held_table.cc
@@ -96,7 +96,8 @@
                            HeldKey* held,
                            const RecordedAnswer& answer) {
   const std::size_t bytes = SizeOf(answer);
-  if (bytes > m_limits.m_max_answer) {
+  // An answer without a status was too large for the data path to keep.
+  if (answer.m_status == 0 || bytes > m_limits.m_max_answer) {
     return;
   }
   held->m_answer = std::make_unique<RecordedAnswer>(answer);
