--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -512,9 +512,25 @@
   if (sent) {
     m_worst = Outcome::kUnknown;
   }
+  EndSlowTries();
   GiveUp(error);
 }
 
+// Reports the attempts that had enough time as timeouts. The others say nothing
+// about their targets: the caller may have set a deadline that no target meets.
+void Exchange::EndSlowTries() {
+  const Duration enough = m_request.m_class->m_deadline / 2;
+  std::vector<Try*> slow;
+  for (const auto& each : m_tries) {
+    if (now() - each->m_sent_at >= enough) {
+      slow.push_back(each.get());
+    }
+  }
+  for (Try* const each : slow) {
+    EndTry(each, AttemptEnd::kTimeout);
+  }
+}
+
 void Exchange::OnCallerGone() {
   m_caller_present = false;
   if (m_claiming) {
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -102,6 +102,7 @@
   bool MaySendAgain() const;
   void RetryOrGiveUp(Error error);
   void OnDeadline();
+  void EndSlowTries();
   void GiveUp(const Error& error);
   void AnswerError(const Error& error, Outcome outcome);
   // The answer has started and can't be completed.
--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -152,6 +152,37 @@
   });
 }
 
+GUAVACROSS_STORY(TargetThatNeverAnswers) {
+  WorkerFixture fixture(/*targets=*/2);
+  ServiceConfig service = fixture.Service();
+  service.m_ejection.m_consecutive_errors = 1;
+  fixture.Configure(service);
+  TestPeer& caller = fixture.Caller();
+  const auto ejected = [&fixture] {
+    int count = 0;
+    for (const TargetStatus& target :
+         fixture.m_router.Status().front().m_targets) {
+      count += target.m_ejected ? 1 : 0;
+    }
+    return count;
+  };
+  Section("is not blamed for a deadline that the caller made short", [&] {
+    caller.Send(Get("/short", "Guavacross-Deadline-Ms: 50\r\n"));
+    LatestBackend(&fixture, "GET /short ");
+    fixture.m_clock.Advance(std::chrono::milliseconds(60));
+    WaitUntil([&] { return caller.Received("backend-timeout"); });
+    CPPUNIT_ASSERT_EQUAL(0, ejected());
+  });
+  Section("is ejected when the class's deadline passes", [&] {
+    caller.Forget();
+    caller.Send(Get("/silent"));
+    LatestBackend(&fixture, "GET /silent ");
+    fixture.m_clock.Advance(service.m_classes.back().m_deadline);
+    WaitUntil([&] { return caller.Received("backend-timeout"); });
+    CPPUNIT_ASSERT_EQUAL(1, ejected());
+  });
+}
+
 GUAVACROSS_STORY(RepeatableRequest) {
   WorkerFixture fixture(/*targets=*/2);
   TestPeer& caller = fixture.Caller();
--- a/src/include/guavacross/config_state.h
+++ b/src/include/guavacross/config_state.h
@@ -154,11 +154,17 @@
   }
 
   /// A hash of section names and versions.
-  std::uint64_t Digest() const;
+  std::uint64_t Digest() const { return m_digest; }
+
+  /// The highest version of any section; 0 if there is none.
+  std::uint64_t highest_version() const { return m_highest_version; }
 
  private:
   ChangeHook m_on_change;
   std::map<std::string, SectionState> m_sections;
+  /// Kept up to date, because each heartbeat carries them.
+  std::uint64_t m_digest = 0;
+  std::uint64_t m_highest_version = 0;
 };
 
 }  // namespace guavacross
--- a/src/include/guavacross/settings.h
+++ b/src/include/guavacross/settings.h
@@ -1,6 +1,7 @@
 #ifndef GUAVACROSS_SETTINGS_H_
 #define GUAVACROSS_SETTINGS_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,9 +37,14 @@
   Duration m_address_lifetime = std::chrono::seconds(5);
   /// Longest graceful shutdown; zero means no bound.
   Duration m_shutdown_limit = Duration::zero();
+  /// How long the platform's log service keeps a record, at the least. A
+  /// snapshot of the configuration is renewed four times in this time.
+  Duration m_log_retention = std::chrono::hours(1);
   std::string m_log_level = "info";
   /// How targets are picked; all but the first are baselines to compare with.
   ChoicePolicy m_choice_policy = ChoicePolicy::kGuavacross;
+  /// Parts of the policy that are switched off, for measurements only.
+  std::set<Mechanism> m_disabled_mechanisms;
 
   bool operator==(const InstanceSettings&) const = default;
 };
--- a/src/log_service/config_fold.cc
+++ b/src/log_service/config_fold.cc
@@ -43,6 +43,10 @@
   return HashNumber(verdict.m_offset, hash);
 }
 
+std::uint64_t HashOfVersion(const SectionState& section) {
+  return HashNumber(section.m_version, util::Hash(section.m_section));
+}
+
 // Checks that need no knowledge of the text's schema. They never change.
 std::string JudgeEnvelope(const ConfigEdit& edit) {
   if (edit.m_schema < kFirstSchema) {
@@ -228,7 +232,12 @@
     if (section.m_version <= current.m_version) {
       continue;
     }
+    if (current.m_version != 0) {
+      m_digest -= HashOfVersion(current);
+    }
     current = section;
+    m_digest += HashOfVersion(current);
+    m_highest_version = std::max(m_highest_version, section.m_version);
     ++taken;
     if (m_on_change) {
       m_on_change(section);
@@ -237,12 +246,4 @@
   return taken;
 }
 
-std::uint64_t ConfigInForce::Digest() const {
-  std::uint64_t hash = 0;
-  for (const auto& [name, section] : m_sections) {
-    hash += HashNumber(section.m_version, util::Hash(name));
-  }
-  return hash;
-}
-
 }  // namespace guavacross
--- a/src/log_service/config_reader.cc
+++ b/src/log_service/config_reader.cc
@@ -1,6 +1,7 @@
 #include "log_service/config_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "util/log.h"
 
@@ -74,6 +75,13 @@
   }
 }
 
+void ConfigReader::NotePeerInForce(std::uint64_t digest) {
+  if (!m_ready && !m_in_force.sections().empty() &&
+      digest == m_in_force.Digest()) {
+    BecomeReady();
+  }
+}
+
 Duration ConfigReader::AgeOf(const std::string& section) const {
   const auto found = m_changed_at.find(section);
   return found == m_changed_at.end() ? Duration::zero()
@@ -121,7 +129,13 @@
 }
 
 void ConfigReader::TakeSections(const std::vector<SectionState>& sections) {
+  m_taking_log = true;
   m_in_force.Merge(sections);
+  m_taking_log = false;
+  const std::vector<SectionState> risen = std::exchange(m_risen, {});
+  if (!risen.empty() && m_follower.status().m_caught_up && m_hooks.m_on_news) {
+    m_hooks.m_on_news(risen);
+  }
 }
 
 void ConfigReader::HandleVerdict(const EditVerdict& verdict) {
@@ -193,6 +207,9 @@
   m_sections.Set(static_cast<double>(m_in_force.sections().size()));
   m_version.Set(
       std::max(m_version.Value(), static_cast<double>(section.m_version)));
+  if (m_taking_log) {
+    m_risen.push_back(section);
+  }
   if (m_hooks.m_on_change) {
     m_hooks.m_on_change(section);
   }
--- a/src/log_service/config_reader.h
+++ b/src/log_service/config_reader.h
@@ -34,6 +34,9 @@
 struct ConfigReaderHooks {
   /// A section whose version in force rose.
   ConfigInForce::ChangeHook m_on_change;
+  /// Sections whose version rose by a record read after the instance had caught
+  /// up: news that peers may not have yet. Loading a state tells nothing here.
+  std::function<void(const std::vector<SectionState>&)> m_on_news;
   /// The instance holds a configuration for the first time.
   std::function<void()> m_on_ready;
 };
@@ -78,6 +81,11 @@
   /// that these are all sections of a peer that is ready.
   void MergeFromPeers(const std::vector<SectionState>& sections, bool complete);
 
+  /// Takes note of the digest of what a live peer has in force. While the log
+  /// can't be read, sections from peers make this instance ready once it holds
+  /// the same as one of them.
+  void NotePeerInForce(std::uint64_t digest);
+
   const ConfigInForce& in_force() const { return m_in_force; }
   const ConfigFold& fold() const { return m_follower.fold(); }
   const FollowerStatus& log_status() const { return m_follower.status(); }
@@ -126,6 +134,9 @@
   /// Since when records have been missing.
   std::optional<TimePoint> m_records_lost_at;
   ConfigSnapshot m_bridge;
+  bool m_taking_log = false;
+  /// Sections that rose while the log's are being taken.
+  std::vector<SectionState> m_risen;
   bool m_ready = false;
 };
 
--- a/src/log_service/config_reader_test.cc
+++ b/src/log_service/config_reader_test.cc
@@ -22,6 +22,7 @@
   struct Instance {
     util::Metrics m_metrics;
     int m_changes = 0;
+    int m_news = 0;
     std::unique_ptr<ConfigReader> m_reader;
   };
 
@@ -39,9 +40,12 @@
     instance->m_reader = std::make_unique<ConfigReader>(
         options, m_log.access(name), m_clock.clock(), instance->m_metrics,
         ConfigReaderHooks{
-            .m_on_change = [raw = instance.get()](const SectionState&) {
-              ++raw->m_changes;
-            }});
+            .m_on_change = [raw = instance.get()](
+                               const SectionState&) { ++raw->m_changes; },
+            .m_on_news =
+                [raw = instance.get()](const auto& sections) {
+                  raw->m_news += static_cast<int>(sections.size());
+                }});
     instance->m_reader->Start();
     return instance;
   }
@@ -76,6 +80,13 @@
   world.m_clock.Advance(milliseconds(10));
   Section("puts an accepted edit in force at once",
           [&] { CPPUNIT_ASSERT_EQUAL(version, VersionAt(*a, "catalog")); });
+  Section("tells peers what is new, but not what it loads", [&] {
+    CPPUNIT_ASSERT_EQUAL(1, a->m_news);
+    const auto late = world.Start("b");
+    world.m_clock.Advance(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(1, late->m_changes);
+    CPPUNIT_ASSERT_EQUAL(0, late->m_news);
+  });
   Section("shows a refused one", [&] {
     world.Append("catalog", 0);
     world.m_clock.Advance(milliseconds(10));
@@ -111,6 +122,14 @@
     CPPUNIT_ASSERT(b->m_reader->ready());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, VersionAt(*b, "catalog"));
   });
+  Section("or until it holds the same as a peer", [&] {
+    const auto c = world.Start("c");
+    c->m_reader->NotePeerInForce(0);
+    CPPUNIT_ASSERT(!c->m_reader->ready());
+    c->m_reader->MergeFromPeers(sections, false);
+    c->m_reader->NotePeerInForce(a->m_reader->in_force().Digest());
+    CPPUNIT_ASSERT(c->m_reader->ready());
+  });
   Section("an older section from a peer changes nothing", [&] {
     world.m_log.SetOutage(false);
     world.Append("catalog", 1);
--- a/src/peers/peer_codec.cc
+++ b/src/peers/peer_codec.cc
@@ -128,14 +128,23 @@
   out->set_version(section.m_version);
   out->set_toml(section.m_toml);
   out->set_schema(section.m_schema);
+  for (const auto& [schema, toml] : section.m_fallbacks) {
+    proto::SectionText* const text = out->add_fallbacks();
+    text->set_schema(schema);
+    text->set_toml(toml);
+  }
 }
 
 SectionState ToSection(const proto::Section& in) {
-  return {.m_section = in.name(),
-          .m_team = in.team(),
-          .m_version = in.version(),
-          .m_toml = in.toml(),
-          .m_schema = in.schema()};
+  SectionState section{.m_section = in.name(),
+                       .m_team = in.team(),
+                       .m_version = in.version(),
+                       .m_toml = in.toml(),
+                       .m_schema = in.schema()};
+  for (const proto::SectionText& text : in.fallbacks()) {
+    section.m_fallbacks[text.schema()] = text.toml();
+  }
+  return section;
 }
 
 void FromDrain(const DrainNotice& notice, proto::Drain* out) {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -175,7 +175,12 @@
   const std::uint64_t ticket = m_impl->m_next_ticket++;
   Effects effects;
   const std::shared_ptr<ServiceRouter> service = m_impl->Find(traits.m_service);
-  if (service == nullptr) {
+  if (m_impl->IsQuarantined(traits.m_fingerprint)) {
+    effects.m_decisions.push_back(
+        {std::move(on_grant),
+         routing::Refuse(ErrorKind::kQuarantined,
+                         "backend servers were lost while they ran it")});
+  } else if (service == nullptr) {
     effects.m_decisions.push_back(
         {std::move(on_grant),
          routing::Refuse(ErrorKind::kUnknownService,
--- a/src/routing/router_test.cc
+++ b/src/routing/router_test.cc
@@ -1,4 +1,9 @@
+#include <algorithm>
+#include <deque>
+#include <map>
 #include <optional>
+#include <set>
+#include <vector>
 
 #include "guavacross/routing.h"
 #include "util/handle.h"
@@ -71,4 +76,297 @@
   });
 }
 
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A pool of targets called 0, 1, ... with one class for reads and one for bulk
+// downloads.
+ServiceConfig Pool(int targets) {
+  ServiceConfig config;
+  config.m_name = "archive";
+  for (int i = 0; i < targets; ++i) {
+    config.m_targets.push_back({.m_name = std::to_string(i)});
+  }
+  config.m_classes = {
+      {.m_name = "refund", .m_repeatable = false, .m_queue_limit = 1000},
+      {.m_name = "master",
+       .m_bulk = true,
+       .m_deadline = Duration::zero(),
+       .m_queue_limit = 1000,
+       .m_queue_wait = seconds(600)}};
+  return config;
+}
+
+RequestTraits TraitsOf(const std::string& class_name,
+                       const std::string& tenant = "t",
+                       std::uint64_t fingerprint = 0) {
+  return {.m_service = "archive",
+          .m_class_name = class_name,
+          .m_tenant = tenant,
+          .m_fingerprint = fingerprint};
+}
+
+// Acquires and releases `count` requests, each ending as `report` says, and
+// returns the targets that they went to.
+std::set<std::string> Exchange(Router* router,
+                               int count,
+                               const AttemptReport& report) {
+  std::set<std::string> used;
+  for (int i = 0; i < count; ++i) {
+    Answer answer;
+    router->Acquire(TraitsOf("refund"), {}, answer.callback());
+    CPPUNIT_ASSERT(answer.m_grant);
+    used.insert(answer.m_grant->m_target);
+    router->Release(*answer.m_grant, TraitsOf("refund"), report);
+  }
+  return used;
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(RouterKeepsDownloadsToTheirShare) {
+  using util::Section;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  router.Configure(Pool(8));
+  Answer refund_before;
+  router.Acquire(TraitsOf("refund"), {}, refund_before.callback());
+  std::vector<Answer> masters(100);
+  for (Answer& master : masters) {
+    router.Acquire(TraitsOf("master"), {}, master.callback());
+  }
+  const auto running = std::count_if(
+      masters.begin(), masters.end(),
+      [](const Answer& master) { return master.m_grant.has_value(); });
+  Section("a midnight of master downloads gets half of the slots",
+          [&] { CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{16}, running); });
+  Section("a refund finds a slot at once, past the waiting downloads", [&] {
+    Answer refund;
+    router.Acquire(TraitsOf("refund"), {}, refund.callback());
+    CPPUNIT_ASSERT(refund.m_grant);
+  });
+}
+
+GUAVACROSS_STORY(RouterSharesBetweenTenants) {
+  using util::Section;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  ServiceConfig config = Pool(1);
+  config.m_tenants = {{.m_name = "heavy"}, {.m_name = "light"}};
+  router.Configure(config);
+  std::deque<Grant> running;
+  int light_served = 0;
+  const auto ask = [&](const std::string& tenant) {
+    router.Acquire(TraitsOf("refund", tenant), {},
+                   [&, tenant](const util::Expected<Grant>& grant) {
+                     if (grant) {
+                       running.push_back(*grant.m_value);
+                       light_served += tenant == "light" ? 1 : 0;
+                     }
+                   });
+  };
+  for (int i = 0; i < 100; ++i) {
+    ask("heavy");
+  }
+  for (int i = 0; i < 5; ++i) {
+    ask("light");
+  }
+  Section("a tenant that floods the queue doesn't hold up another", [&] {
+    for (int i = 0; i < 12; ++i) {
+      const Grant ended = running.front();
+      running.pop_front();
+      router.Release(ended, TraitsOf("refund"), {});
+    }
+    CPPUNIT_ASSERT(light_served >= 4);
+  });
+}
+
+GUAVACROSS_STORY(RouterRefusesEarly) {
+  using util::Section;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  router.Configure(Pool(1));
+  // Each request holds its slot for 100 ms.
+  for (int i = 0; i < 50; ++i) {
+    Answer answer;
+    router.Acquire(TraitsOf("refund"), {}, answer.callback());
+    manual.Advance(milliseconds(100));
+    router.Release(*answer.m_grant, TraitsOf("refund"),
+                   {.m_latency = milliseconds(100)});
+  }
+  std::vector<Answer> answers(100);
+  for (Answer& answer : answers) {
+    router.Acquire(TraitsOf("refund"), {}, answer.callback());
+  }
+  Section("what can't be served within its wait is refused at once", [&] {
+    // 4 slots of 100 ms serve 40 requests in the second that may be waited.
+    const auto refused =
+        std::count_if(answers.begin(), answers.end(), [](const Answer& answer) {
+          return answer.m_error == ErrorKind::kQueueTimeout;
+        });
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(56, static_cast<double>(refused), 4);
+  });
+}
+
+GUAVACROSS_STORY(RouterLearnsOfDraining) {
+  using util::Section;
+  util::ManualClock manual;
+  std::vector<DrainNotice> told;
+  RouterHooks hooks;
+  hooks.m_on_drain = [&told](const DrainNotice& notice) {
+    told.push_back(notice);
+  };
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, hooks);
+  Router peer({.m_seed = 2, .m_clock = manual.clock()}, {});
+  router.Configure(Pool(2));
+  peer.Configure(Pool(2));
+  Section("a probe's word is told to peers, who heed it", [&] {
+    router.ReportProbe(
+        {.m_service = "archive",
+         .m_target = "0",
+         .m_load = LoadReport{.m_draining = true, .m_incarnation = "run-1"}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+    peer.LearnDrain(told.front());
+    CPPUNIT_ASSERT(Exchange(&router, 50, {}) == std::set<std::string>{"1"});
+    CPPUNIT_ASSERT(Exchange(&peer, 50, {}) == std::set<std::string>{"1"});
+  });
+  Section("a probe that says ready doesn't bring it back", [&] {
+    router.ReportProbe({.m_service = "archive",
+                        .m_target = "0",
+                        .m_load = LoadReport{.m_incarnation = "run-1"}});
+    CPPUNIT_ASSERT(Exchange(&router, 50, {}) == std::set<std::string>{"1"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, router.Drains().size());
+  });
+  Section("a restart does", [&] {
+    router.ReportProbe({.m_service = "archive",
+                        .m_target = "0",
+                        .m_load = LoadReport{.m_incarnation = "run-2"}});
+    manual.Advance(seconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Exchange(&router, 50, {}).size());
+  });
+}
+
+GUAVACROSS_STORY(RouterQuarantinesThroughPeers) {
+  using util::Section;
+  util::ManualClock manual;
+  Router* other = nullptr;
+  RouterHooks hooks;
+  hooks.m_on_suspect = [&other](const SuspectNotice& notice) {
+    other->LearnSuspect(notice);
+  };
+  Router first({.m_seed = 1, .m_clock = manual.clock()}, hooks);
+  Router second({.m_seed = 2, .m_clock = manual.clock()}, hooks);
+  first.Configure(Pool(8));
+  second.Configure(Pool(8));
+  constexpr std::uint64_t killer = 99;
+  const auto kill_one = [&](Router* through, Router* peer,
+                            const std::vector<std::string>& avoid) {
+    other = peer;
+    Answer answer;
+    through->Acquire(TraitsOf("refund", "t", killer), avoid, answer.callback());
+    if (answer.m_grant) {
+      through->Release(*answer.m_grant, TraitsOf("refund", "t", killer),
+                       {.m_end = AttemptEnd::kReset});
+    }
+    return answer;
+  };
+  Section("two targets lost through two instances are enough", [&] {
+    const Answer one = kill_one(&first, &second, {});
+    const Answer two = kill_one(&second, &first, {one.m_grant->m_target});
+    CPPUNIT_ASSERT(one.m_grant && two.m_grant);
+    CPPUNIT_ASSERT(kill_one(&first, &second, {}).m_error ==
+                   ErrorKind::kQuarantined);
+    CPPUNIT_ASSERT(kill_one(&second, &first, {}).m_error ==
+                   ErrorKind::kQuarantined);
+  });
+  Section("other requests go on", [&] {
+    Answer answer;
+    first.Acquire(TraitsOf("refund", "t", killer + 1), {}, answer.callback());
+    CPPUNIT_ASSERT(answer.m_grant);
+  });
+}
+
+GUAVACROSS_STORY(RouterSeesAChangeOfLoadAtOnce) {
+  using util::Section;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  router.SetInstanceCount(6);
+  router.Configure(Pool(2));
+  Section("the first report that shows a full target turns requests away", [&] {
+    router.ReportProbe({.m_service = "archive",
+                        .m_target = "0",
+                        .m_load = LoadReport{.m_in_flight = 10}});
+    router.ReportProbe({.m_service = "archive",
+                        .m_target = "1",
+                        .m_load = LoadReport{.m_in_flight = 0}});
+    CPPUNIT_ASSERT(Exchange(&router, 50, {}) == std::set<std::string>{"1"});
+  });
+}
+
+GUAVACROSS_STORY(RouterProbes) {
+  using util::Section;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  router.Configure(Pool(4));
+  Section("a service without requests isn't probed", [&] {
+    manual.Advance(seconds(1));
+    CPPUNIT_ASSERT(router.TakeDueProbes().empty());
+  });
+  Exchange(&router, 1, {});
+  Section("black-holed probes are charged and not repeated early", [&] {
+    std::map<std::string, int> probes;
+    for (int i = 0; i < 200; ++i) {
+      manual.Advance(milliseconds(5));
+      for (const ProbeOrder& order : router.TakeDueProbes()) {
+        ++probes[order.m_target];
+      }
+    }
+    int sum = 0;
+    for (const auto& [target, count] : probes) {
+      sum += count;
+      // One is in flight until it is given up after 4 timeouts, a second.
+      CPPUNIT_ASSERT(count <= 2);
+    }
+    CPPUNIT_ASSERT(sum <= 11);
+    CPPUNIT_ASSERT(router.Status().front().m_probes_sent <=
+                   router.Status().front().m_probes_allowed + 1);
+  });
+  Section("answers that tell the load spare probes", [&] {
+    int probes = 0;
+    for (int i = 0; i < 200; ++i) {
+      manual.Advance(milliseconds(5));
+      Exchange(&router, 8, {.m_load = {.m_in_flight = 1}});
+      probes += static_cast<int>(router.TakeDueProbes().size());
+    }
+    CPPUNIT_ASSERT(probes <= 2);
+  });
+}
+
+GUAVACROSS_STORY(RouterGivesABudgetToRetriesAndHedges) {
+  using util::Section;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  ServiceConfig config = Pool(4);
+  config.m_classes.front() = {.m_name = "refund", .m_hedge = true};
+  router.Configure(config);
+  Exchange(&router, 100, {.m_latency = milliseconds(20)});
+  Section("hedges wait for a high percentile of the latencies", [&] {
+    const auto delay = router.HedgeDelay(TraitsOf("refund"));
+    CPPUNIT_ASSERT(delay);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(20, Milliseconds(*delay), 4);
+    CPPUNIT_ASSERT(!router.HedgeDelay(TraitsOf("master")));
+  });
+  Section("retries and hedges share a tenth of the requests", [&] {
+    int extra = 0;
+    for (int i = 0; i < 100; ++i) {
+      extra += router.MayRetry(TraitsOf("refund"), 1) ? 1 : 0;
+      extra += router.MayHedge(TraitsOf("refund"), 1) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(10, extra);
+    CPPUNIT_ASSERT(!router.MayRetry(TraitsOf("refund"), 3));
+  });
+}
+
 }  // namespace guavacross::routing
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -129,6 +129,7 @@
   RouterOptions options;
   options.m_zone = m_settings.m_zone;
   options.m_policy = m_settings.m_choice_policy;
+  options.m_disabled = m_settings.m_disabled_mechanisms;
   options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
   options.m_clock = m_clock;
   m_router = std::make_unique<Router>(std::move(options), std::move(hooks));
@@ -139,10 +140,18 @@
   hooks.m_on_change = [this](const SectionState& section) {
     ApplySection(section);
   };
+  hooks.m_on_news = [this](const std::vector<SectionState>& sections) {
+    m_peers->PushSections(sections);
+  };
   hooks.m_on_ready = [this] { UpdateReady(); };
+  log_service::ConfigReaderOptions options;
+  options.m_follower.m_seed =
+      util::Hash(m_self.m_name, m_self.m_incarnation + 3);
+  options.m_snapshots.m_seed =
+      util::Hash(m_self.m_name, m_self.m_incarnation + 4);
+  options.m_snapshots.m_retention = m_settings.m_log_retention;
   m_config = std::make_unique<log_service::ConfigReader>(
-      log_service::ConfigReaderOptions{}, m_log, m_clock, m_metrics,
-      std::move(hooks));
+      options, m_log, m_clock, m_metrics, std::move(hooks));
 }
 
 void Instance::Impl::MakePeers() {
@@ -308,13 +317,17 @@
     m_router->Remove(section.m_section);
     m_peers->SetTargets(section.m_section, {});
   }
-  m_peers->PushSections({section});
 }
 
 // Membership changes without notice too, as when a suspect dies, so the number
 // of instances is also read from time to time.
 void Instance::Impl::CountInstances() {
   m_router->SetInstanceCount(m_peers->LiveCount());
+  for (const Member& member : m_peers->Members()) {
+    if (member.m_state == MemberState::kLive) {
+      m_config->NotePeerInForce(member.m_config_digest);
+    }
+  }
   m_count_timer = m_clock.m_call_after(kInstanceCountInterval,
                                        [this] { CountInstances(); });
 }
@@ -328,10 +341,7 @@
   peers::LocalState state;
   state.m_load = Load();
   state.m_config_digest = m_config->in_force().Digest();
-  for (const auto& [name, section] : m_config->in_force().sections()) {
-    state.m_config_version =
-        std::max(state.m_config_version, section.m_version);
-  }
+  state.m_config_version = m_config->in_force().highest_version();
   state.m_in_flight = m_router->InFlight();
   return state;
 }
--- a/src/util/settings.cc
+++ b/src/util/settings.cc
@@ -57,6 +57,33 @@
                  "must be guavacross, random, round-robin or least-in-flight");
 }
 
+void ReadDisabledMechanisms(util::TomlReader* reader,
+                            std::set<Mechanism>* disabled) {
+  constexpr std::array<std::pair<std::string_view, Mechanism>, 10> kMechanisms =
+      {{{"readings", Mechanism::kReadings},
+        {"slowness", Mechanism::kSlowness},
+        {"zone-preference", Mechanism::kZonePreference},
+        {"slow-start", Mechanism::kSlowStart},
+        {"slot-shares", Mechanism::kSlotShares},
+        {"hedging", Mechanism::kHedging},
+        {"ejection", Mechanism::kEjection},
+        {"fair-queue", Mechanism::kFairQueue},
+        {"early-refusal", Mechanism::kEarlyRefusal},
+        {"probes", Mechanism::kProbes}}};
+  std::vector<std::string> names;
+  reader->ReadStrings("disabled_mechanisms", util::Presence::kOptional, &names);
+  for (const std::string& name : names) {
+    const auto* const found = std::find_if(
+        kMechanisms.begin(), kMechanisms.end(),
+        [&name](const auto& entry) { return entry.first == name; });
+    if (found == kMechanisms.end()) {
+      reader->FailAt("disabled_mechanisms", "unknown mechanism " + name);
+    } else {
+      disabled->insert(found->second);
+    }
+  }
+}
+
 }  // namespace
 
 Result<InstanceSettings> ParseSettings(
@@ -85,12 +112,16 @@
                           600000, &settings.m_address_lifetime);
   reader.ReadMilliseconds("shutdown_limit_ms", Presence::kOptional, 0, 86400000,
                           &settings.m_shutdown_limit);
+  reader.ReadMilliseconds("log_retention_ms", Presence::kOptional, 1000,
+                          std::int64_t{366} * 86400000,
+                          &settings.m_log_retention);
   reader.ReadString("log_level", Presence::kOptional, &settings.m_log_level);
   if (std::find(kLogLevels.begin(), kLogLevels.end(), settings.m_log_level) ==
       kLogLevels.end()) {
     reader.FailAt("log_level", "must be debug, info, warn or error");
   }
   ReadChoicePolicy(&reader, &settings.m_choice_policy);
+  ReadDisabledMechanisms(&reader, &settings.m_disabled_mechanisms);
   BOOST_LEAF_CHECK(reader.Finish());
   return settings;
 }
--- a/src/util/settings_test.cc
+++ b/src/util/settings_test.cc
@@ -44,6 +44,17 @@
     CPPUNIT_ASSERT(settings.m_value.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("b"), settings.m_value->m_zone);
   });
+  util::Section("mechanisms are switched off by name", [] {
+    const auto settings = util::Catch([] {
+      return ParseSettings(kComplete, {"disabled_mechanisms = [\"hedging\"]"});
+    });
+    CPPUNIT_ASSERT(settings.m_value.has_value());
+    CPPUNIT_ASSERT(settings.m_value->m_disabled_mechanisms ==
+                   std::set<Mechanism>{Mechanism::kHedging});
+    CPPUNIT_ASSERT(ErrorOf(kComplete, {"disabled_mechanisms = [\"x\"]"})
+                       .find("unknown "
+                             "mechanism x") != std::string::npos);
+  });
   util::Section("an error names line, column and key", [] {
     CPPUNIT_ASSERT_EQUAL(std::string("line 9, column 1: colour: unknown key"),
                          ErrorOf(std::string(kComplete) + "colour = 3\n"));
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -376,11 +376,11 @@
 class Case:
     """The processes of one case."""
 
-    def __init__(self, run_file, seed=None):
+    def __init__(self, run_file, seed=None, arguments=None):
         parser = argparse.ArgumentParser()
         parser.add_argument("--build", default=str(ROOT / "build"))
         parser.add_argument("--seed", type=int)
-        options = parser.parse_args()
+        options = parser.parse_args(arguments)
         folder = pathlib.Path(run_file).resolve().parent
         self.name = folder.name
         self.build = pathlib.Path(options.build).resolve()
