Keep popular reads out of quarantine; leave more room for unseen attempts

A popular fingerprint is in flight on every target that is lost. A fingerprint that was answered within 30 s is no longer suspected, and notices from peers about it are ignored. RouterKeepsPopularReads failed before and passes now.

Borrowing now stops at slots + a third of an attempt per instance (before: half).

--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -39,8 +39,8 @@
 /// A fingerprint that was in flight on a target when the target was lost is a
 /// suspect. At two distinct targets, whoever saw them, it is quarantined: no
 /// instance sends it for a while. A complete answer clears a suspect, since a
-/// request that kills its backend server gets none: thus a popular read isn't
-/// quarantined for the company it was in. Not thread safe.
+/// request that kills its backend server gets none; see `AnsweredRequests` for
+/// answers that came before. Not thread safe.
 class Quarantine {
  public:
   /// How long a fingerprint is refused.
--- a/src/policy/slot_shares.cc
+++ b/src/policy/slot_shares.cc
@@ -22,7 +22,7 @@
     return SlotClaim::kNone;
   }
   if (view.m_fresh) {
-    const int allowed = view.m_slots + view.m_instances / 2;
+    const int allowed = view.m_slots + view.m_instances / 3;
     return view.m_own + view.m_others + 1 <= allowed ? SlotClaim::kBorrowed
                                                      : SlotClaim::kNone;
   }
--- a/src/policy/slot_shares.h
+++ b/src/policy/slot_shares.h
@@ -5,9 +5,9 @@
 ///
 /// An instance may always have one attempt on a target, so that none is locked
 /// out. It goes beyond that only on evidence: a young report of the target,
-/// used a bounded number of times, that shows less than its slots and half an
-/// attempt per instance in flight, or peers that tell that they don't use it.
-/// Without evidence it keeps to an equal share. The other half per instance is
+/// used a bounded number of times, that shows less than its slots and a third
+/// of an attempt per instance in flight, or peers that tell that they don't use
+/// it. Without evidence it keeps to an equal share. The other two thirds are
 /// for what the instances send before they see each other's attempts, so that
 /// in sum a target sees at most its slots and one attempt per instance. The
 /// attempts beyond the slots wait on the target, in the order in which they
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "guavacross/routing.h"
+#include "policy/answered_requests.h"
 #include "policy/probe_budget.h"
 #include "policy/quarantine.h"
 #include "routing/due_times.h"
@@ -62,6 +63,9 @@
   }
 
   void TellOfSuspect(const SuspectNotice& suspect) {
+    if (m_answered.Contains(suspect.m_fingerprint, Now())) {
+      return;
+    }
     if (m_hooks.m_on_suspect) {
       m_hooks.m_on_suspect(suspect);
     }
@@ -73,6 +77,9 @@
 
   std::optional<QuarantineNotice> AddSuspect(const SuspectNotice& suspect) {
     const TimePoint now = Now();
+    if (m_answered.Contains(suspect.m_fingerprint, now)) {
+      return std::nullopt;
+    }
     const std::lock_guard lock(m_quarantine_mutex);
     m_any_quarantine = true;
     return m_quarantine.AddSuspect(suspect, now);
@@ -80,16 +87,20 @@
 
   void LearnQuarantine(const QuarantineNotice& notice) {
     const TimePoint now = Now();
+    if (m_answered.Contains(notice.m_fingerprint, now)) {
+      return;
+    }
     const std::lock_guard lock(m_quarantine_mutex);
     m_any_quarantine = true;
     m_quarantine.Learn(notice, now);
   }
 
   void RecordAnswered(std::uint64_t fingerprint) {
+    const TimePoint now = Now();
+    m_answered.Record(fingerprint, now);
     if (!m_any_quarantine) {
       return;
     }
-    const TimePoint now = Now();
     const std::lock_guard lock(m_quarantine_mutex);
     m_quarantine.Answered(fingerprint, now);
   }
@@ -124,6 +135,7 @@
   std::atomic<int> m_largest_instances{1};
   mutable std::mutex m_quarantine_mutex;
   policy::Quarantine m_quarantine;
+  policy::AnsweredRequests m_answered;
   // Whether any fingerprint has ever been suspected or quarantined: spares
   // requests the lock.
   std::atomic<bool> m_any_quarantine{false};
--- a/src/routing/router_test.cc
+++ b/src/routing/router_test.cc
@@ -288,6 +288,38 @@
   });
 }
 
+GUAVACROSS_STORY(RouterKeepsPopularReads) {
+  using util::Section;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  router.Configure(Pool(8));
+  const RequestTraits popular = TraitsOf("refund", "t", 99);
+  std::vector<Answer> answers(9);
+  for (Answer& answer : answers) {
+    router.Acquire(popular, {}, answer.callback());
+  }
+  router.Release(*answers.front().m_grant, popular, {});
+  Section(
+      "a request that is being answered isn't quarantined when several "
+      "targets are lost at once",
+      [&] {
+        for (std::size_t i = 1; i < answers.size(); ++i) {
+          router.Release(*answers[i].m_grant, popular,
+                         {.m_end = AttemptEnd::kReset});
+        }
+        CPPUNIT_ASSERT(router.Quarantines().empty());
+      });
+  Section("an answer of long ago doesn't speak for it", [&] {
+    manual.Advance(seconds(60));
+    for (int i = 0; i < 8 && router.Quarantines().empty(); ++i) {
+      Answer answer;
+      router.Acquire(popular, {}, answer.callback());
+      router.Release(*answer.m_grant, popular, {.m_end = AttemptEnd::kReset});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, router.Quarantines().size());
+  });
+}
+
 GUAVACROSS_STORY(RouterSeesAChangeOfLoadAtOnce) {
   using util::Section;
   util::ManualClock manual;
--- a/src/util/settings.cc
+++ b/src/util/settings.cc
@@ -15,6 +15,24 @@
 constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info", "warn",
                                                         "error"};
 
+constexpr std::array<std::pair<std::string_view, ChoicePolicy>, 4> kPolicies = {
+    {{"guavacross", ChoicePolicy::kGuavacross},
+     {"random", ChoicePolicy::kRandom},
+     {"round-robin", ChoicePolicy::kRoundRobin},
+     {"least-in-flight", ChoicePolicy::kLeastInFlight}}};
+
+constexpr std::array<std::pair<std::string_view, Mechanism>, 10> kMechanisms = {
+    {{"readings", Mechanism::kReadings},
+     {"slowness", Mechanism::kSlowness},
+     {"zone-preference", Mechanism::kZonePreference},
+     {"slow-start", Mechanism::kSlowStart},
+     {"slot-shares", Mechanism::kSlotShares},
+     {"hedging", Mechanism::kHedging},
+     {"ejection", Mechanism::kEjection},
+     {"fair-queue", Mechanism::kFairQueue},
+     {"early-refusal", Mechanism::kEarlyRefusal},
+     {"probes", Mechanism::kProbes}}};
+
 // Removes the lines of `toml` that set a key which an override sets too, so
 // that the joined text has each key once. Settings have no tables.
 std::string ApplyOverrides(std::string_view toml,
@@ -40,11 +58,6 @@
 }
 
 void ReadChoicePolicy(util::TomlReader* reader, ChoicePolicy* policy) {
-  constexpr std::array<std::pair<std::string_view, ChoicePolicy>, 4> kPolicies =
-      {{{"guavacross", ChoicePolicy::kGuavacross},
-        {"random", ChoicePolicy::kRandom},
-        {"round-robin", ChoicePolicy::kRoundRobin},
-        {"least-in-flight", ChoicePolicy::kLeastInFlight}}};
   std::string name = "guavacross";
   reader->ReadString("choice_policy", util::Presence::kOptional, &name);
   for (const auto& [known, value] : kPolicies) {
@@ -59,17 +72,6 @@
 
 void ReadDisabledMechanisms(util::TomlReader* reader,
                             std::set<Mechanism>* disabled) {
-  constexpr std::array<std::pair<std::string_view, Mechanism>, 10> kMechanisms =
-      {{{"readings", Mechanism::kReadings},
-        {"slowness", Mechanism::kSlowness},
-        {"zone-preference", Mechanism::kZonePreference},
-        {"slow-start", Mechanism::kSlowStart},
-        {"slot-shares", Mechanism::kSlotShares},
-        {"hedging", Mechanism::kHedging},
-        {"ejection", Mechanism::kEjection},
-        {"fair-queue", Mechanism::kFairQueue},
-        {"early-refusal", Mechanism::kEarlyRefusal},
-        {"probes", Mechanism::kProbes}}};
   std::vector<std::string> names;
   reader->ReadStrings("disabled_mechanisms", util::Presence::kOptional, &names);
   for (const std::string& name : names) {
