No instance borrows beyond a target's slots

With real processes, load 1.1 and all requests on one instance for the first second, the peak on one target was 11: one instance held 6 and the five others came with one each. An instance now holds at most the target's slots, so that the sum stays within slots + one per instance in that case too.

--- a/src/policy/slot_shares.cc
+++ b/src/policy/slot_shares.cc
@@ -18,7 +18,9 @@
   if (view.m_own < share) {
     return SlotClaim::kShare;
   }
-  if (view.m_instances <= 1) {
+  // Beyond its slots an instance takes nothing: the others may still come with
+  // their shares, which bounds the sum.
+  if (view.m_instances <= 1 || view.m_own >= view.m_slots) {
     return SlotClaim::kNone;
   }
   if (view.m_fresh) {
@@ -26,9 +28,7 @@
     return view.m_own + view.m_others + 1 <= allowed ? SlotClaim::kBorrowed
                                                      : SlotClaim::kNone;
   }
-  return view.m_unused_by_peers && view.m_own < view.m_slots
-             ? SlotClaim::kBorrowed
-             : SlotClaim::kNone;
+  return view.m_unused_by_peers ? SlotClaim::kBorrowed : SlotClaim::kNone;
 }
 
 int BulkLimit(int total_slots,
--- a/src/routing/model_test.cc
+++ b/src/routing/model_test.cc
@@ -70,6 +70,16 @@
         options.m_policy = ChoicePolicy::kRoundRobin;
         CPPUNIT_ASSERT(own <= RunModel(options).Percentile(99) / 3);
       });
+  Section("an instance to which all requests come uses the whole pool", [] {
+    for (const int targets : {8, 30}) {
+      const ModelResult result = RunModel({.m_targets = targets,
+                                           .m_load = 0.9,
+                                           .m_first_instance_share = 1,
+                                           .m_seed = kSeed});
+      CPPUNIT_ASSERT(result.m_goodput >= 0.85);
+      CPPUNIT_ASSERT(result.m_peak_in_flight <= 10);
+    }
+  });
   Section("a target that fails fast gets few requests", [] {
     const ModelResult result = Run(30, 0.7, ModelFault::kFailFast);
     CPPUNIT_ASSERT(result.m_retries * 100 < result.m_requests);
--- a/src/routing/testing/pool_model.cc
+++ b/src/routing/testing/pool_model.cc
@@ -142,7 +142,9 @@
           [this] { Arrive(); });
     const std::uint64_t id = m_next_request++;
     Request& request = m_requests[id];
-    request.m_instance = m_random.Below(m_routers.size());
+    request.m_instance = m_random.Uniform() < m_options.m_first_instance_share
+                             ? 0
+                             : m_random.Below(m_routers.size());
     request.m_arrived = m_clock.now();
     ++m_result.m_requests;
     Ask(id);
--- a/src/routing/testing/pool_model.h
+++ b/src/routing/testing/pool_model.h
@@ -43,6 +43,9 @@
   Duration m_mean_service_time = std::chrono::milliseconds(12);
   Duration m_message_time = std::chrono::microseconds(500);
   Duration m_length = std::chrono::seconds(10);
+  /// Part of the requests that come to the first instance; the others share the
+  /// rest. Zero: all have the same part.
+  double m_first_instance_share = 0;
   Profile m_profile = Profile::kTailFirst;
   ChoicePolicy m_policy = ChoicePolicy::kGuavacross;
   std::set<Mechanism> m_disabled;
