--- a/src/operators/instance_status.h
+++ b/src/operators/instance_status.h
@@ -2,7 +2,6 @@
 #define GUAVACROSS_OPERATORS_INSTANCE_STATUS_H_
 
 #include <QJsonObject>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,13 +55,10 @@
 std::vector<SectionRow> SectionRows(const log_service::ConfigReader& reader,
                                     const std::vector<Member>& members);
 
-/// The row for one section in force, without the instances behind.
-std::optional<SectionRow> FindSectionRow(
-    const log_service::ConfigReader& reader,
-    const std::string& section);
-
-/// One section: `{"sections": [ROW]}`, with no row if there is none.
-QJsonObject SectionToJson(const std::optional<SectionRow>& row);
+/// The sections alone: `{"instance", "ready", "sections"}`; with a name, only
+/// that section.
+QJsonObject SectionsToJson(const InstanceStatus& status,
+                           const std::string& only_section);
 
 /// All of it.
 QJsonObject ToJson(const InstanceStatus& status);
--- /dev/null
+++ b/testsuite/complete-own-answers/run.py
@@ -0,0 +1,84 @@
+#!/usr/bin/env python3
+"""Every caller gets the complete answer to its own request, or none: late,
+doubled, surplus, cut and reordered answers of backend servers never
+reach anyone else, and a cut answer never ends as if complete."""
+
+import http.client
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness
+
+from harness import Rule, Service, check, in_parallel, wait_until
+
+HTTP_ERRORS = (OSError, http.client.HTTPException)
+READS = Rule("previews", "/previews", deadline_ms=400, queue_wait_ms=400)
+SIZE = 3000
+
+
+def ask(case, number):
+    """Asks one instance. Gives the answer, or None for a cut one; fails if an
+    answer is whole but not the request's own."""
+    instance = case.instances[number % len(case.instances)]
+    # A path of its own: requests cut off at two targets are quarantined, which
+    # the case network-trouble-quarantines-nothing looks at.
+    path = f"/previews/{case.round}/{number}?bytes={SIZE}"
+    answer = instance.try_call("GET", path, identity=f"{case.round}-{number}")
+    if answer is not None and answer.status == 200:
+        case.check_own(answer, SIZE)
+    return answer
+
+
+def ask_many(case, name, count=120):
+    case.round = name
+    answers = in_parallel([lambda n=n: ask(case, n) for n in range(count)])
+    whole = [a for a in answers if a is not None and a.status == 200]
+    print(f"    {len(whole)} of {count} answered whole, "
+          f"{sum(a is None for a in answers)} cut")
+    return whole
+
+
+with harness.Case(__file__) as case:
+    case.start_platform({"catalog": 3}, proxied=("catalog",), mean_ms=2)
+    case.start_instances(2)
+    case.publish(Service("catalog", (READS,)))
+
+    def recover(name):
+        """What bad answers left behind on kept connections does no harm."""
+        tries = iter(range(10000))
+        wait_until(lambda: len(ask_many(
+            case, f"after-{name}-{next(tries)}", 20)) == 20,
+            "all is answered again")
+
+    for name, on, off in (
+            ("late", {"answer_late_ms": 700}, {"answer_late_ms": 0}),
+            ("twice", {"answer_twice": True}, {"answer_twice": False}),
+            ("surplus", {"surplus_bytes": True}, {"surplus_bytes": False}),
+            ("cut", {"truncate": True}, {"truncate": False}),
+            ("reset", {"reset_midway": True}, {"reset_midway": False})):
+        with case.section(f"answers that are {name}"):
+            # One backend server alone, so that good and bad answers mix.
+            case.fault("catalog-1", **on)
+            check(ask_many(case, f"one-{name}"), "nothing was answered")
+            case.fault_all("catalog", **on)
+            ask_many(case, name)
+            case.fault_all("catalog", **off)
+            recover(name)
+
+    clean = {"delay_ms": 0, "truncate_after": -1, "reset_after": -1,
+             "duplicate": False, "bytes_per_second": 0}
+    for name, faults in (("duplicated", {"duplicate": True}),
+                         ("truncated", {"truncate_after": 1000}),
+                         ("reset", {"reset_after": 4000}),
+                         ("slow", {"bytes_per_second": 20000})):
+        with case.section(f"a proxy's {name} bytes"):
+            case.fault_all("proxy-catalog", to_caller=faults)
+            ask_many(case, f"proxy-{name}")
+            case.fault_all("proxy-catalog", to_caller=clean)
+            recover(f"proxy-{name}")
+    with case.section("reordered answers"):
+        case.fault_all("proxy-catalog", swap_answers=True)
+        ask_many(case, "swapped")
+        case.fault_all("proxy-catalog", swap_answers=False)
+        recover("swapped")
--- /dev/null
+++ b/testsuite/leaving-backend-server/run.py
@@ -0,0 +1,81 @@
+#!/usr/bin/env python3
+"""A backend server that is leaving gets no new work after a few seconds, though
+its health endpoint says ready and only one instance has seen it drain."""
+
+import dataclasses
+import time
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness
+
+from harness import Service, check, wait_until
+
+# "A few seconds", from the moment at which one instance could see it.
+FEW_SECONDS = 5
+
+
+def backend_of(instance, number=0):
+    answer = instance.try_call("GET", f"/previews/{number}?ms=1")
+    return answer.backend if answer else None
+
+
+def runs_of(case, name):
+    return case.counters(name)["runs"]
+
+
+def check_left_alone(case, name, instances, since):
+    """Sends until the server gets nothing over 200 requests in a row."""
+    def left_alone():
+        before = runs_of(case, name)
+        for number in range(200):
+            backend_of(instances[number % len(instances)], number)
+        return runs_of(case, name) == before
+    wait_until(left_alone, f"{name} gets no new work")
+    took = time.monotonic() - since
+    print(f"    no new work after {took:.1f} s at most")
+    # The 200 requests that show it take time too.
+    check(took < FEW_SECONDS + 3, f"only after {took:.1f} s")
+
+
+with harness.Case(__file__) as case:
+    case.start_platform({"catalog": 5})
+    case.start_instances(3)
+    case.publish(Service("catalog"))
+
+    with case.section("one instance sees it drain, health lies"):
+        case.fault("catalog-1", draining=True, lying_health=True)
+        wait_until(lambda: backend_of(case.instances[0]) == "catalog-1",
+                   "an answer of the draining server")
+        check_left_alone(case, "catalog-1", case.instances, time.monotonic())
+
+    with case.section("it stays left alone while health goes on lying"):
+        before = runs_of(case, "catalog-1")
+        end = time.monotonic() + 4
+        while time.monotonic() < end:
+            for instance in case.instances:
+                backend_of(instance)
+        check(runs_of(case, "catalog-1") == before, "it got new work")
+
+    with case.section("an instance that starts later learns of it"):
+        late = case.start_instance(zone="zone-a")
+        case.wait_ready([late])
+        check_left_alone(case, "catalog-1", [late], time.monotonic())
+
+    with case.section("after its restart it is used again"):
+        case.fault("catalog-1", draining=False, lying_health=False)
+        harness.try_call(case.servers["catalog-1"], "GET", "/crash")
+        before = runs_of(case, "catalog-1")
+
+        def used():
+            for instance in case.instances:
+                backend_of(instance)
+            return runs_of(case, "catalog-1") > before
+        wait_until(used, "the new incarnation gets work")
+
+    with case.section("a target taken from the document, the store then down"):
+        fewer = Service("catalog", targets=case.targets("catalog")[:-1])
+        case.publish(fewer)
+        case.fault("log-service", outage="refuse")
+        check_left_alone(case, "catalog-5", case.instances, time.monotonic())
--- /dev/null
+++ b/testsuite/network-trouble-quarantines-nothing/run.py
@@ -0,0 +1,32 @@
+#!/usr/bin/env python3
+"""A moment in which the network cuts the answers of all backend servers leaves
+no request in quarantine: no backend server was lost to any of them."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness
+from harness import check, in_parallel, wait_until
+
+with harness.Case(__file__) as case:
+    case.start_platform({"catalog": 4}, proxied=("catalog",))
+    case.start_instances(2)
+    case.publish(harness.Service("catalog"))
+
+    def ask_all():
+        return in_parallel([
+            lambda n=n: case.instances[n % 2].try_call(
+                "GET", f"/previews/{n % 10}") for n in range(40)])
+
+    with case.section("all answers are cut for a moment"):
+        case.fault_all("proxy-catalog", to_caller={"truncate_after": 100})
+        ask_all()
+        case.fault_all("proxy-catalog", to_caller={"truncate_after": -1})
+    with case.section("afterwards all requests are answered"):
+        def answered():
+            answers = ask_all()
+            refused = {a.reason for a in answers if a and a.status != 200}
+            check("quarantined" not in refused, f"{refused}")
+            return all(a is not None and a.status == 200 for a in answers)
+        wait_until(answered, "all is answered")
--- /dev/null
+++ b/testsuite/runs-at-most-once/run.py
@@ -0,0 +1,194 @@
+#!/usr/bin/env python3
+"""A non-repeatable request runs at most once, whichever instances its copies
+reach and whatever happens to them: copies at once, an instance killed, paused
+or shut down, the store out, answers to appends lost, appends that take effect
+late."""
+
+import concurrent.futures
+import signal
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness
+
+from harness import check, in_parallel, wait_until
+
+# What a copy may be told while another copy runs, or once it can't be known.
+# Orders that take long on the backend server.
+SLOW = ("killed", "paused")
+HONEST = ("done", "unknown", "not-run")
+
+
+def send(instance, key, timeout_s=30):
+    """Sends a copy of the order `key`; all copies are alike."""
+    ms = 700 if key in SLOW else 20
+    return instance.order(key, f"/orders?ms={ms}", timeout_s=timeout_s)
+
+
+def send_everywhere(case, key):
+    """Sends copies of a request to all running instances at once."""
+    running = [i for i in case.instances if i.running]
+    return in_parallel([lambda i=i: send(i, key) for i in running])
+
+
+def settle(case, instance, key, bound_s=harness.EVENT_BOUND_S):
+    """Sends a request again until it is answered as done or lost for good."""
+    def settled():
+        answer = send(instance, key, 20)
+        return (answer is not None and
+                (answer.outcome == "done" or answer.reason == "outcome-lost")
+                and answer)
+    return wait_until(settled, f"{key} is settled at {instance.name}", bound_s)
+
+
+def check_told(case, told):
+    """No key ran twice; none that was told not-run by its last copy ran."""
+    case.check_runs()
+    runs = case.runs()
+    for key, answers in told.items():
+        outcomes = [a.outcome for a in answers if a is not None]
+        check(all(o in HONEST for o in outcomes), f"{key}: {outcomes}")
+        if runs.get(key, 0) == 0:
+            check("done" not in outcomes, f"{key} never ran: {answers}")
+        elif outcomes and all(a is not None for a in answers):
+            check(set(outcomes) != {"not-run"},
+                  f"{key} ran, but all copies were told not-run: {answers}")
+
+
+def copies_at_once(case):
+    with case.section("copies to three instances at once"):
+        told = {f"copies-{n}": None for n in range(40)}
+        for key in told:
+            told[key] = send_everywhere(case, key)
+        check_told(case, told)
+        for key in told:
+            answer = settle(case, case.instances[0], key)
+            case.check_own(answer)
+        check(sum(any(a and a.outcome == "done" for a in answers)
+                  for answers in told.values()) == len(told),
+              "each order was answered by one copy at least")
+    with case.section("a copy sent later is answered from the record"):
+        for instance in case.instances:
+            answer = send(instance, "copies-0")
+            case.check_own(answer)
+            check(answer.header("Guavacross-Replay") == "recorded", f"{answer}")
+    with case.section("a used key with another body is refused"):
+        answer = case.instances[1].call("POST", "/orders?ms=20", key="copies-0",
+                                        body=b"another order")
+        check((answer.status, answer.reason) == (422, "key-conflict"),
+              f"{answer}")
+    case.check_runs()
+
+
+def start_order(case, instance, key, pool):
+    """Sends a slow order and waits until a backend server runs it."""
+    future = pool.submit(send, instance, key)
+    wait_until(lambda: case.runs().get(key), f"{key} runs")
+    return future
+
+
+def holder_killed(case, pool):
+    with case.section("the instance is killed while the order runs"):
+        victim = case.instances[2]
+        start_order(case, victim, "killed", pool)
+        victim.kill()
+        answers = [settle(case, i, "killed") for i in case.instances[:2]]
+        check(all(a.reason == "outcome-lost" and a.outcome == "unknown"
+                  for a in answers), f"{answers}")
+        case.check_runs()
+    with case.section("and replaced by one with its name and address"):
+        case.start_instance(2, zone="zone-c")
+        case.wait_ready([case.instances[2]])
+        check_told(case, {"killed": [settle(case, case.instances[2],
+                                            "killed")]})
+
+
+def holder_paused(case, pool):
+    with case.section("the instance is paused while the order runs"):
+        holder = case.instances[2]
+        future = start_order(case, holder, "paused", pool)
+        holder.pause()
+        told = [send(i, "paused", 20) for i in case.instances[:2]]
+        check(all(a is None or a.outcome != "not-run" for a in told), f"{told}")
+        holder.resume()
+        told.append(future.result())
+        told += [settle(case, i, "paused") for i in case.instances]
+        check_told(case, {"paused": told})
+    with case.section("paused before it takes the order, resumed after"):
+        holder.pause()
+        late = pool.submit(send, holder, "late")
+        told = [send(i, "late") for i in case.instances[:2]]
+        holder.resume()
+        told.append(late.result())
+        told += [settle(case, i, "late") for i in case.instances]
+        check_told(case, {"late": told})
+
+
+def store_out(case):
+    with case.section("an outage of the store runs no new order"):
+        case.fault("log-service", outage="refuse")
+        told = {f"outage-{n}": None for n in range(6)}
+        answers = in_parallel(
+            [lambda k=k: send_everywhere(case, k) for k in told], 6)
+        told = dict(zip(told, answers))
+        check(not any(case.runs().get(key) for key in told),
+              f"ran without a claim: {told}")
+        check(all(a is not None and a.outcome != "done"
+                  for answers in told.values() for a in answers), f"{told}")
+        answer = send(case.instances[0], "copies-1")
+        check(answer is not None and answer.outcome == "done",
+              f"what was recorded is still known: {answer}")
+    with case.section("the same orders run once when it is back"):
+        case.fault("log-service", outage="")
+        for key in told:
+            case.check_own(settle(case, case.instances[1], key))
+        check_told(case, {})
+
+
+def lost_answers(case):
+    for name, fault in (("answers to appends are lost", {"lose_answers": 12}),
+                        ("appends are lost", {"lose_appends": 12}),
+                        ("appends take effect late",
+                         {"apply_late": 12, "late_ms": 1500}),
+                        ("the store is slow", {"delay_ms": 1000})):
+        with case.section(name):
+            case.fault("log-service", **fault)
+            keys = [f"{name}-{n}".replace(" ", "-") for n in range(8)]
+            answers = in_parallel(
+                [lambda k=k: send_everywhere(case, k) for k in keys], 8)
+            case.fault("log-service", lose_answers=0, lose_appends=0,
+                       apply_late=0, delay_ms=0)
+            for key in keys:
+                settle(case, case.instances[0], key)
+            check_told(case, dict(zip(keys, answers)))
+
+
+def handed_over(case):
+    with case.section("an instance shut down hands its records over"):
+        leaving = case.instances[1]
+        answers = {f"handed-{n}": send(leaving, f"handed-{n}")
+                   for n in range(10)}
+        leaving.signal(signal.SIGTERM)
+        check(leaving.wait() == 0, f"{leaving.name} did not end well")
+        case.unlist_instance(leaving)
+        for key, first in answers.items():
+            check(first is not None and first.outcome == "done", f"{first}")
+            again = settle(case, case.instances[0], key)
+            check(again.outcome == "done" and again.body == first.body,
+                  f"{key}: {again}")
+        case.check_runs()
+
+
+with harness.Case(__file__) as case:
+    case.start_platform({"catalog": 4})
+    case.start_instances(3)
+    case.publish(harness.Service("catalog"))
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        copies_at_once(case)
+        holder_killed(case, pool)
+        holder_paused(case, pool)
+        store_out(case)
+        lost_answers(case)
+        handed_over(case)
+    case.check_runs()
--- /dev/null
+++ b/testsuite/stragglers-and-fail-fast/run.py
@@ -0,0 +1,73 @@
+#!/usr/bin/env python3
+"""A straggler gets less than its share of the work, and a target that fails
+fast doesn't draw work to itself; callers see few of its errors."""
+
+import collections
+import time
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness
+
+from harness import check, in_parallel
+
+SERVERS = 6
+FAIR = 1 / SERVERS
+
+
+def load(case, name, seconds=3):
+    """Sends for a while from 16 callers. Gives the answers."""
+    end = time.monotonic() + seconds
+
+    def caller(place):
+        answers, number = [], 0
+        while time.monotonic() < end:
+            number += 1
+            answers.append(case.instances[place % 2].try_call(
+                "GET", f"/previews/{name}-{place}-{number}"))
+        return answers
+    return sum(in_parallel([lambda p=p: caller(p) for p in range(16)]), [])
+
+
+def share(answers, name):
+    count = collections.Counter(a.backend for a in answers if a)
+    return count[name] / max(1, sum(count.values()))
+
+
+with harness.Case(__file__) as case:
+    case.start_platform({"catalog": SERVERS}, mean_ms=5)
+    case.start_instances(2)
+    case.publish(harness.Service("catalog"))
+    load(case, "warm", 1)
+
+    with case.section("a straggler, 30 times as slow"):
+        case.fault("catalog-1", straggle_factor=30)
+        load(case, "learn", 1)
+        answers = load(case, "straggler")
+        got = share(answers, "catalog-1")
+        print(f"    {got:.3f} of {len(answers)} requests, fair is {FAIR:.3f}")
+        check(got < FAIR / 2, f"{got:.3f} of the requests")
+        case.fault("catalog-1", straggle_factor=1)
+
+    with case.section("a target that fails fast"):
+        case.fault("catalog-2", fail_fast=True)
+        load(case, "learn2", 1)
+        answers = load(case, "fail-fast")
+        failed = sum(a is None or a.status != 200 for a in answers)
+        print(f"    {failed} of {len(answers)} failed")
+        check(failed < len(answers) * FAIR / 4, f"{failed} failed")
+        case.fault("catalog-2", fail_fast=False)
+
+    with case.section("both, and one that drains"):
+        case.fault("catalog-1", straggle_factor=30)
+        case.fault("catalog-2", fail_fast=True)
+        case.fault("catalog-3", draining=True)
+        load(case, "learn3", 2)
+        answers = load(case, "three")
+        failed = sum(a is None or a.status != 200 for a in answers)
+        print(f"    {failed} of {len(answers)} failed, shares "
+              f"{[round(share(answers, f'catalog-{n + 1}'), 3) for n in range(6)]}")
+        check(failed < len(answers) * FAIR / 4, f"{failed} failed")
+        check(share(answers, "catalog-1") < FAIR / 2, "the straggler's share")
+        check(share(answers, "catalog-3") == 0, "the draining server got work")
