--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -82,6 +82,8 @@
   out->set_load(static_cast<float>(local.m_load));
   out->set_config_digest(local.m_config_digest);
   out->set_config_version(local.m_config_version);
+  out->set_fold_as_of(local.m_fold_as_of);
+  out->set_fold_digest(local.m_fold_digest);
   out->set_notices_digest(NoticesDigest());
   WriteRumors(out);
   PeerRecord& record = m_records[peer];
@@ -198,6 +200,9 @@
   if (heartbeat.notices_digest() != NoticesDigest()) {
     record.m_owes_notices = true;
   }
+  if (heartbeat.fold_as_of() > 0 && m_hooks.m_on_fold_digest) {
+    m_hooks.m_on_fold_digest(heartbeat.fold_as_of(), heartbeat.fold_digest());
+  }
   const LocalState& local = Local();
   if (heartbeat.config_digest() == local.m_config_digest) {
     record.m_digests_differed = 0;
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -62,6 +62,9 @@
   /// Digest of the sections in force and the highest version among them.
   std::uint64_t m_config_digest = 0;
   std::uint64_t m_config_version = 0;
+  /// Digest of the state folded from the log, and the offset it is as of.
+  std::uint64_t m_fold_as_of = 0;
+  std::uint64_t m_fold_digest = 0;
   InFlightCounts m_in_flight;
 
   bool operator==(const LocalState&) const = default;
@@ -80,6 +83,9 @@
 
   /// Sections that a peer has in force. Older ones may be among them.
   std::function<void(const std::vector<SectionState>&)> m_on_sections;
+  /// The digest of a peer's fold as of an offset.
+  std::function<void(std::uint64_t as_of, std::uint64_t digest)>
+      m_on_fold_digest;
   std::function<void(const DrainNotice&)> m_on_drain;
   std::function<void(const QuarantineNotice&)> m_on_quarantine;
   std::function<void(const SuspectNotice&)> m_on_suspect;
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -90,6 +90,9 @@
     hooks.m_on_sections = [this](const std::vector<SectionState>& sections) {
       Merge(sections);
     };
+    hooks.m_on_fold_digest = [this](std::uint64_t as_of, std::uint64_t digest) {
+      m_peer_fold = {as_of, digest};
+    };
     hooks.m_on_drain = [this](const DrainNotice& notice) {
       if (std::find(m_drains.begin(), m_drains.end(), notice) ==
           m_drains.end()) {
@@ -164,6 +167,7 @@
   util::Metrics m_metrics;
   LocalState m_local;
   std::vector<SectionState> m_sections;
+  std::pair<std::uint64_t, std::uint64_t> m_peer_fold;
   std::vector<DrainNotice> m_drains;
   std::string m_in_flight;
   ledger::LedgerHandover m_handed;
@@ -288,10 +292,21 @@
       sections.push_back(MakeSection("s" + std::to_string(i), i));
       sections.back().m_toml = std::string(300, 'x');
     }
+    sections.front().m_fallbacks[0] = "older";
     a.Merge(sections);
+    a.m_local.m_fold_as_of = 7;
+    a.m_local.m_fold_digest = 8;
     b.Knows(a, "a");
     loop.RunUntil("b has all sections",
                   [&] { return b.m_sections.size() == 3000; });
+    const auto first = std::find(b.m_sections.begin(), b.m_sections.end(),
+                                 a.m_sections.front());
+    CPPUNIT_ASSERT(first != b.m_sections.end());
+  });
+  Section("heartbeats tell the digest of what was folded", [&] {
+    loop.RunUntil("b hears of it", [&] {
+      return b.m_peer_fold == std::pair<std::uint64_t, std::uint64_t>{7, 8};
+    });
   });
   Section("an instance that the list doesn't show is heard of anyway", [&] {
     c.Knows(a, "a");
