Count unseen attempts for each use of a reading

Cause: a reading was used twice by every instance, so six instances could add twelve attempts to what it showed.

--- a/src/policy/choice_test.cc
+++ b/src/policy/choice_test.cc
@@ -91,6 +91,10 @@
     CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kBorrowed);
     view.m_others = 5;
     CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kNone);
+    view.m_others = 2;
+    CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kBorrowed);
+    view.m_uses = 1;
+    CPPUNIT_ASSERT(ClaimSlot(view) == SlotClaim::kNone);
   });
   Section("slots that peers leave unused for long may all be taken", [] {
     SlotView view{.m_slots = 4, .m_instances = 6, .m_own = 3};
--- a/src/policy/slot_shares.cc
+++ b/src/policy/slot_shares.cc
@@ -11,6 +11,10 @@
 // for requests that come while the transfers run.
 constexpr double kKeptFromBulk = 0.25;
 
+// Attempts beyond a target's slots that may be borrowed for, so that a slot
+// that becomes free isn't idle until the news of it has travelled.
+constexpr int kWaitingOnTarget = 2;
+
 }  // namespace
 
 SlotClaim ClaimSlot(const SlotView& view) {
@@ -23,12 +27,20 @@
   if (view.m_instances <= 1 || view.m_own >= view.m_slots) {
     return SlotClaim::kNone;
   }
+  const bool seen_others = view.m_fresh && view.m_others > 0;
+  if (view.m_unused_by_peers && !seen_others) {
+    return SlotClaim::kBorrowed;
+  }
   if (view.m_fresh) {
-    const int allowed = view.m_slots + view.m_instances / 3;
-    return view.m_own + view.m_others + 1 <= allowed ? SlotClaim::kBorrowed
-                                                     : SlotClaim::kNone;
+    const int allowed = view.m_slots + kWaitingOnTarget;
+    // Each other instance may have sent as many since; half of them are taken
+    // to have done so.
+    const int unseen = view.m_uses * view.m_instances / 2;
+    return view.m_own + view.m_others + unseen + 1 <= allowed
+               ? SlotClaim::kBorrowed
+               : SlotClaim::kNone;
   }
-  return view.m_unused_by_peers ? SlotClaim::kBorrowed : SlotClaim::kNone;
+  return SlotClaim::kNone;
 }
 
 int BulkLimit(int total_slots,
--- a/src/policy/slot_shares.h
+++ b/src/policy/slot_shares.h
@@ -5,12 +5,12 @@
 ///
 /// An instance may always have one attempt on a target, so that none is locked
 /// out. It goes beyond that only on evidence: a young report of the target,
-/// used a bounded number of times, that shows less than its slots and a third
-/// of an attempt per instance in flight, or peers that tell that they don't use
-/// it. Without evidence it keeps to an equal share. The other two thirds are
-/// for what the instances send before they see each other's attempts, so that
-/// in sum a target sees at most its slots and one attempt per instance. The
-/// attempts beyond the slots wait on the target, in the order in which they
+/// used a bounded number of times, that shows at most its slots in flight
+/// (fewer for each use, since the others use their reports too), or peers that
+/// tell that they don't use it. Without evidence it keeps to an equal share.
+/// What the instances send before they see each other's attempts comes on top,
+/// so that in sum a target sees at most its slots and one attempt per instance.
+/// The attempts beyond the slots wait on the target, in the order in which they
 /// came from all instances, which is fairer than waiting in one instance.
 namespace guavacross::policy {
 
@@ -24,6 +24,8 @@
   int m_others = 0;
   /// Whether that report is young and not used up.
   bool m_fresh = false;
+  /// Own attempts sent since that report.
+  int m_uses = 0;
   /// Whether peers tell that they have nothing in flight there.
   bool m_unused_by_peers = false;
 
