--- /dev/null
+++ b/src/backends/backend_pool_test.cc
@@ -0,0 +1,155 @@
+#include "backends/backend_pool.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/test_peer.h"
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::backends {
+
+namespace {
+
+using net::RunEvents;
+using net::TestPeer;
+using net::WaitUntil;
+using util::Section;
+
+constexpr char kReply[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+// One attempt and what it told.
+struct Sent {
+  std::unique_ptr<Attempt> m_attempt;
+  std::string m_body;
+  bool m_ended = false;
+  std::optional<AttemptFailure> m_failure;
+};
+
+class PoolFixture {
+ public:
+  explicit PoolFixture(BackendPoolOptions options = {})
+      : m_pool(&m_sockets, m_clock.clock(), options), m_server(&m_sockets) {}
+
+  std::unique_ptr<Sent> Send(const std::string& target, bool fresh = false) {
+    auto sent = std::make_unique<Sent>();
+    Sent* const raw = sent.get();
+    AttemptHooks hooks;
+    hooks.m_on_head = [](const http::ResponseHead&) {};
+    hooks.m_on_body = [raw](std::string_view bytes) { raw->m_body += bytes; };
+    hooks.m_on_end = [raw] { raw->m_ended = true; };
+    hooks.m_on_failure = [raw](const AttemptFailure& f) { raw->m_failure = f; };
+    AttemptRequest request;
+    request.m_address = m_server.endpoint();
+    request.m_head.m_method = "GET";
+    request.m_head.m_target = target;
+    request.m_head.m_fields.Add("Host", "shop");
+    request.m_fresh_connection = fresh;
+    sent->m_attempt = m_pool.Start(std::move(request), std::move(hooks));
+    return sent;
+  }
+
+  util::ManualClock m_clock;
+  net::SocketSet m_sockets;
+  BackendPool m_pool;
+  net::TestServer m_server;
+};
+
+}  // namespace
+
+GUAVACROSS_STORY(BackendPoolCap) {
+  PoolFixture fixture({.m_max_connections_per_target = 1});
+  const auto first = fixture.Send("/first");
+  const auto second = fixture.Send("/second");
+  TestPeer& backend = fixture.m_server.Peer(0);
+
+  Section("makes the second request wait for the connection", [&] {
+    WaitUntil([&] { return backend.Received("/first"); });
+    RunEvents();
+    CPPUNIT_ASSERT(!backend.Received("/second"));
+    CPPUNIT_ASSERT(!second->m_attempt->bytes_sent());
+  });
+  Section("lets it go on the same connection", [&] {
+    backend.Send(kReply);
+    WaitUntil([&] { return backend.Received("/second"); });
+    CPPUNIT_ASSERT(first->m_ended);
+    CPPUNIT_ASSERT_EQUAL(1, fixture.m_pool.connections());
+    backend.Send(kReply);
+    WaitUntil([&] { return second->m_ended; });
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), second->m_body);
+  });
+  Section("drops a waiting request that is given up", [&] {
+    const auto third = fixture.Send("/third");
+    auto fourth = fixture.Send("/fourth");
+    fourth.reset();
+    WaitUntil([&] { return backend.Received("/third"); });
+    backend.Send(kReply);
+    WaitUntil([&] { return third->m_ended; });
+    RunEvents();
+    CPPUNIT_ASSERT(!backend.Received("/fourth"));
+  });
+}
+
+GUAVACROSS_STORY(BackendConnectionReuse) {
+  PoolFixture fixture;
+  const auto first = fixture.Send("/first");
+  fixture.m_server.Peer(0).Send(kReply);
+  WaitUntil([&] { return first->m_ended; });
+
+  Section("skips a connection that the backend server has closed", [&] {
+    fixture.m_server.Peer(0).Close();
+    const auto second = fixture.Send("/second");
+    fixture.m_server.Peer(1).Send(kReply);
+    WaitUntil([&] { return second->m_ended; });
+  });
+  Section("ends when a connection has been idle for long", [&] {
+    fixture.m_clock.Advance(std::chrono::minutes(1));
+    fixture.m_pool.Sweep();
+    WaitUntil([&] { return fixture.m_server.Peer(1).gone(); });
+    CPPUNIT_ASSERT_EQUAL(0, fixture.m_pool.connections());
+  });
+}
+
+GUAVACROSS_STORY(BackendFailures) {
+  PoolFixture fixture;
+
+  Section("before a connection stands leave no byte sent", [&] {
+    fixture.m_server.close();
+    const auto refused = fixture.Send("/refused");
+    WaitUntil([&] { return refused->m_failure.has_value(); });
+    CPPUNIT_ASSERT(refused->m_failure->m_end == AttemptEnd::kConnectFailed);
+    CPPUNIT_ASSERT(!refused->m_failure->m_bytes_sent);
+    fixture.m_server.listen(QHostAddress(QHostAddress::LocalHost));
+  });
+  Section("after that count as sent", [&] {
+    const auto reset = fixture.Send("/reset");
+    TestPeer& backend = fixture.m_server.Peer(0);
+    WaitUntil([&] { return backend.Received("/reset"); });
+    backend.Abort();
+    WaitUntil([&] { return reset->m_failure.has_value(); });
+    CPPUNIT_ASSERT(reset->m_failure->m_bytes_sent);
+    CPPUNIT_ASSERT(!reset->m_failure->m_stale_connection);
+  });
+  Section("of framing are told as such", [&] {
+    const auto bad = fixture.Send("/bad");
+    TestPeer& backend = fixture.m_server.Peer(1);
+    WaitUntil([&] { return backend.Received("/bad"); });
+    backend.Send(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n");
+    WaitUntil([&] { return bad->m_failure.has_value(); });
+    CPPUNIT_ASSERT(bad->m_failure->m_kind == ErrorKind::kBackendBadAnswer);
+    WaitUntil([&] { return backend.gone(); });
+  });
+  Section("don't include interim answers", [&] {
+    const auto sent = fixture.Send("/interim");
+    TestPeer& backend = fixture.m_server.Peer(2);
+    WaitUntil([&] { return backend.Received("/interim"); });
+    backend.Send(std::string("HTTP/1.1 103 Early Hints\r\n\r\n") + kReply);
+    WaitUntil([&] { return sent->m_ended; });
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), sent->m_body);
+  });
+}
+
+}  // namespace guavacross::backends
--- /dev/null
+++ b/src/backends/probe_runner_test.cc
@@ -0,0 +1,89 @@
+#include "backends/probe_runner.h"
+
+#include <string>
+
+#include "net/test_peer.h"
+#include "util/manual_clock.h"
+#include "util/metrics.h"
+#include "util/story_test.h"
+
+namespace guavacross::backends {
+
+namespace {
+
+using net::WaitUntil;
+using util::Section;
+
+ServiceConfig ProbedService(const Endpoint& address) {
+  ServiceConfig service;
+  service.m_name = "shop";
+  service.m_targets = {{.m_name = "t0", .m_address = address}};
+  service.m_classes = {{.m_name = "read"}};
+  service.m_probe.m_probes_per_second = 100;
+  service.m_probe.m_time_share = 1;
+  return service;
+}
+
+// A request that is answered without a word about load.
+void Request(Router* router) {
+  RequestTraits traits;
+  traits.m_service = "shop";
+  traits.m_class_name = "read";
+  router->Acquire(traits, {}, [&](const util::Expected<Grant>& grant) {
+    if (grant) {
+      router->Release(*grant.m_value, traits, {});
+    }
+  });
+}
+
+bool Counted(const util::Metrics& metrics, const std::string& end) {
+  const std::string series = "guavacross_probes_total{end=\"" + end + "\"} ";
+  const std::string text = metrics.Text();
+  const std::size_t found = text.find(series);
+  return found != std::string::npos && text[found + series.size()] != '0';
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(Probes) {
+  util::ManualClock clock;
+  util::Metrics metrics;
+  net::SocketSet sockets;
+  net::TestServer server(&sockets);
+  Router router({.m_clock = clock.clock()}, {});
+  router.Configure(ProbedService(server.endpoint()));
+  ProbeRunner runner(&router, clock.clock(), &metrics);
+  runner.Start();
+  // A service without requests isn't probed.
+  const auto pass_time = [&](Duration duration) {
+    Request(&router);
+    clock.Advance(duration);
+    QCoreApplication::processEvents();
+  };
+  WaitUntil([&] {
+    pass_time(std::chrono::milliseconds(2));
+    return !server.peers().empty();
+  });
+
+  Section("ask for the load once each", [&] {
+    WaitUntil([&] { return server.Peer(0).Received("\r\n\r\n"); });
+    CPPUNIT_ASSERT(server.Peer(0).Received("GET /guavacross/load HTTP/1.1"));
+  });
+  Section("report what the answer says", [&] {
+    server.Peer(0).Send(
+        "HTTP/1.1 200 OK\r\nGuavacross-In-Flight: 3\r\n"
+        "Content-Length: 0\r\n\r\n");
+    WaitUntil([&] { return Counted(metrics, "answered"); });
+    CPPUNIT_ASSERT_EQUAL(3,
+                         *router.Status()[0].m_targets[0].m_reported_in_flight);
+  });
+  Section("that get no answer in time have failed", [&] {
+    WaitUntil([&] {
+      pass_time(std::chrono::milliseconds(50));
+      return Counted(metrics, "failed");
+    });
+  });
+  runner.Stop();
+}
+
+}  // namespace guavacross::backends
--- a/src/callers/worker_fixture.h
+++ b/src/callers/worker_fixture.h
@@ -19,11 +19,11 @@
 /// stands still, scripted backend servers, and callers that speak raw bytes.
 class WorkerFixture {
  public:
-  explicit WorkerFixture(int targets = 1)
-      : m_router({.m_zone = "z1",
-                  .m_policy = ChoicePolicy::kRoundRobin,
-                  .m_clock = m_clock.clock()},
-                 {}),
+  explicit WorkerFixture(int targets = 1,
+                         ChoicePolicy policy = ChoicePolicy::kRoundRobin)
+      : m_router(
+            {.m_zone = "z1", .m_policy = policy, .m_clock = m_clock.clock()},
+            {}),
         m_listener(&m_sockets) {
     for (int i = 0; i < targets; ++i) {
       m_backends.push_back(std::make_unique<net::TestServer>(&m_sockets));
@@ -54,7 +54,7 @@
   ~WorkerFixture() { m_callers.clear(); }
 
   /// The service `shop`: charges at /charge, downloads without a deadline at
-  /// /download, reads elsewhere.
+  /// /download, hedged reads at /quick, plain reads elsewhere.
   ServiceConfig Service() const {
     ServiceConfig service;
     service.m_name = "shop";
@@ -75,7 +75,11 @@
     download.m_name = "download";
     download.m_path_prefix = "/download";
     download.m_deadline = Duration::zero();
-    service.m_classes = {charge, download, read};
+    ClassConfig quick;
+    quick.m_name = "quick";
+    quick.m_path_prefix = "/quick";
+    quick.m_hedge = true;
+    service.m_classes = {charge, download, quick, read};
     service.m_tenants = {{.m_name = "acme"}};
     service.m_retry.m_budget_share = 1;
     return service;
--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -247,6 +247,35 @@
   });
 }
 
+GUAVACROSS_STORY(HedgedRequest) {
+  WorkerFixture fixture(/*targets=*/2, ChoicePolicy::kGuavacross);
+  TestPeer& caller = fixture.Caller();
+  constexpr int kWarmUpRequests = 300;
+  for (int i = 0; i < kWarmUpRequests; ++i) {
+    caller.Send(Get("/quick/" + std::to_string(i)));
+    TestPeer& backend =
+        LatestBackend(&fixture, "GET /quick/" + std::to_string(i) + " ");
+    fixture.m_clock.Advance(std::chrono::milliseconds(1));
+    backend.Send(Reply("warm-" + std::to_string(i) + "."));
+    WaitUntil(
+        [&] { return caller.Received("warm-" + std::to_string(i) + "."); });
+  }
+
+  Section("that is slow goes to a second target", [&] {
+    caller.Forget();
+    caller.Send(Get("/quick/slow"));
+    TestPeer& slow = LatestBackend(&fixture, "GET /quick/slow ");
+    fixture.m_clock.Advance(std::chrono::milliseconds(50));
+    WaitUntil(
+        [&] { return &LatestBackend(&fixture, "GET /quick/slow ") != &slow; });
+    LatestBackend(&fixture, "GET /quick/slow ").Send(Reply("from the hedge"));
+    WaitUntil([&] { return caller.Received("from the hedge"); });
+
+    Section("and the loser's connection is closed",
+            [&] { WaitUntil([&] { return slow.gone(); }); });
+  });
+}
+
 GUAVACROSS_STORY(StaleConnection) {
   WorkerFixture fixture;
   TestPeer& caller = fixture.Caller();
