--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -18,6 +18,7 @@
 using net::WaitUntil;
 using util::Section;
 
+constexpr int kWarmUpRequests = 300;
 constexpr char kKey[] = "Idempotency-Key: k1\r\n";
 
 std::string Charge() {
@@ -250,7 +251,6 @@
 GUAVACROSS_STORY(HedgedRequest) {
   WorkerFixture fixture(/*targets=*/2, ChoicePolicy::kGuavacross);
   TestPeer& caller = fixture.Caller();
-  constexpr int kWarmUpRequests = 300;
   for (int i = 0; i < kWarmUpRequests; ++i) {
     caller.Send(Get("/quick/" + std::to_string(i)));
     TestPeer& backend =
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 
 namespace guavacross::http {
@@ -16,12 +15,16 @@
     "Upgrade",          "Proxy-Authenticate",
     "Content-Length"};
 
+// Room for what a balancer adds to a message.
+constexpr std::size_t kUsualAddedFields = 4;
+
 // Fields that the serializer writes itself.
 constexpr std::array<std::string_view, 3> kFramingFields = {
     "Content-Length", "Transfer-Encoding", "Connection"};
 
-char Lower(char c) {
-  return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+// Header names are ASCII whatever the locale.
+constexpr char Lower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
 std::string_view Trim(std::string_view text) {
@@ -135,21 +138,25 @@
   });
 }
 
-void RemoveHopByHopFields(Fields* fields) {
-  std::vector<std::string> listed;
-  for (const auto& [name, value] : fields->all()) {
+Fields EndToEndFields(const Fields& fields,
+                      std::span<const std::string_view> also_without) {
+  std::vector<std::string_view> listed;
+  for (const auto& [name, value] : fields.all()) {
     if (EqualNames(name, "Connection")) {
       for (const std::string_view token : SplitTokens(value)) {
-        listed.emplace_back(token);
+        listed.push_back(token);
       }
     }
   }
-  for (const std::string& name : listed) {
-    fields->Remove(name);
-  }
-  for (const std::string_view name : kHopByHop) {
-    fields->Remove(name);
+  Fields kept;
+  kept.Reserve(fields.all().size() + kUsualAddedFields);
+  for (const auto& [name, value] : fields.all()) {
+    if (!Holds(kHopByHop, name) && !Holds(also_without, name) &&
+        !Holds(listed, name)) {
+      kept.Add(name, value);
+    }
   }
+  return kept;
 }
 
 std::string_view ReasonPhrase(int status) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,6 +23,7 @@
   std::optional<std::string_view> Find(std::string_view name) const;
   /// Whether the comma-separated values of a field hold `token`.
   bool HasToken(std::string_view name, std::string_view token) const;
+  void Reserve(std::size_t count) { m_fields.reserve(count); }
   void Add(std::string name, std::string value);
   /// Removes all fields called `name`, then adds one.
   void Set(std::string name, std::string value);
@@ -73,11 +75,12 @@
 /// Whether two header names or tokens are equal without regard to case.
 bool EqualNames(std::string_view a, std::string_view b);
 
-/// Removes the fields that concern one connection only (RFC 9110, 7.6.1):
-/// Connection and what it lists, Keep-Alive, TE, Trailer, Transfer-Encoding,
-/// Upgrade and the proxy fields. Content-Length goes too, since the serializer
-/// writes the framing.
-void RemoveHopByHopFields(Fields* fields);
+/// The fields that do not concern one connection only (RFC 9110, 7.6.1): all
+/// but Connection and what it lists, Keep-Alive, TE, Trailer,
+/// Transfer-Encoding, Upgrade, the proxy fields and those in `also_without`.
+/// Content-Length goes too, since the serializer writes the framing.
+Fields EndToEndFields(const Fields& fields,
+                      std::span<const std::string_view> also_without = {});
 
 /// The usual reason phrase for a status.
 std::string_view ReasonPhrase(int status);
