Key non-repeatable requests by the tenant that the caller names

Undeclared tenants share the label 'other'; sharing their keys too would have let one tenant's key meet another's recorded answer. Keys are bounded, and connections that wait in the kernel's queue are accepted before the server stops listening: closing would have reset them.

--- a/src/callers/caller_server.cc
+++ b/src/callers/caller_server.cc
@@ -213,6 +213,9 @@
 }
 
 void CallerServer::StopAccepting() {
+  // Closing would reset connections that wait in the kernel's queue, whose
+  // requests may have been sent already.
+  m_impl->m_listener.waitForNewConnection(0);
   m_impl->m_listener.close();
 }
 
--- a/src/callers/classify.cc
+++ b/src/callers/classify.cc
@@ -94,6 +94,7 @@
   BOOST_LEAF_AUTO(deadline, Deadline(head, *request.m_class, now));
   request.m_head = head;
   request.m_tenant = TenantName(head, *request.m_service);
+  request.m_key_tenant = head.m_fields.Find(kTenantHeader).value_or("");
   request.m_arrived = now;
   request.m_deadline = deadline;
   request.m_hops = static_cast<int>(hops.value_or(0));
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -17,6 +17,9 @@
 // Largest answer body that is kept to be sent again.
 constexpr std::size_t kMaxRecordedBytes = std::size_t{64} << 10;
 
+// Longest key of a non-repeatable request; keys are kept in the platform's log.
+constexpr std::size_t kMaxKeyBytes = 256;
+
 // How long a request without a caller is waited for, for the sake of its
 // record.
 constexpr Duration kMaxDetachedTime = std::chrono::minutes(10);
@@ -80,8 +83,14 @@
                       " need an Idempotency-Key"});
     return false;
   }
+  if (key->size() > kMaxKeyBytes) {
+    GiveUp({.m_kind = ErrorKind::kBadRequest,
+            .m_text = "the Idempotency-Key is longer than " +
+                      std::to_string(kMaxKeyBytes) + " bytes"});
+    return false;
+  }
   m_key = RequestKey{.m_service = m_request.m_service->m_name,
-                     .m_tenant = m_request.m_tenant,
+                     .m_tenant = m_request.m_key_tenant,
                      .m_key = std::string(*key)};
   return true;
 }
--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -311,6 +311,17 @@
     CPPUNIT_ASSERT(caller.Received("key-missing"));
     CPPUNIT_ASSERT(fixture.m_claims.empty());
   });
+  Section("of a tenant that isn't declared is keyed by its own name", [&] {
+    TestPeer& stranger = fixture.Caller();
+    stranger.Send(Post("/charge", "x",
+                       std::string(kKey) + "Guavacross-Tenant: nobody\r\n"));
+    LatestBackend(&fixture, "Guavacross-Tenant: nobody").Send(Reply("theirs"));
+    WaitUntil([&] { return stranger.Received("theirs"); });
+    CPPUNIT_ASSERT_EQUAL(std::string("nobody"),
+                         fixture.m_claims[0].first.m_tenant);
+    fixture.m_claims.clear();
+    fixture.m_finished.clear();
+  });
   Section("is claimed, run and recorded", [&] {
     TestPeer& second = fixture.Caller();
     second.Send(Charge());
--- a/src/forwarding/request_forwarder.h
+++ b/src/forwarding/request_forwarder.h
@@ -29,6 +29,9 @@
   const ClassConfig* m_class = nullptr;
   /// A declared tenant or `other`.
   std::string m_tenant;
+  /// The tenant as the caller named it: keys of tenants that aren't declared
+  /// must not meet.
+  std::string m_key_tenant;
   TimePoint m_arrived;
   /// When the caller stops waiting for the start of the answer.
   TimePoint m_deadline = TimePoint::max();
