Tests: end the worker before the ledger's fake, name requests apart

The new section found the latest backend connection by a text that two requests shared and waited for the wrong one; the failing fixture then destroyed its fake ledger before the worker ended its claims.

--- a/src/callers/worker_fixture.h
+++ b/src/callers/worker_fixture.h
@@ -51,7 +51,11 @@
     MakeWorker();
   }
 
-  ~WorkerFixture() { m_callers.clear(); }
+  ~WorkerFixture() {
+    m_callers.clear();
+    // Ends its claims, which the ledger's side below has to see.
+    m_worker.reset();
+  }
 
   /// The service `shop`: charges at /charge, downloads without a deadline at
   /// /download, hedged reads at /quick, plain reads elsewhere.
--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -313,7 +313,7 @@
   });
   Section("of a tenant that isn't declared is keyed by its own name", [&] {
     TestPeer& stranger = fixture.Caller();
-    stranger.Send(Post("/charge", "x",
+    stranger.Send(Post("/charge/them", "x",
                        std::string(kKey) + "Guavacross-Tenant: nobody\r\n"));
     LatestBackend(&fixture, "Guavacross-Tenant: nobody").Send(Reply("theirs"));
     WaitUntil([&] { return stranger.Received("theirs"); });
