Keep small per-target lists in vectors

An instance held 99 MB at 5,100 services with 28,000 targets, of which the router 15.7 kB a service: each target had three deques, and an empty std::deque takes 600 bytes.

--- a/src/policy/draining.cc
+++ b/src/policy/draining.cc
@@ -8,17 +8,17 @@
 
 constexpr std::size_t kRememberedRuns = 4;
 
-bool Contains(const std::deque<std::string>& runs, const std::string& run) {
+bool Contains(const std::vector<std::string>& runs, const std::string& run) {
   return std::find(runs.begin(), runs.end(), run) != runs.end();
 }
 
-void Remember(std::deque<std::string>* runs, const std::string& run) {
+void Remember(std::vector<std::string>* runs, const std::string& run) {
   if (run.empty() || Contains(*runs, run)) {
     return;
   }
   runs->push_back(run);
   if (runs->size() > kRememberedRuns) {
-    runs->pop_front();
+    runs->erase(runs->begin());
   }
 }
 
--- a/src/policy/draining.h
+++ b/src/policy/draining.h
@@ -1,8 +1,8 @@
 #ifndef GUAVACROSS_POLICY_DRAINING_H_
 #define GUAVACROSS_POLICY_DRAINING_H_
 
-#include <deque>
 #include <string>
+#include <vector>
 
 namespace guavacross::policy {
 
@@ -44,9 +44,11 @@
   std::string m_incarnation;
   bool m_draining = false;
   bool m_connect_failed = false;
-  // Runs that were seen draining, and runs that were seen replaced.
-  std::deque<std::string> m_drained_runs;
-  std::deque<std::string> m_past_runs;
+  // Runs that were seen draining, and runs that were seen replaced, oldest
+  // first. Mostly empty, and there is one per target: an empty std::deque would
+  // take 600 bytes.
+  std::vector<std::string> m_drained_runs;
+  std::vector<std::string> m_past_runs;
 };
 
 }  // namespace guavacross::policy
--- a/src/policy/probe_budget.cc
+++ b/src/policy/probe_budget.cc
@@ -22,7 +22,7 @@
     m_counts.pop_back();
   }
   while (!m_counts.empty() && m_counts.front().second + kWindow < now) {
-    m_counts.pop_front();
+    m_counts.erase(m_counts.begin());
   }
   m_counts.emplace_back(live_instances, now);
 }
--- a/src/policy/probe_budget.h
+++ b/src/policy/probe_budget.h
@@ -1,8 +1,8 @@
 #ifndef GUAVACROSS_POLICY_PROBE_BUDGET_H_
 #define GUAVACROSS_POLICY_PROBE_BUDGET_H_
 
-#include <deque>
 #include <utility>
+#include <vector>
 
 #include "guavacross/document.h"
 #include "guavacross/time.h"
@@ -34,7 +34,7 @@
  private:
   // Counts in falling order, with the time at which each was last true. The
   // last entry is the count that holds at present and doesn't age.
-  std::deque<std::pair<int, TimePoint>> m_counts;
+  std::vector<std::pair<int, TimePoint>> m_counts;
 };
 
 /// One instance's token bucket for the probes of one service.
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -6,14 +6,14 @@
 
 void ResetHistory::RecordReset(TimePoint now) {
   while (!m_losses.empty() && m_losses.front() + kMemory < now) {
-    m_losses.pop_front();
+    m_losses.erase(m_losses.begin());
   }
   if (!m_losses.empty() && now - m_losses.back() < kOneLoss) {
     return;
   }
   m_losses.push_back(now);
   if (m_losses.size() > kLosses) {
-    m_losses.pop_front();
+    m_losses.erase(m_losses.begin());
   }
 }
 
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -2,7 +2,6 @@
 #define GUAVACROSS_POLICY_QUARANTINE_H_
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -31,7 +30,8 @@
   static constexpr Duration kMemory = std::chrono::seconds(30);
   static constexpr std::size_t kLosses = 3;
 
-  std::deque<TimePoint> m_losses;
+  // Oldest first, at most `kLosses`.
+  std::vector<TimePoint> m_losses;
 };
 
 /// The requests that are refused because they have killed backend servers.
