--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -381,7 +381,8 @@
 
 bool Exchange::RetriesServerError(const http::ResponseHead& head) {
   return IsRetriedStatus(head.m_status) && repeatable() &&
-         m_tries.size() == 1 && !m_acquiring && MaySendAgain();
+         m_tries.size() == 1 && !m_acquiring &&
+         MaySendAgain(AttemptEnd::kServerError);
 }
 
 void Exchange::OnWinner(Try* winner, const http::ResponseHead& head) {
@@ -484,12 +485,12 @@
   End();
 }
 
-bool Exchange::MaySendAgain() const {
+bool Exchange::MaySendAgain(AttemptEnd last_end) const {
   const bool harmless = repeatable() || m_worst == Outcome::kNotRun;
   return m_caller_present && harmless && m_body.replayable() &&
          now() < m_request.m_deadline &&
-         context().m_router->MayRetry(*m_traits,
-                                      static_cast<int>(m_targets_tried.size()));
+         context().m_router->MayRetry(
+             *m_traits, static_cast<int>(m_targets_tried.size()), last_end);
 }
 
 void Exchange::RetryOrGiveUp(Error error) {
@@ -497,7 +498,11 @@
   if (!m_tries.empty() || m_acquiring) {
     return;
   }
-  if (MaySendAgain()) {
+  // Repeating what ran nowhere is cheaper than repeating what may have run.
+  const bool ran_nowhere = m_last_error->m_kind == ErrorKind::kConnectFailed ||
+                           m_last_error->m_kind == ErrorKind::kBackendRefused;
+  if (MaySendAgain(ran_nowhere ? AttemptEnd::kRefusedNotRun
+                               : AttemptEnd::kReset)) {
     Acquire();
   } else {
     GiveUp(*m_last_error);
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -99,7 +99,7 @@
   void OnFailure(Try* from, const backends::AttemptFailure& failure);
 
   // Endings.
-  bool MaySendAgain() const;
+  bool MaySendAgain(AttemptEnd last_end) const;
   void RetryOrGiveUp(Error error);
   void OnDeadline();
   void EndSlowTries();
--- a/src/routing/router_test.cc
+++ b/src/routing/router_test.cc
@@ -1,8 +1,10 @@
 #include <algorithm>
+#include <atomic>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <thread>
 #include <vector>
 
 #include "guavacross/routing.h"
@@ -337,6 +339,45 @@
   });
 }
 
+GUAVACROSS_STORY(RouterOnManyThreads) {
+  using util::Section;
+  constexpr int threads = 4;
+  constexpr int rounds = 5000;
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  router.Configure(Pool(2));
+  std::atomic<int> granted{0};
+  std::atomic<int> refused{0};
+  const auto work = [&] {
+    for (int i = 0; i < rounds; ++i) {
+      router.Acquire(TraitsOf("refund"), {},
+                     [&](const util::Expected<Grant>& grant) {
+                       if (!grant) {
+                         ++refused;
+                         return;
+                       }
+                       ++granted;
+                       router.Release(*grant.m_value, TraitsOf("refund"),
+                                      {.m_load = {.m_in_flight = 1}});
+                     });
+      router.ExpireWaiters();
+      router.TakeDueProbes();
+    }
+  };
+  std::vector<std::thread> workers;
+  workers.reserve(threads);
+  for (int i = 0; i < threads; ++i) {
+    workers.emplace_back(work);
+  }
+  for (std::thread& worker : workers) {
+    worker.join();
+  }
+  Section("every request is answered once and every slot is given back", [&] {
+    CPPUNIT_ASSERT_EQUAL(threads * rounds, granted + refused);
+    CPPUNIT_ASSERT(router.InFlight().empty());
+  });
+}
+
 GUAVACROSS_STORY(RouterProbes) {
   using util::Section;
   util::ManualClock manual;
