--- a/src/operators/commands_test.cc
+++ b/src/operators/commands_test.cc
@@ -272,6 +272,10 @@
     CPPUNIT_ASSERT_EQUAL(std::string("200 ok\n"), Get(endpoint, "/healthz"));
     CPPUNIT_ASSERT_EQUAL(std::string("200 ready\n"), Get(endpoint, "/readyz"));
     CPPUNIT_ASSERT(Has(Get(endpoint, "/metrics"), "guavacross_config_version"));
+    const std::string all = Get(endpoint, "/sections.json");
+    CPPUNIT_ASSERT(Has(all, "\"archive\"") && Has(all, "\"catalog\""));
+    const std::string one = Get(endpoint, "/sections.json?section=catalog");
+    CPPUNIT_ASSERT(!Has(one, "\"archive\"") && Has(one, "\"catalog\""));
     CPPUNIT_ASSERT(Has(Get(endpoint, "/status"), "Sections in force"));
     CPPUNIT_ASSERT(Has(Get(endpoint, "/status.json"), "\"refused_edits\""));
   });
--- a/src/operators/instance_status.cc
+++ b/src/operators/instance_status.cc
@@ -165,19 +165,14 @@
   return RowOf(reader, found->second);
 }
 
-QJsonObject SectionToJson(const std::optional<SectionRow>& row) {
-  QJsonArray sections;
-  if (row) {
-    sections.append(RowJson(*row));
-  }
-  return {{"sections", sections}};
+QJsonObject SectionsToJson(const std::vector<SectionRow>& rows) {
+  return {{"sections", ArrayOf(rows, RowJson)}};
 }
 
 QJsonObject ToJson(const InstanceStatus& status) {
-  QJsonObject json;
+  QJsonObject json = SectionsToJson(status.m_sections);
   json["instance"] = Text(status.m_id.m_name);
   json["ready"] = status.m_ready;
-  json["sections"] = ArrayOf(status.m_sections, RowJson);
   json["incarnation"] = Text(std::to_string(status.m_id.m_incarnation));
   json["region"] = Text(status.m_region);
   json["zone"] = Text(status.m_zone);
--- a/src/operators/instance_status.h
+++ b/src/operators/instance_status.h
@@ -61,8 +61,8 @@
     const log_service::ConfigReader& reader,
     const std::string& section);
 
-/// One section: `{"sections": [ROW]}`, with no row if there is none.
-QJsonObject SectionToJson(const std::optional<SectionRow>& row);
+/// Sections alone: `{"sections": [ROW, ...]}`.
+QJsonObject SectionsToJson(const std::vector<SectionRow>& rows);
 
 /// All of it.
 QJsonObject ToJson(const InstanceStatus& status);
--- a/src/operators/operator_server.cc
+++ b/src/operators/operator_server.cc
@@ -47,8 +47,7 @@
     m_server.route("/status.json",
                    [this] { return JsonAnswer(ToJson(m_hooks.m_status())); });
     m_server.route("/sections.json", [this](const QHttpServerRequest& request) {
-      return JsonAnswer(
-          SectionToJson(m_hooks.m_section(QueryValue(request, "section"))));
+      return JsonAnswer(SectionsJson(QueryValue(request, "section")));
     });
   }
 
@@ -62,6 +61,15 @@
   const Endpoint& endpoint() const { return m_endpoint; }
 
  private:
+  QJsonObject SectionsJson(const std::string& section) const {
+    if (section.empty()) {
+      return SectionsToJson(m_hooks.m_status().m_sections);
+    }
+    const auto row = m_hooks.m_section(section);
+    return SectionsToJson(row ? std::vector<SectionRow>{*row}
+                              : std::vector<SectionRow>());
+  }
+
   QHttpServerResponse ReadyAnswer() const {
     const Readiness readiness = m_hooks.m_readiness();
     if (readiness.m_ready) {
--- a/src/operators/operator_server.h
+++ b/src/operators/operator_server.h
@@ -36,7 +36,7 @@
 ///     /metrics        Prometheus' text format
 ///     /status         an HTML page; ?service=NAME for one service's targets
 ///     /status.json    the same as JSON
-///     /sections.json?section=NAME  one section in force
+///     /sections.json  versions in force; ?section=NAME for one
 ///
 /// Make one on the control thread and call `Start`. On Qt's HTTP server, which
 /// takes requests of any size into memory: keep the address inside.
