--- a/src/ledger/request_ledger.h
+++ b/src/ledger/request_ledger.h
@@ -45,7 +45,7 @@
   /// Requests held or ended on this instance, with or without an answer.
   std::size_t m_max_held = 65'536;
   /// Bytes of recorded answers kept on this instance.
-  std::size_t m_max_answer_bytes = 8 << 20;
+  std::size_t m_max_answer_bytes = 4 << 20;
   /// The longest recorded answer; longer ones aren't kept.
   std::size_t m_max_answer = 64 << 10;
   /// How long the log keeps a record, at the least. Claims are appended again
