A new section belongs to the team that publishes it; notes on configuration

Trying the example showed that one team could make a section in another team's name, which that team would then own unasked. The naive version refuses it too.

--- a/src/log_service/config_fold.cc
+++ b/src/log_service/config_fold.cc
@@ -159,6 +159,10 @@
     return "based on version " + std::to_string(edit.m_based_on) +
            ", but version " + std::to_string(version) + " is current";
   }
+  if (!exists && edit.m_owner != edit.m_team) {
+    return "a new section belongs to the team that publishes it, not to team " +
+           edit.m_owner;
+  }
   if (!exists && edit.m_toml.empty()) {
     return "there is no such section to remove";
   }
--- a/src/log_service/config_fold_test.cc
+++ b/src/log_service/config_fold_test.cc
@@ -31,6 +31,15 @@
 
 GUAVACROSS_STORY(ConfigFoldVerdicts) {
   Applier apply;
+  Section("a new section can't be made another team's", [&] {
+    ConfigEdit edit = MakeEdit("catalog", "billing", 0, "e0");
+    edit.m_team = "imaging";
+    edit.m_owner = "billing";
+    AssertEqual(
+        "a new section belongs to the team that publishes it, not to team "
+        "billing",
+        ConfigFold().Apply(0, EncodeEdit(edit)).m_reason);
+  });
   Section("a first edit makes its team the owner", [&] {
     const EditVerdict verdict = apply(MakeEdit("catalog", "imaging", 0, "e1"));
     AssertEqual("", verdict.m_reason);
--- a/testsuite/naive/naive_config.cc
+++ b/testsuite/naive/naive_config.cc
@@ -34,7 +34,9 @@
     const bool exists = !current.m_text.empty();
     const bool accepted = edit.m_based_on == current.m_version &&
                           (!exists || current.m_team == edit.m_team) &&
-                          (exists || !edit.m_toml.empty()) && TextIsGood(edit);
+                          (exists || !edit.m_toml.empty()) &&
+                          (exists || OwnerOf(edit) == edit.m_team) &&
+                          TextIsGood(edit);
     if (accepted) {
       current = {.m_version = offset + 1,
                  .m_text = edit.m_toml,
