Judge slowness by the mean of logarithms; a target that was down isn't unused

The average of latency ratios crossed its threshold by one long request, and idle targets were passed over as slow. The model had hidden it with service times that were half fixed; they are exponential now. Ratios are averaged by their logarithms and count from 3 times the usual on.

Cause 2: after a cold restart with real processes the peak on a target was 11. While it was down, all peers told of no use, so all took its slots at once. Their word counts now only with a report of the target that agrees.

--- a/src/policy/choice_test.cc
+++ b/src/policy/choice_test.cc
@@ -45,16 +45,25 @@
     CPPUNIT_ASSERT_EQUAL(3, load.reported_others());
   });
   Section("slowness shows with the first answer and fades", [&] {
-    load.RecordSlowness(TargetLoad::kFailureSlowness, aging, kStart);
+    load.RecordFailure(aging, kStart);
     CPPUNIT_ASSERT(load.Slowness(aging, kStart) > 2.5);
     CPPUNIT_ASSERT(load.Slowness(aging, kStart + seconds(5)) < 1.01);
   });
   Section("peers that are idle for a moment may be between requests", [&] {
-    load.PeersReport(0, kStart);
-    CPPUNIT_ASSERT(!load.IsUnusedByPeers(kStart + milliseconds(100)));
-    load.PeersReport(0, kStart + milliseconds(300));
-    CPPUNIT_ASSERT(load.IsUnusedByPeers(kStart + milliseconds(300)));
-    CPPUNIT_ASSERT(!load.IsUnusedByPeers(kStart + seconds(5)));
+    TargetLoad quiet;
+    quiet.Report(0, kStart);
+    quiet.PeersReport(0, kStart);
+    CPPUNIT_ASSERT(!quiet.IsUnusedByPeers(aging, kStart + milliseconds(100)));
+    quiet.PeersReport(0, kStart + milliseconds(300));
+    CPPUNIT_ASSERT(quiet.IsUnusedByPeers(aging, kStart + milliseconds(300)));
+  });
+  Section("of a target that was down for long nobody knows", [&] {
+    TargetLoad back;
+    back.Report(0, kStart);
+    back.PeersReport(0, kStart);
+    const TimePoint later = kStart + seconds(1);
+    back.PeersReport(0, later);
+    CPPUNIT_ASSERT(!back.IsUnusedByPeers(aging, later));
   });
 }
 
--- a/src/policy/slot_shares.cc
+++ b/src/policy/slot_shares.cc
@@ -27,8 +27,7 @@
   if (view.m_instances <= 1 || view.m_own >= view.m_slots) {
     return SlotClaim::kNone;
   }
-  const bool seen_others = view.m_fresh && view.m_others > 0;
-  if (view.m_unused_by_peers && !seen_others) {
+  if (view.m_unused_by_peers) {
     return SlotClaim::kBorrowed;
   }
   if (view.m_fresh) {
--- a/src/policy/target_choice.cc
+++ b/src/policy/target_choice.cc
@@ -18,7 +18,7 @@
 constexpr double kBorrowCost = 0.5;
 
 // Service times vary; a target is slow only beyond this.
-constexpr double kUsualSlowness = 2.5;
+constexpr double kUsualSlowness = 3;
 
 }  // namespace
 
--- a/src/policy/target_load.cc
+++ b/src/policy/target_load.cc
@@ -15,7 +15,11 @@
 
 // The part of a new latency in the average.
 constexpr double kSlownessGain = 0.3;
-constexpr double kMaxSlowness = 20;
+constexpr double kMinRatio = 0.1;
+constexpr double kMaxRatio = 20;
+
+// A failure says more than one slow answer.
+constexpr double kFailureGain = 0.5;
 
 }  // namespace
 
@@ -47,9 +51,19 @@
 void TargetLoad::RecordSlowness(double ratio,
                                 const LoadAging& aging,
                                 TimePoint now) {
-  const double faded = Slowness(aging, now);
-  m_slowness =
-      faded + kSlownessGain * (std::clamp(ratio, 0.0, kMaxSlowness) - faded);
+  Blend(std::clamp(ratio, kMinRatio, kMaxRatio), kSlownessGain, aging, now);
+}
+
+void TargetLoad::RecordFailure(const LoadAging& aging, TimePoint now) {
+  Blend(kFailureSlowness, kFailureGain, aging, now);
+}
+
+void TargetLoad::Blend(double ratio,
+                       double gain,
+                       const LoadAging& aging,
+                       TimePoint now) {
+  const double faded = LogSlowness(aging, now);
+  m_log_slowness = faded + gain * (std::log(ratio) - faded);
   m_slowness_at = now;
 }
 
@@ -63,7 +77,10 @@
                                            : now - m_reported_at;
 }
 
-bool TargetLoad::IsUnusedByPeers(TimePoint now) const {
+bool TargetLoad::IsUnusedByPeers(const LoadAging& aging, TimePoint now) const {
+  if (m_others > 0 || ReadingAge(now) >= aging.m_reading_life) {
+    return false;
+  }
   return m_peers_at != TimePoint::min() && now - m_peers_at < kPeersLife &&
          m_unused_since <= now - kUnusedAfter;
 }
@@ -85,12 +102,16 @@
 }
 
 double TargetLoad::Slowness(const LoadAging& aging, TimePoint now) const {
+  return std::max(1.0, std::exp(LogSlowness(aging, now)));
+}
+
+double TargetLoad::LogSlowness(const LoadAging& aging, TimePoint now) const {
   if (m_slowness_at == TimePoint::min()) {
-    return 1;
+    return 0;
   }
   const double half_lives =
       Seconds(now - m_slowness_at) / Seconds(aging.m_slowness_half_life);
-  return 1 + (m_slowness - 1) * std::exp2(-std::max(0.0, half_lives));
+  return m_log_slowness * std::exp2(-std::max(0.0, half_lives));
 }
 
 }  // namespace guavacross::policy
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -44,8 +44,13 @@
   void PeersReport(int in_flight, TimePoint at);
 
   /// Records an answer that took `ratio` times what is usual for its class.
+  /// Ratios are averaged by their logarithms: service times vary widely, and
+  /// one long request must not make a target look slow.
   void RecordSlowness(double ratio, const LoadAging& aging, TimePoint now);
 
+  /// Records an attempt that failed.
+  void RecordFailure(const LoadAging& aging, TimePoint now);
+
   /// Own attempts in flight.
   int own() const { return m_own; }
   /// Attempts sent since the last report.
@@ -61,8 +66,9 @@
   /// The time since the last report; very long if there was none.
   Duration ReadingAge(TimePoint now) const;
   /// Whether the other instances have told for a while that they don't use the
-  /// target.
-  bool IsUnusedByPeers(TimePoint now) const;
+  /// target, and its last report agrees. Their word alone isn't enough: nobody
+  /// uses a target that is down, and all come when it is back.
+  bool IsUnusedByPeers(const LoadAging& aging, TimePoint now) const;
 
   /// The estimate of other instances' attempts in flight. `usual` stands in for
   /// what isn't known: the average over the service's targets.
@@ -72,6 +78,9 @@
   double Slowness(const LoadAging& aging, TimePoint now) const;
 
  private:
+  void Blend(double ratio, double gain, const LoadAging& aging, TimePoint now);
+  double LogSlowness(const LoadAging& aging, TimePoint now) const;
+
   int m_own = 0;
   int m_uses = 0;
   int m_others = 0;
@@ -80,7 +89,7 @@
   TimePoint m_peers_at = TimePoint::min();
   // Since when the other instances tell that they don't use the target.
   TimePoint m_unused_since = TimePoint::max();
-  double m_slowness = 1;
+  double m_log_slowness = 0;
   TimePoint m_slowness_at = TimePoint::min();
 };
 
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -234,8 +234,7 @@
                                   TimePoint now,
                                   Effects* effects) {
   m_pool.Judge(target, VerdictOf(end), now);
-  target->m_load.RecordSlowness(policy::TargetLoad::kFailureSlowness,
-                                m_pool.parameters().m_aging, now);
+  target->m_load.RecordFailure(m_pool.parameters().m_aging, now);
   if (end == AttemptEnd::kConnectFailed) {
     target->m_draining.ConnectFailed();
   }
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -328,7 +328,7 @@
       .m_others = load.reported_others(),
       .m_fresh = load.IsFresh(aging, now),
       .m_uses = load.uses(),
-      .m_unused_by_peers = load.IsUnusedByPeers(now)};
+      .m_unused_by_peers = load.IsUnusedByPeers(aging, now)};
   const policy::SlotClaim claim = policy::ClaimSlot(view);
   if (claim == policy::SlotClaim::kNone) {
     return std::nullopt;
--- a/src/routing/testing/pool_model.cc
+++ b/src/routing/testing/pool_model.cc
@@ -239,9 +239,8 @@
       target.m_waiting.pop_front();
       job->m_running = true;
       ++target.m_running;
-      // Half of the time is fixed and half exponential.
-      const double half = Seconds(m_options.m_mean_service_time) / 2;
-      After(FromSeconds((half + Exponential(half)) * target.m_factor),
+      const double mean = Seconds(m_options.m_mean_service_time);
+      After(FromSeconds(Exponential(mean) * target.m_factor),
             [=, this] { Complete(index, job); });
     }
   }
--- a/src/routing/testing/pool_model.h
+++ b/src/routing/testing/pool_model.h
@@ -11,7 +11,8 @@
 /// A model of one service's backend servers in simulated time, to try a policy
 /// on without processes: a fake at the interface of `Router`.
 ///
-/// Each target runs up to its slots at once and keeps the rest in a queue.
+/// Each target runs up to its slots at once, for exponential times, and keeps
+/// the rest in a queue.
 /// Requests arrive as a Poisson process at instances chosen at random; messages
 /// take a fixed time. The model says how decisions compare, not how the running
 /// system behaves: that is measured by `scripts/experiment`.
