--- a/src/backends/probe_runner.cc
+++ b/src/backends/probe_runner.cc
@@ -19,6 +19,8 @@
 
 // How often the router is asked for due probes.
 constexpr Duration kTickInterval = std::chrono::milliseconds(2);
+// While nothing is due. What becomes due meanwhile is late by this at most.
+constexpr Duration kIdleTickInterval = std::chrono::milliseconds(10);
 
 constexpr http::ReadLimits kLimits{.m_max_header_bytes = std::size_t{8} << 10,
                                    .m_max_body_bytes = std::size_t{64} << 10};
@@ -138,7 +140,16 @@
             OnDone(probe, std::move(load));
           }));
     }
-    m_timer = m_clock.m_call_after(kTickInterval, [this] { Tick(); });
+    m_timer = m_clock.m_call_after(UntilNextTick(), [this] { Tick(); });
+  }
+
+  Duration UntilNextTick() const {
+    const std::optional<TimePoint> next = m_router->NextDue();
+    if (!next.has_value()) {
+      return kIdleTickInterval;
+    }
+    return std::clamp(*next - m_clock.m_now(), kTickInterval,
+                      kIdleTickInterval);
   }
 
   void Stop() {
--- a/src/backends/probe_runner.h
+++ b/src/backends/probe_runner.h
@@ -15,9 +15,10 @@
 /// Sends the probes that the router orders and reports their results.
 ///
 /// Make one on the control thread, then call `Start`. Every two milliseconds
-/// it takes the due probes, sends each as one GET of the load endpoint on a
-/// connection of its own and reports the answer or its absence. It also lets
-/// the router expire its waiting requests. A probe is never sent twice.
+/// while something is due, and less often otherwise, it takes the due probes,
+/// sends each as one GET of the load endpoint on a connection of its own and
+/// reports the answer or its absence. It also lets the router expire its
+/// waiting requests. A probe is never sent twice.
 class ProbeRunner {
  public:
   /// `router` and `metrics` must outlive the runner.
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -270,6 +270,10 @@
   std::vector<ProbeOrder> TakeDueProbes();
   void ReportProbe(const ProbeReport& report);
 
+  /// When `ExpireWaiters` or `TakeDueProbes` next has something to do, as far
+  /// as is known now.
+  std::optional<TimePoint> NextDue() const;
+
   /// The number of entry instances that the instance list or the peers show
   /// live at this moment, this one included.
   void SetInstanceCount(int live_instances);
--- a/src/routing/due_times.h
+++ b/src/routing/due_times.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <queue>
 #include <vector>
 
@@ -22,6 +23,15 @@
     m_entries.push(Entry{.m_due = due, .m_item = std::move(item)});
   }
 
+  /// When the next one is due, if there is any.
+  std::optional<TimePoint> Next() const {
+    const std::lock_guard lock(m_mutex);
+    if (m_entries.empty()) {
+      return std::nullopt;
+    }
+    return m_entries.top().m_due;
+  }
+
   /// Removes and returns what is due at `now`.
   std::vector<std::shared_ptr<T>> TakeDue(TimePoint now) {
     std::vector<std::shared_ptr<T>> due;
@@ -44,7 +54,7 @@
     bool operator<(const Entry& other) const { return m_due > other.m_due; }
   };
 
-  std::mutex m_mutex;
+  mutable std::mutex m_mutex;
   std::priority_queue<Entry> m_entries;
 };
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <set>
 #include <shared_mutex>
 #include <unordered_map>
 #include <utility>
@@ -53,6 +54,7 @@
     }
     routing::Deliver(std::move(effects.m_decisions));
     for (const DrainNotice& notice : effects.m_drains) {
+      NoteDrain(notice.m_service);
       if (m_hooks.m_on_drain) {
         m_hooks.m_on_drain(notice);
       }
@@ -105,6 +107,17 @@
     m_quarantine.Answered(fingerprint, now);
   }
 
+  void NoteDrain(const std::string& service) {
+    const std::lock_guard lock(m_drains_mutex);
+    m_services_with_drains.insert(service);
+  }
+
+  /// The services that have had a draining target, which are few.
+  std::set<std::string> ServicesWithDrains() const {
+    const std::lock_guard lock(m_drains_mutex);
+    return m_services_with_drains;
+  }
+
   bool IsQuarantined(std::uint64_t fingerprint) {
     if (!m_any_quarantine) {
       return false;
@@ -130,6 +143,9 @@
   std::unordered_map<std::string, std::shared_ptr<ServiceRouter>> m_services;
   routing::DueTimes<ServiceRouter> m_expiries;
   routing::DueTimes<ServiceRouter> m_probe_times;
+  // A leaf: no other lock is taken while it is held.
+  mutable std::mutex m_drains_mutex;
+  std::set<std::string> m_services_with_drains;
   std::mutex m_instances_mutex;
   policy::InstanceCountWindow m_instances;
   std::atomic<int> m_largest_instances{1};
@@ -274,6 +290,15 @@
   return orders;
 }
 
+std::optional<TimePoint> Router::NextDue() const {
+  const auto expiry = m_impl->m_expiries.Next();
+  const auto probe = m_impl->m_probe_times.Next();
+  if (!expiry.has_value() || !probe.has_value()) {
+    return expiry.has_value() ? expiry : probe;
+  }
+  return std::min(*expiry, *probe);
+}
+
 void Router::ReportProbe(const ProbeReport& report) {
   if (const auto service = m_impl->Find(report.m_service)) {
     Effects effects;
@@ -305,6 +330,7 @@
 void Router::LearnDrain(const DrainNotice& notice) {
   if (const auto service = m_impl->Find(notice.m_service)) {
     service->LearnDrain(notice);
+    m_impl->NoteDrain(notice.m_service);
   }
 }
 
@@ -318,9 +344,12 @@
 
 std::vector<DrainNotice> Router::Drains() const {
   std::vector<DrainNotice> drains;
-  for (const auto& service : m_impl->AllServices()) {
-    const std::vector<DrainNotice> own = service->Drains();
-    drains.insert(drains.end(), own.begin(), own.end());
+  // Heartbeats ask often, so that the other services aren't looked at.
+  for (const std::string& name : m_impl->ServicesWithDrains()) {
+    if (const auto service = m_impl->Find(name)) {
+      const std::vector<DrainNotice> own = service->Drains();
+      drains.insert(drains.end(), own.begin(), own.end());
+    }
   }
   return drains;
 }
