--- a/src/ledger/claim_fold.cc
+++ b/src/ledger/claim_fold.cc
@@ -58,16 +58,16 @@
   if (m_gap || first_kept <= (m_started ? m_offset + 1 : 0)) {
     return false;
   }
+  // What was known before the gap may have been overtaken by records in it: an
+  // attempt known as ended may have been followed by another one.
   m_gap = true;
+  m_index = ClaimIndex();
   m_known_since = now;
   return true;
 }
 
-// What was known before the gap may have been overtaken by records in it: an
-// attempt known as ended may have been followed by another one.
 void ClaimFold::StartAfterGap(std::uint64_t offset, TimePoint recorded) {
   m_gap = false;
-  m_index = ClaimIndex();
   m_first_offset = offset;
   m_known_since = std::min(m_known_since, recorded);
 }
@@ -199,7 +199,7 @@
 }
 
 Coverage ClaimFold::CoverageNow(TimePoint now) const {
-  std::uint64_t from = m_offset + 1;
+  std::uint64_t from = m_started ? m_offset + 1 : 0;
   for (const ClaimEntry& entry : m_index.entries()) {
     from = std::min<std::uint64_t>(from, entry.m_record);
   }
--- a/src/ledger/claim_fold.h
+++ b/src/ledger/claim_fold.h
@@ -61,7 +61,7 @@
                 const FoldTime& time);
 
   /// Notes that records before `first_kept` have expired. If some of them were
-  /// never applied, the next record starts the fold anew.
+  /// never applied, the fold starts anew.
   ///
   /// @return whether records were missed for the first time since then.
   bool NoteExpired(std::uint64_t first_kept, TimePoint now);
--- a/src/ledger/claim_log.cc
+++ b/src/ledger/claim_log.cc
@@ -77,6 +77,7 @@
 
 void ClaimLog::Read() {
   m_read_timer.reset();
+  m_hooks.m_on_read_sent();
   m_hooks.m_log.m_read(
       kClaimStream, m_next_offset, m_caught_up ? kReadWait : Duration::zero(),
       [this, alive = std::weak_ptr<int>(m_alive)](Result<LogBatch> batch) {
--- a/src/ledger/claim_log.h
+++ b/src/ledger/claim_log.h
@@ -32,7 +32,10 @@
       m_on_record;
   /// Records before `first_kept` have expired.
   std::function<void(std::uint64_t first_kept)> m_on_expired;
-  /// The log has been read to its end.
+  /// A read is about to be sent.
+  std::function<void()> m_on_read_sent;
+  /// The log has been read to its end, as of some time since the last read was
+  /// sent.
   std::function<void()> m_on_caught_up;
   /// The log has refused to append these claims.
   std::function<void(const std::vector<Claim>&)> m_on_rejected;
--- a/src/ledger/minted_claims.cc
+++ b/src/ledger/minted_claims.cc
@@ -1,10 +1,18 @@
 #include "ledger/minted_claims.h"
 
 #include <chrono>
+#include <cstddef>
 #include <utility>
 
 namespace guavacross::ledger {
 
+namespace {
+
+// Keys that this instance asks others about at one time.
+constexpr std::size_t kMaxAsking = 1024;
+
+}  // namespace
+
 MintedClaims::MintedClaims(LedgerContext* context)
     : m_context(context), m_started(context->m_options.m_clock.m_now()) {
   m_deciding_for[context->m_options.m_self] = m_started;
@@ -37,7 +45,8 @@
     });
     return;
   }
-  if (!m_context->m_held.MakeRoom(m_context->m_options.m_clock.m_now())) {
+  if (m_asking.size() >= kMaxAsking ||
+      !m_context->m_held.MakeRoom(m_context->m_options.m_clock.m_now())) {
     // An earlier copy may have run elsewhere, so `kFull` would say too much.
     decide(ToDecision({.m_status = LedgerReply::Status::kUnreachable}));
     return;
--- a/src/ledger/plain_claims.cc
+++ b/src/ledger/plain_claims.cc
@@ -39,6 +39,7 @@
                  },
              .m_on_expired =
                  [this](std::uint64_t first_kept) { OnExpired(first_kept); },
+             .m_on_read_sent = [this] { m_members_at_read = MemberIds(); },
              .m_on_caught_up = [this] { OnCaughtUp(); },
              .m_on_rejected =
                  [this](const std::vector<ledger::Claim>& claims) {
@@ -277,12 +278,14 @@
 
 // Nothing of this copy runs, but an earlier copy may have run on another
 // instance without this one having read its claim. "Not run" is told only if
-// this instance knew all older claims, and all instances that may have claimed
-// since then say that they know of no copy.
+// this instance knew all older claims when it last read the log to its end, and
+// all instances that were there at that time, and no new ones, say that they
+// know of no copy.
 void PlainClaims::RefuseUnsettled(const KeyHash& key,
                                   Waiter waiter,
                                   std::string text) {
-  const bool knows_older = m_log.caught_up() && !CheckAge(waiter);
+  const bool knows_older =
+      m_log.caught_up() && !CheckAge(waiter) && !MembersHaveChanged();
   if (!knows_older || m_surveys >= kMaxSurveys) {
     waiter.m_decide(Refuse(ErrorKind::kAppendUnclear, std::move(text)));
     return;
@@ -291,7 +294,9 @@
   const LedgerQuestion question{.m_kind = LedgerQuestion::Kind::kIsKnown,
                                 .m_asker = m_context->m_options.m_self,
                                 .m_key = key};
-  AskAll(*m_context, InstancesThatMayHaveClaimed(), question,
+  const std::vector<InstanceId> peers(m_members_at_last_end.begin(),
+                                      m_members_at_last_end.end());
+  AskAll(*m_context, peers, question,
          [this, key, decide = std::move(waiter.m_decide),
           text = std::move(text)](const std::vector<LedgerReply>& replies) {
            --m_surveys;
@@ -310,10 +315,17 @@
          });
 }
 
-std::vector<InstanceId> PlainClaims::InstancesThatMayHaveClaimed() {
+std::set<InstanceId> PlainClaims::MemberIds() const {
   const auto members = MembersToAsk(*m_context, SurveyScope::kAll);
-  m_may_have_claimed.insert(members.begin(), members.end());
-  return {m_may_have_claimed.begin(), m_may_have_claimed.end()};
+  return {members.begin(), members.end()};
+}
+
+// Whether an instance has come or started again since the log was last read to
+// its end: an incarnation before it may have claimed, run and gone unseen.
+bool PlainClaims::MembersHaveChanged() const {
+  const std::set<InstanceId> now = MemberIds();
+  return !std::includes(m_members_at_last_end.begin(),
+                        m_members_at_last_end.end(), now.begin(), now.end());
 }
 
 void PlainClaims::EndNotRun(const KeyHash& key) {
@@ -416,8 +428,7 @@
 }
 
 void PlainClaims::OnCaughtUp() {
-  const auto members = MembersToAsk(*m_context, SurveyScope::kAll);
-  m_may_have_claimed = {members.begin(), members.end()};
+  m_members_at_last_end = m_members_at_read;
   std::vector<KeyHash> unclaimed;
   for (const auto& [key, waiters] : m_waiting) {
     const bool has_new =
--- a/src/ledger/plain_claims.h
+++ b/src/ledger/plain_claims.h
@@ -81,7 +81,8 @@
   void OnTimeout(const KeyHash& key, Waiters::iterator waiter);
   void RefuseAll(const KeyHash& key, const std::string& text);
   void RefuseUnsettled(const KeyHash& key, Waiter waiter, std::string text);
-  std::vector<InstanceId> InstancesThatMayHaveClaimed();
+  std::set<InstanceId> MemberIds() const;
+  bool MembersHaveChanged() const;
 
   void OnRecord(std::uint64_t offset, const ClaimRecord& record);
   void OnExpired(std::uint64_t first_kept);
@@ -97,9 +98,10 @@
   int m_surveys = 0;
 
   ClaimCarrier m_carrier;
-  // Instances that were seen alive since the log was last read to its end:
-  // they may have made claims that this instance has not read.
-  std::set<InstanceId> m_may_have_claimed;
+  // The other instances when the last read was sent, and when the last read
+  // that reached the log's end was sent.
+  std::set<InstanceId> m_members_at_read;
+  std::set<InstanceId> m_members_at_last_end;
 };
 
 }  // namespace guavacross::ledger
--- a/src/ledger/request_ledger_test.cc
+++ b/src/ledger/request_ledger_test.cc
@@ -543,6 +543,8 @@
   Section("with the store out, nothing runs and a first copy hears not-run",
           [] {
             Cluster cluster;
+            // Each has read the log to its end since it knows the others.
+            cluster.Advance(seconds(2));
             cluster.log().SetOutage(true);
             const auto copy = cluster.Send(0, "k");
             cluster.Advance(seconds(4));
@@ -554,6 +556,17 @@
             cluster.Advance(seconds(1));
             AssertKind(*again, Kind::kRun);
           });
+  Section("it hears unknown if an instance came since the log was read", [] {
+    Cluster cluster;
+    cluster.Advance(seconds(2));
+    cluster.log().SetOutage(true);
+    cluster.Crash(2);
+    cluster.Start(2);
+    const auto copy = cluster.Send(0, "k");
+    cluster.Advance(seconds(4));
+    AssertRefused(*copy, ErrorKind::kAppendUnclear);
+    CPPUNIT_ASSERT_EQUAL(0, cluster.RunsOf("k"));
+  });
   Section("a re-send that missed the first copy's claim isn't told not-run",
           [] {
             Cluster cluster;
@@ -721,6 +734,34 @@
   Section("no request runs twice and none that ran is told as not run", [] {
     CPPUNIT_ASSERT(rc::check([] { RunAnyFaults(Duration::zero()); }));
   });
+  Section("not even if a new instance's first record is a key's end", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({2527223370, 1564122795, 448789687, 4200235800,
+                        3201832299, 3844613310, 2270360888, 1421547725},
+                       seconds(40)));
+  });
+  Section("not even if an heir had given up an earlier attempt itself", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({3110750514, 798767470, 3521976821, 963612978,
+                        3085495647, 1540146118, 1401466525},
+                       Duration::zero()));
+  });
+  Section("not even if the holder starts again before its claim is read", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({1051541276, 0, 1053072432, 3140865987, 258883213,
+                        630119238, 3384804082, 513499880},
+                       Duration::zero()));
+  });
+  Section("not even if an instance that has read nothing tells a coverage", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({349175828, 3871907280, 1415802639, 825496078, 298013748,
+                        3160432589, 1787131346, 2144095109},
+                       seconds(40)));
+  });
   Section("nor while the log's records expire",
           [] { CPPUNIT_ASSERT(rc::check([] { RunAnyFaults(seconds(40)); })); });
 }
