Tests: don't walk a part of a destroyed temporary

Found by AddressSanitizer in TargetThatNeverAnswers: a range-for over a member of what Router::Status returned.

--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -1,6 +1,7 @@
 #include "forwarding/exchange.h"
 
 #include <string>
+#include <vector>
 
 #include "callers/worker_fixture.h"
 #include "util/story_test.h"
@@ -161,8 +162,8 @@
   TestPeer& caller = fixture.Caller();
   const auto ejected = [&fixture] {
     int count = 0;
-    for (const TargetStatus& target :
-         fixture.m_router.Status().front().m_targets) {
+    const std::vector<ServiceStatus> services = fixture.m_router.Status();
+    for (const TargetStatus& target : services.front().m_targets) {
       count += target.m_ejected ? 1 : 0;
     }
     return count;
