--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -1,6 +1,7 @@
 #ifndef GUAVACROSS_FORWARDING_EXCHANGE_H_
 #define GUAVACROSS_FORWARDING_EXCHANGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -52,6 +53,9 @@
  private:
   friend class RequestForwarder;
 
+  // Reading one side pauses while this much is buffered towards the other.
+  static constexpr std::size_t kMaxBufferedBytes = std::size_t{128} << 10;
+
   // One grant and what became of it.
   struct Try {
     Grant m_grant;
