Heartbeats ask only services in use for attempts in flight

With 2,500 idle sections the control thread took 1.87 % of a core, against 1.0 % with 10: a heartbeat went through all services. Services are listed when they grant an attempt and struck off when they have none. After: 1.0 % at both.

--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -164,6 +164,10 @@
   bool operator==(const ServiceStatus&) const = default;
 };
 
+/// Attempts in flight by service and target.
+using InFlightCounts = std::vector<
+    std::pair<std::string, std::vector<std::pair<std::string, int>>>>;
+
 /// Which policy picks targets; all but `kGuavacross` are baselines to compare
 /// with.
 enum class ChoicePolicy { kGuavacross, kRandom, kRoundRobin, kLeastInFlight };
@@ -291,8 +295,7 @@
   std::vector<QuarantineNotice> Quarantines() const;
 
   /// This instance's attempts in flight by service and target, zeros left out.
-  std::vector<std::pair<std::string, std::vector<std::pair<std::string, int>>>>
-  InFlight() const;
+  InFlightCounts InFlight() const;
 
   std::vector<ServiceStatus> Status() const;
 
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -20,10 +20,6 @@
 
 namespace guavacross::peers {
 
-/// Attempts in flight by service and target, as `Router::InFlight` gives them.
-using InFlightCounts = std::vector<
-    std::pair<std::string, std::vector<std::pair<std::string, int>>>>;
-
 struct PeerOptions {
   InstanceId m_self;
   /// Instances of another cluster are refused.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -52,6 +52,9 @@
     if (effects.m_probe_at) {
       m_probe_times.Add(*effects.m_probe_at, service);
     }
+    if (!effects.m_decisions.empty()) {
+      ListInUse(service);
+    }
     routing::Deliver(std::move(effects.m_decisions));
     for (const DrainNotice& notice : effects.m_drains) {
       NoteDrain(notice.m_service);
@@ -107,6 +110,36 @@
     m_quarantine.Answered(fingerprint, now);
   }
 
+  /// Lists a service that has granted attempts. Costs one atomic exchange if it
+  /// is listed already. Its attempts are counted before this call, so that
+  /// `ServicesInUse` misses none.
+  void ListInUse(const std::shared_ptr<ServiceRouter>& service) {
+    if (service != nullptr && !service->ExchangeListed(true)) {
+      const std::lock_guard lock(m_in_use_mutex);
+      m_in_use.insert(service);
+    }
+  }
+
+  /// Counts the attempts of the services in use, and strikes off the list the
+  /// services that have none.
+  InFlightCounts CountInFlight() {
+    InFlightCounts counts;
+    const std::lock_guard lock(m_in_use_mutex);
+    for (auto each = m_in_use.begin(); each != m_in_use.end();) {
+      const std::shared_ptr<ServiceRouter>& service = *each;
+      service->ExchangeListed(false);
+      auto own = service->InFlight();
+      if (own.empty()) {
+        each = m_in_use.erase(each);
+        continue;
+      }
+      service->ExchangeListed(true);
+      counts.emplace_back(service->config()->m_name, std::move(own));
+      ++each;
+    }
+    return counts;
+  }
+
   void NoteDrain(const std::string& service) {
     const std::lock_guard lock(m_drains_mutex);
     m_services_with_drains.insert(service);
@@ -143,6 +176,9 @@
   std::unordered_map<std::string, std::shared_ptr<ServiceRouter>> m_services;
   routing::DueTimes<ServiceRouter> m_expiries;
   routing::DueTimes<ServiceRouter> m_probe_times;
+  // Taken before a service's lock, and never while one is held.
+  std::mutex m_in_use_mutex;
+  std::set<std::shared_ptr<ServiceRouter>> m_in_use;
   // A leaf: no other lock is taken while it is held.
   mutable std::mutex m_drains_mutex;
   std::set<std::string> m_services_with_drains;
@@ -360,17 +396,8 @@
   return m_impl->m_quarantine.Notices(now);
 }
 
-std::vector<std::pair<std::string, std::vector<std::pair<std::string, int>>>>
-Router::InFlight() const {
-  std::vector<std::pair<std::string, std::vector<std::pair<std::string, int>>>>
-      counts;
-  for (const auto& service : m_impl->AllServices()) {
-    std::vector<std::pair<std::string, int>> own = service->InFlight();
-    if (!own.empty()) {
-      counts.emplace_back(service->config()->m_name, std::move(own));
-    }
-  }
-  return counts;
+InFlightCounts Router::InFlight() const {
+  return m_impl->CountInFlight();
 }
 
 std::vector<ServiceStatus> Router::Status() const {
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -1,6 +1,7 @@
 #ifndef GUAVACROSS_ROUTING_SERVICE_ROUTER_H_
 #define GUAVACROSS_ROUTING_SERVICE_ROUTER_H_
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -76,6 +77,9 @@
   void LearnDrain(const DrainNotice& notice);
   std::vector<DrainNotice> Drains() const;
   std::vector<std::pair<std::string, int>> InFlight() const;
+
+  /// A mark for the router's list of services in use. Returns what it was.
+  bool ExchangeListed(bool listed) { return m_listed.exchange(listed); }
   ServiceStatus Status(TimePoint now) const;
 
  private:
@@ -144,6 +148,7 @@
   mutable std::mutex m_mutex;
   std::shared_ptr<const ServiceConfig> m_config;
   TargetPool m_pool;
+  std::atomic<bool> m_listed{false};
   std::vector<std::unique_ptr<ClassState>> m_classes;
   std::unordered_map<std::string, int> m_tenant_weights;
   double m_bulk_weight_share = 1;
