Ledger: two further faults that RapidCheck found

- A copy that reached an instance just after it had said that it knew of none ran while the asker told its own caller "not run".
Such an instance now runs no copy for 2 s, and its word is used for 1.5 s.
- A new instance took the writing time of the first kept record for the time since which it knew all claims; an append that had come late made that too early.
Only coverages make more known now.

--- a/src/ledger/claim_fold.cc
+++ b/src/ledger/claim_fold.cc
@@ -35,7 +35,10 @@
   }
   const TimePoint recorded = RecordedAt(record, time);
   if (m_gap) {
-    StartAfterGap(offset, recorded);
+    // A record's own time tells nothing of the records before it: its append
+    // may have been late. Only coverages make more known.
+    m_gap = false;
+    m_first_offset = offset;
   }
   m_offset = offset;
   Changes changes;
@@ -66,12 +69,6 @@
   return true;
 }
 
-void ClaimFold::StartAfterGap(std::uint64_t offset, TimePoint recorded) {
-  m_gap = false;
-  m_first_offset = offset;
-  m_known_since = std::min(m_known_since, recorded);
-}
-
 void ClaimFold::ApplyEnd(const NotRunEnd& end,
                          const InstanceId& claimant,
                          Changes* changes) {
--- a/src/ledger/claim_fold.h
+++ b/src/ledger/claim_fold.h
@@ -95,7 +95,6 @@
   Coverage CoverageNow(TimePoint now) const;
 
  private:
-  void StartAfterGap(std::uint64_t offset, TimePoint recorded);
   void ApplyEnd(const NotRunEnd& end,
                 const InstanceId& claimant,
                 Changes* changes);
--- a/src/ledger/plain_claims.cc
+++ b/src/ledger/plain_claims.cc
@@ -12,6 +12,11 @@
 namespace {
 
 constexpr int kMaxSurveys = 64;
+// How long an instance that knows of no copy of a request runs none, and how
+// long its word may be used.
+constexpr Duration kPledge = std::chrono::seconds(2);
+constexpr Duration kUseOfPledge = std::chrono::milliseconds(1500);
+constexpr std::size_t kMaxPledges = 65'536;
 
 FoldLimits LimitsOf(const LedgerOptions& options) {
   return {.m_remember = options.m_remember,
@@ -137,6 +142,11 @@
   if (waiter->m_has_claimed && m_log.PendingAttempt(key) == attempt) {
     return Step::kWait;
   }
+  if (IsPledged(key)) {
+    waiter->m_decide(
+        ToDecision({.m_status = LedgerReply::Status::kInProgress}));
+    return Step::kDone;
+  }
   if (const auto refusal = CheckAge(*waiter)) {
     if (refusal->m_error.m_kind == ErrorKind::kStoreUnavailable) {
       RefuseUnsettled(key, std::move(*waiter), refusal->m_error.m_text);
@@ -297,9 +307,12 @@
   const std::vector<InstanceId> peers(m_members_at_last_end.begin(),
                                       m_members_at_last_end.end());
   AskAll(*m_context, peers, question,
-         [this, key, decide = std::move(waiter.m_decide),
+         [this, key, asked_at = m_context->m_options.m_clock.m_now(),
+          decide = std::move(waiter.m_decide),
           text = std::move(text)](const std::vector<LedgerReply>& replies) {
            --m_surveys;
+           const Duration took =
+               m_context->m_options.m_clock.m_now() - asked_at;
            const bool all_none = std::all_of(
                replies.begin(), replies.end(), [](const LedgerReply& reply) {
                  return reply.m_status == LedgerReply::Status::kNone;
@@ -307,6 +320,7 @@
            HeldKey* held = m_context->m_held.Find(key);
            const auto view = m_fold.Find(key);
            const bool is_free =
+               took <= kUseOfPledge && !m_waiting.contains(key) &&
                (held == nullptr || held->m_state == HeldState::kNotRun) &&
                (!view || view->m_ended_not_run);
            decide(Refuse(all_none && is_free ? ErrorKind::kStoreUnavailable
@@ -351,10 +365,32 @@
   return reply;
 }
 
-bool PlainClaims::IsKnown(const KeyHash& key) const {
+bool PlainClaims::IsPledged(const KeyHash& key) {
+  const auto found = m_pledged.find(key);
+  if (found == m_pledged.end()) {
+    return false;
+  }
+  const bool is_open = m_context->m_options.m_clock.m_now() < found->second;
+  if (!is_open) {
+    m_pledged.erase(found);
+  }
+  return is_open;
+}
+
+bool PlainClaims::IsKnown(const KeyHash& key) {
   const auto view = m_fold.Find(key);
-  return m_waiting.contains(key) || m_log.PendingAttempt(key).has_value() ||
-         (view && !view->m_ended_not_run);
+  const TimePoint now = m_context->m_options.m_clock.m_now();
+  if (m_pledged.size() >= kMaxPledges) {
+    std::erase_if(m_pledged,
+                  [now](const auto& item) { return item.second <= now; });
+  }
+  const bool is_known =
+      m_pledged.size() >= kMaxPledges || m_waiting.contains(key) ||
+      m_log.PendingAttempt(key).has_value() || (view && !view->m_ended_not_run);
+  if (!is_known) {
+    m_pledged[key] = now + kPledge;
+  }
+  return is_known;
 }
 
 void PlainClaims::OnRecord(std::uint64_t offset, const ClaimRecord& record) {
--- a/src/ledger/plain_claims.h
+++ b/src/ledger/plain_claims.h
@@ -47,8 +47,10 @@
   /// shows as not run.
   LedgerReply HowEnded(const LedgerQuestion& question) const;
 
-  /// Whether a copy of the request waits here, or the log shows a holder.
-  bool IsKnown(const KeyHash& key) const;
+  /// Whether a copy of the request waits here, or the log shows a holder. If
+  /// not, no copy will be run here for a while, so that the asker can tell its
+  /// caller that the request has not run.
+  bool IsKnown(const KeyHash& key);
 
   const ClaimFold& fold() const { return m_fold; }
   const ClaimLog& log() const { return m_log; }
@@ -83,6 +85,7 @@
   void RefuseUnsettled(const KeyHash& key, Waiter waiter, std::string text);
   std::set<InstanceId> MemberIds() const;
   bool MembersHaveChanged() const;
+  bool IsPledged(const KeyHash& key);
 
   void OnRecord(std::uint64_t offset, const ClaimRecord& record);
   void OnExpired(std::uint64_t first_kept);
@@ -102,6 +105,9 @@
   // that reached the log's end was sent.
   std::set<InstanceId> m_members_at_read;
   std::set<InstanceId> m_members_at_last_end;
+  // Keys that an asker was told to be unknown here, and until when they may not
+  // be claimed.
+  std::unordered_map<KeyHash, TimePoint, KeyHashHasher> m_pledged;
 };
 
 }  // namespace guavacross::ledger
--- a/src/ledger/request_ledger_test.cc
+++ b/src/ledger/request_ledger_test.cc
@@ -762,6 +762,19 @@
                         3160432589, 1787131346, 2144095109},
                        seconds(40)));
   });
+  Section("not even if a copy arrives just after its instance was asked", [] {
+    CPPUNIT_ASSERT_EQUAL(std::string(), ViolationAfter({1692706748, 2583516263,
+                                                        2368733184, 2805582019},
+                                                       Duration::zero()));
+  });
+  Section("not even if the first record that is kept was appended late", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({2835783540, 681643933, 126936097, 781611458, 912976406,
+                        2539000754, 1223308354, 870666188, 1800438990,
+                        1414020104, 1314109723, 894531586, 2805514093},
+                       seconds(40)));
+  });
   Section("nor while the log's records expire",
           [] { CPPUNIT_ASSERT(rc::check([] { RunAnyFaults(seconds(40)); })); });
 }
