Free the slots of orders that are waited for past their deadline; two more faults

The slot is now freed at the deadline and the attempt counts as a timeout.

Only resets before any answer byte count now.

Instances that start together overspent the budget for probes (111 and 118 in 4 s against 97 and a burst of 12) while each counted only itself. An instance sends no probe in its first 3 s, by when the others can have counted it.

--- a/src/backends/attempt.h
+++ b/src/backends/attempt.h
@@ -27,6 +27,8 @@
   /// Whether a reused connection was closed before any byte of the answer, as
   /// happens when the backend server closes it for being idle.
   bool m_stale_connection = false;
+  /// Whether any byte of an answer came.
+  bool m_answer_begun = false;
 
   bool operator==(const AttemptFailure&) const = default;
 };
--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -281,7 +281,8 @@
       .m_text = std::move(text),
       .m_bytes_sent = m_connected,
       .m_stale_connection = m_requests > 1 && !m_answer_started &&
-                            kind == ErrorKind::kBackendReset};
+                            kind == ErrorKind::kBackendReset,
+      .m_answer_begun = m_answer_started};
   Retire();
   if (attempt != nullptr) {
     attempt->m_connection = nullptr;
--- a/src/backends/probe_runner.cc
+++ b/src/backends/probe_runner.cc
@@ -131,8 +131,20 @@
                                   "Probes by how they ended",
                                   {{"end", "failed"}})) {}
 
+  void Start(Duration first_probe_after) {
+    m_first_probe_at = m_clock.m_now() + first_probe_after;
+    Tick();
+  }
+
   void Tick() {
     m_router->ExpireWaiters();
+    if (m_clock.m_now() >= m_first_probe_at) {
+      SendDueProbes();
+    }
+    m_timer = m_clock.m_call_after(UntilNextTick(), [this] { Tick(); });
+  }
+
+  void SendDueProbes() {
     for (ProbeOrder& order : m_router->TakeDueProbes()) {
       m_probes.push_back(std::make_unique<Probe>(
           &m_sockets, m_clock, std::move(order),
@@ -140,7 +152,6 @@
             OnDone(probe, std::move(load));
           }));
     }
-    m_timer = m_clock.m_call_after(UntilNextTick(), [this] { Tick(); });
   }
 
   Duration UntilNextTick() const {
@@ -179,6 +190,7 @@
   prometheus::Counter& m_failed;
   net::SocketSet m_sockets;
   std::vector<std::unique_ptr<Probe>> m_probes;
+  TimePoint m_first_probe_at;
   std::unique_ptr<Timer> m_timer;
 };
 
@@ -187,8 +199,8 @@
 
 ProbeRunner::~ProbeRunner() = default;
 
-void ProbeRunner::Start() {
-  m_impl->Tick();
+void ProbeRunner::Start(Duration first_probe_after) {
+  m_impl->Start(first_probe_after);
 }
 
 void ProbeRunner::Stop() {
--- a/src/backends/probe_runner.h
+++ b/src/backends/probe_runner.h
@@ -27,7 +27,8 @@
   ProbeRunner(const ProbeRunner&) = delete;
   ProbeRunner& operator=(const ProbeRunner&) = delete;
 
-  void Start();
+  /// No probe is sent before `first_probe_after` has passed.
+  void Start(Duration first_probe_after = Duration::zero());
   /// Abandons the probes in flight and reports them as failed.
   void Stop();
 
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -296,6 +296,18 @@
   }
 }
 
+// Frees the attempt's slot, unless that has been done.
+void Exchange::ReleaseTry(Try* ended, AttemptEnd end) {
+  if (std::exchange(ended->m_released, true)) {
+    return;
+  }
+  ended->m_report.m_end = end;
+  if (ended->m_answer_status == 0) {
+    ended->m_report.m_latency = now() - ended->m_sent_at;
+  }
+  context().m_router->Release(ended->m_grant, *m_traits, ended->m_report);
+}
+
 void Exchange::EndTry(Try* ended, AttemptEnd end) {
   const auto found =
       std::find_if(m_tries.begin(), m_tries.end(),
@@ -308,11 +320,7 @@
   if (m_winner == ended) {
     m_winner = nullptr;
   }
-  owned->m_report.m_end = end;
-  if (owned->m_answer_status == 0) {
-    owned->m_report.m_latency = now() - owned->m_sent_at;
-  }
-  context().m_router->Release(owned->m_grant, *m_traits, owned->m_report);
+  ReleaseTry(owned.get(), end);
   if (end == AttemptEnd::kRefusedNotRun || end == AttemptEnd::kServerError) {
     owned->m_attempt->Discard();
   } else {
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -64,6 +64,8 @@
     TimePoint m_sent_at;
     int m_answer_status = 0;
     bool m_is_restart = false;
+    // The router has been told of the end.
+    bool m_released = false;
   };
 
   // Called by the owner.
@@ -88,6 +90,7 @@
   void ArmHedge();
   void OnHedgeDue();
   void EndTry(Try* ended, AttemptEnd end);
+  void ReleaseTry(Try* ended, AttemptEnd end);
   void EndAllTriesBut(const Try* kept, AttemptEnd end);
   bool AnySent() const;
 
@@ -113,6 +116,7 @@
   void CutShort();
   // Runs on without a caller for the sake of the record.
   void Detach();
+  void OnDetachedDeadline();
   void FinishClaim(Outcome outcome);
   void Count(Outcome outcome);
   void End();
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -134,6 +134,7 @@
   // with the request in flight: the first close wasn't for being idle.
   const bool lost =
       from->m_is_restart && failure.m_end == AttemptEnd::kConnectFailed;
+  from->m_report.m_answer_begun = failure.m_answer_begun;
   EndTry(from, lost ? AttemptEnd::kReset : failure.m_end);
   if (failure.m_bytes_sent) {
     m_worst = Outcome::kUnknown;
@@ -240,6 +241,24 @@
   for (const auto& each : m_tries) {
     each->m_attempt->SetReading(true);
   }
+  const Duration remaining =
+      m_request.m_deadline == TimePoint::max()
+          ? kMaxDetachedTime
+          : std::max(m_request.m_deadline - now(), Duration::zero());
+  m_deadline_timer = context().m_clock.m_call_after(
+      remaining, [this] { OnDetachedDeadline(); });
+}
+
+// An answer that hasn't begun by the deadline may never come, as when the
+// backend server has lost the request. It is waited for, but no longer counts
+// against the target's slots; if the backend server is still at it, its own
+// reports of load say so.
+void Exchange::OnDetachedDeadline() {
+  for (const auto& each : m_tries) {
+    if (each.get() != m_winner) {
+      ReleaseTry(each.get(), AttemptEnd::kTimeout);
+    }
+  }
   m_deadline_timer =
       context().m_clock.m_call_after(kMaxDetachedTime, [this] { Abandon(); });
 }
--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -421,10 +421,18 @@
     WaitUntil([&] { return caller.Received("backend-timeout"); });
     CPPUNIT_ASSERT(caller.Received("Guavacross-Outcome: unknown\r\n"));
   });
+  const auto in_flight = [&fixture] {
+    return fixture.m_router.Status().front().m_targets.front().m_in_flight;
+  };
+  Section("frees its slot, though its answer is waited for", [&] {
+    fixture.m_clock.Advance(std::chrono::milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, in_flight());
+  });
   Section("is still recorded when its answer comes", [&] {
     CPPUNIT_ASSERT(fixture.m_finished.empty());
     backend.Send(Reply("charged late"));
     WaitUntil([&] { return fixture.m_finished.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(0, in_flight());
     CPPUNIT_ASSERT(fixture.m_finished[0].m_outcome == Outcome::kDone);
     CPPUNIT_ASSERT(!caller.Received("charged late"));
   });
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -79,6 +79,8 @@
   AttemptEnd m_end = AttemptEnd::kAnswered;
   /// From sending to the first byte of the answer.
   Duration m_latency{};
+  /// Whether any byte of an answer came.
+  bool m_answer_begun = false;
   LoadReport m_load;
 
   bool operator==(const AttemptReport&) const = default;
--- a/src/routing/router_test.cc
+++ b/src/routing/router_test.cc
@@ -290,6 +290,21 @@
   });
 }
 
+GUAVACROSS_STORY(RouterBlamesNoRequestForCutAnswers) {
+  util::ManualClock manual;
+  Router router({.m_seed = 1, .m_clock = manual.clock()}, {});
+  router.Configure(Pool(8));
+  const RequestTraits traits = TraitsOf("refund", "t", 99);
+  for (int i = 0; i < 4; ++i) {
+    Answer answer;
+    router.Acquire(traits, {}, answer.callback());
+    CPPUNIT_ASSERT(answer.m_grant);
+    router.Release(*answer.m_grant, traits,
+                   {.m_end = AttemptEnd::kReset, .m_answer_begun = true});
+  }
+  CPPUNIT_ASSERT(router.Quarantines().empty());
+}
+
 GUAVACROSS_STORY(RouterKeepsPopularReads) {
   using util::Section;
   util::ManualClock manual;
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -72,7 +72,7 @@
   } else if (report.m_end == AttemptEnd::kCancelled) {
     RecordGivenUp(target, attempt, now);
   } else {
-    RecordFailure(target, report.m_end, traits, now, effects);
+    RecordFailure(target, report, traits, now, effects);
   }
   ServeWaiters(now, effects);
 }
@@ -229,17 +229,20 @@
 }
 
 void ServiceRouter::RecordFailure(Target* target,
-                                  AttemptEnd end,
+                                  const AttemptReport& report,
                                   const RequestTraits& traits,
                                   TimePoint now,
                                   Effects* effects) {
-  m_pool.Judge(target, VerdictOf(end), now);
+  m_pool.Judge(target, VerdictOf(report.m_end), now);
   target->m_load.RecordFailure(m_pool.parameters().m_aging, now);
-  if (end == AttemptEnd::kConnectFailed) {
+  if (report.m_end == AttemptEnd::kConnectFailed) {
     target->m_draining.ConnectFailed();
   }
-  if (end == AttemptEnd::kReset) {
-    if (!target->m_resets.IsUnreliable(now) && traits.m_fingerprint != 0) {
+  if (report.m_end == AttemptEnd::kReset) {
+    // A backend server that has begun its answer has survived the request.
+    const bool may_have_killed =
+        !report.m_answer_begun && traits.m_fingerprint != 0;
+    if (may_have_killed && !target->m_resets.IsUnreliable(now)) {
       effects->m_suspects.push_back({.m_fingerprint = traits.m_fingerprint,
                                      .m_service = m_config->m_name,
                                      .m_target = target->m_config.m_name});
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -136,7 +136,7 @@
                        Duration latency,
                        TimePoint now);
   void RecordFailure(Target* target,
-                     AttemptEnd end,
+                     const AttemptReport& report,
                      const RequestTraits& traits,
                      TimePoint now,
                      Effects* effects);
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -22,6 +22,9 @@
 
 namespace {
 
+// Instances share a budget for probes by counting each other. A new one waits
+// until the others can have counted it: the list and heartbeats lag.
+constexpr Duration kFirstProbeAfter = std::chrono::seconds(3);
 constexpr Duration kInstanceCountInterval = std::chrono::milliseconds(200);
 
 // Incarnations must rise from start to start, without anything kept between
@@ -306,7 +309,7 @@
   MakeList();
   m_config->Start();
   m_ledger->Start();
-  m_probes->Start();
+  m_probes->Start(kFirstProbeAfter);
   CountInstances();
   util::LogChange("serve", "started",
                   {{"callers", ToString(m_callers->endpoint())},
