--- /dev/null
+++ b/src/ledger/request_ledger_property_test.cc
@@ -0,0 +1,166 @@
+// The ledger's promise under any order of faults, checked by RapidCheck.
+
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "ledger/ledger_cluster.h"
+#include "util/story_test.h"
+
+namespace guavacross::ledger {
+
+namespace {
+
+using testing::Cluster;
+using testing::kSlots;
+using testing::LostAnswer;
+using testing::milliseconds;
+using testing::seconds;
+using util::Section;
+
+// Whatever may go wrong with instances, with the log, and between instances.
+void InjectFault(Cluster* cluster, std::uint32_t step) {
+  const int slot = static_cast<int>((step >> 8) % kSlots);
+  const std::uint32_t choice = step >> 16;
+  switch (step % 12) {
+    case 0:
+      cluster->Pause(slot);
+      break;
+    case 1:
+    case 2:
+      cluster->Continue(slot);
+      break;
+    case 3:
+      cluster->Crash(slot);
+      break;
+    case 4:
+      if (cluster->node(slot).m_crashed) {
+        cluster->Start(slot);
+      }
+      break;
+    case 5:
+      cluster->log().SetOutage(choice % 3 == 0);
+      break;
+    case 6:
+      cluster->log().LoseAnswers(2, static_cast<LostAnswer>(choice % 3));
+      break;
+    case 7:
+      cluster->log().DeliverDelayed();
+      break;
+    case 8:
+      cluster->SetAskLost(choice % 3 == 0);
+      break;
+    case 9:
+      cluster->SetRun(static_cast<Outcome>(choice % 3),
+                      milliseconds(choice % 2048));
+      break;
+    case 10:
+      cluster->log().SetLatency(milliseconds(choice % 1024));
+      cluster->log().SetCutOff("i" + std::to_string(slot), choice % 2 == 0);
+      break;
+    case 11:
+      if (!cluster->node(slot).m_crashed && !cluster->node(slot).m_paused) {
+        cluster->node(slot).m_ledger->HandOver([] {});
+        cluster->Crash(slot);
+      }
+      break;
+  }
+}
+
+// Sends copies of a few requests to any instances while faults are injected.
+//
+// @return the promise that was broken, or nothing.
+std::string ViolationAfter(const std::vector<std::uint32_t>& steps,
+                           Duration retention) {
+  Cluster cluster(retention);
+  std::vector<std::string> keys;
+  for (int key = 0; key < 3; ++key) {
+    keys.push_back("k" + std::to_string(key));
+    keys.push_back(cluster.node(key).m_ledger->MintIdentity() + ".1");
+  }
+  for (const std::uint32_t step : steps) {
+    if (step % 2 == 0) {
+      InjectFault(&cluster, step >> 1);
+    } else {
+      cluster.Send(static_cast<int>((step >> 1) % kSlots),
+                   keys[(step >> 4) % keys.size()]);
+    }
+    const bool is_long = step % 37 == 0;
+    cluster.Advance(is_long ? seconds(step % 50)
+                            : milliseconds((step >> 20) % 1024));
+    if (!cluster.violation().empty()) {
+      return cluster.violation();
+    }
+  }
+  for (int slot = 0; slot < kSlots; ++slot) {
+    cluster.Continue(slot);
+  }
+  cluster.log().DeliverDelayed();
+  cluster.Advance(seconds(5));
+  return cluster.violation();
+}
+
+void RunAnyFaults(Duration retention) {
+  const auto any_number =
+      rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>());
+  const auto steps =
+      *rc::gen::container<std::vector<std::uint32_t>>(any_number);
+  const std::string violation = ViolationAfter(steps, retention);
+  if (!violation.empty()) {
+    RC_FAIL(violation);
+  }
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(LedgerUnderAnyFaults) {
+  Section("no request runs twice and none that ran is told as not run", [] {
+    CPPUNIT_ASSERT(rc::check([] { RunAnyFaults(Duration::zero()); }));
+  });
+  Section("not even if a new instance's first record is a key's end", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({2527223370, 1564122795, 448789687, 4200235800,
+                        3201832299, 3844613310, 2270360888, 1421547725},
+                       seconds(40)));
+  });
+  Section("not even if an heir had given up an earlier attempt itself", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({3110750514, 798767470, 3521976821, 963612978,
+                        3085495647, 1540146118, 1401466525},
+                       Duration::zero()));
+  });
+  Section("not even if the holder starts again before its claim is read", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({1051541276, 0, 1053072432, 3140865987, 258883213,
+                        630119238, 3384804082, 513499880},
+                       Duration::zero()));
+  });
+  Section("not even if an instance that has read nothing tells a coverage", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({349175828, 3871907280, 1415802639, 825496078, 298013748,
+                        3160432589, 1787131346, 2144095109},
+                       seconds(40)));
+  });
+  Section("not even if a copy arrives just after its instance was asked", [] {
+    CPPUNIT_ASSERT_EQUAL(std::string(), ViolationAfter({1692706748, 2583516263,
+                                                        2368733184, 2805582019},
+                                                       Duration::zero()));
+  });
+  Section("not even if the first record that is kept was appended late", [] {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ViolationAfter({2835783540, 681643933, 126936097, 781611458, 912976406,
+                        2539000754, 1223308354, 870666188, 1800438990,
+                        1414020104, 1314109723, 894531586, 2805514093},
+                       seconds(40)));
+  });
+  Section("nor while the log's records expire",
+          [] { CPPUNIT_ASSERT(rc::check([] { RunAnyFaults(seconds(40)); })); });
+}
+
+}  // namespace guavacross::ledger
