--- a/src/include/guavacross/membership.h
+++ b/src/include/guavacross/membership.h
@@ -2,6 +2,7 @@
 #define GUAVACROSS_MEMBERSHIP_H_
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "guavacross/identity.h"
@@ -22,6 +23,21 @@
 
 enum class MemberState { kLive, kSuspect, kLeaving, kDead };
 
+/// The state's name on pages and in logs.
+constexpr std::string_view MemberStateName(MemberState state) {
+  switch (state) {
+    case MemberState::kLive:
+      return "live";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kDead:
+      break;
+  }
+  return "dead";
+}
+
 /// An entry instance as this one sees it, from the list and heartbeats.
 struct Member {
   InstanceId m_id;
--- a/src/operators/instance_status.cc
+++ b/src/operators/instance_status.cc
@@ -20,20 +20,6 @@
   return QString::number(digest, 16);
 }
 
-QString StateText(MemberState state) {
-  switch (state) {
-    case MemberState::kLive:
-      return "live";
-    case MemberState::kSuspect:
-      return "suspect";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kDead:
-      break;
-  }
-  return "dead";
-}
-
 template <class Items, class Function>
 QJsonArray ArrayOf(const Items& items, Function function) {
   QJsonArray array;
@@ -73,7 +59,7 @@
           {"incarnation", Text(std::to_string(member.m_id.m_incarnation))},
           {"zone", Text(member.m_zone)},
           {"callers", Text(ToString(member.m_callers))},
-          {"state", StateText(member.m_state)},
+          {"state", Text(std::string(MemberStateName(member.m_state)))},
           {"load", member.m_load},
           {"config_version", Number(member.m_config_version)},
           {"config_digest", DigestText(member.m_config_digest)}};
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -32,20 +32,6 @@
           .m_fanout = options.m_fanout};
 }
 
-std::string_view NameOf(MemberState state) {
-  switch (state) {
-    case MemberState::kLive:
-      return "live";
-    case MemberState::kSuspect:
-      return "suspect";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kDead:
-      break;
-  }
-  return "dead";
-}
-
 bool IsSane(const proto::News& news) {
   return news.drains_size() <= kMaxNotices &&
          news.quarantines_size() <= kMaxNotices &&
@@ -285,7 +271,7 @@
     util::LogChange("peers", "member state changed",
                     {{"peer", change.m_id.m_name},
                      {"incarnation", std::to_string(change.m_id.m_incarnation)},
-                     {"state", std::string(NameOf(change.m_state))}});
+                     {"state", std::string(MemberStateName(change.m_state))}});
     if (change.m_state == MemberState::kDead) {
       for (const auto& [service, counts] :
            std::exchange(m_records[change.m_id.m_name].m_in_flight, {})) {
