--- a/src/guavacross/demo_command.cc
+++ b/src/guavacross/demo_command.cc
@@ -59,9 +59,9 @@
  private:
   Result<bool> Publish();
   Result<bool> StartInstances();
-  ClassResults RunLoad(bool direct, double seconds, std::uint64_t seed);
+  ClassResults RunLoad(double seconds, std::uint64_t seed);
   ClassResults RunDirect(double seconds);
-  Result<bool> ScheduleFaults(double seconds);
+  void ScheduleFaults(double seconds);
   void ChangeTarget(std::size_t index, const QJsonObject& faults);
   void SendCrashRequest();
   Result<double> CountProbes(const ServiceConfig& service);
@@ -129,9 +129,8 @@
   return Fail(ErrorKind::kNotReady, "the instances did not become ready");
 }
 
-ClassResults DemoRun::RunLoad(bool direct, double seconds, std::uint64_t seed) {
+ClassResults DemoRun::RunLoad(double seconds, std::uint64_t seed) {
   load::LoadPlan plan;
-  plan.m_direct = direct;
   plan.m_zone = m_deployment.m_zones.front();
   plan.m_length = FromSeconds(seconds);
   plan.m_seed = seed;
@@ -209,7 +208,7 @@
 }
 
 // A straggler, a draining backend server, and a crash, in turn.
-Result<bool> DemoRun::ScheduleFaults(double seconds) {
+void DemoRun::ScheduleFaults(double seconds) {
   const auto at = [this, seconds](double share, std::function<void()> call) {
     m_fault_timers.push_back(
         m_clock.m_call_after(FromSeconds(seconds * share), std::move(call)));
@@ -221,7 +220,6 @@
   at(0.6, [this] { SendCrashRequest(); });
   at(0.7, [this] { SendCrashRequest(); });
   at(0.8, [this] { ChangeTarget(1, {{"draining", false}}); });
-  return true;
 }
 
 Result<double> DemoRun::CountProbes(const ServiceConfig& service) {
@@ -274,15 +272,14 @@
   const TimePoint start = m_clock.m_now();
   BOOST_LEAF_AUTO(probes_before, CountAllProbes());
   const ClassResults through =
-      RunLoad(false, m_flags.m_seconds / 4, m_flags.m_seed * 1000 + 100);
+      RunLoad(m_flags.m_seconds / 4, m_flags.m_seed * 1000 + 100);
   PrintAddedLatency(direct, through, std::cout);
 
   const double seconds = m_flags.m_seconds / 2;
   if (m_flags.m_faults) {
-    BOOST_LEAF_CHECK(ScheduleFaults(seconds));
+    ScheduleFaults(seconds);
   }
-  const ClassResults results =
-      RunLoad(false, seconds, m_flags.m_seed * 1000 + 200);
+  const ClassResults results = RunLoad(seconds, m_flags.m_seed * 1000 + 200);
   PrintResults(m_flags.m_faults
                    ? "With a straggler, a draining backend server and a crash"
                    : "Without faults",
--- a/src/log_service/config_bench.cc
+++ b/src/log_service/config_bench.cc
@@ -1,11 +1,7 @@
 #include "log_service/config_bench.h"
 
-#include <malloc.h>
-
 #include <QByteArray>
-#include <QFile>
 #include <cstdint>
-#include <ctime>
 #include <iomanip>
 #include <string>
 
@@ -17,6 +13,7 @@
 #include "log_service/snapshot_parts.h"
 #include "util/handle.h"
 #include "util/manual_clock.h"
+#include "util/process_usage.h"
 
 namespace guavacross::log_service {
 
@@ -26,27 +23,6 @@
 constexpr int kZones = 16;
 constexpr double kKilobyte = 1024;
 
-double ProcessorSeconds() {
-  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
-}
-
-// The process's private memory in bytes, without what the allocator could give
-// back.
-double PrivateBytes() {
-  malloc_trim(0);
-  QFile file("/proc/self/smaps_rollup");
-  if (!file.open(QIODevice::ReadOnly)) {
-    return 0;
-  }
-  double kilobytes = 0;
-  for (const QByteArray& line : file.readAll().split('\n')) {
-    if (line.startsWith("Private_")) {
-      kilobytes += line.simplified().split(' ').value(1).toDouble();
-    }
-  }
-  return kilobytes * kKilobyte;
-}
-
 std::string Quoted(const std::string& key, const std::string& value) {
   return key + " = \"" + value + "\"\n";
 }
@@ -118,49 +94,49 @@
 void MeasureParsing(const std::vector<ConfigEdit>& edits, Figures* figures) {
   std::vector<ServiceConfig> services;
   services.reserve(edits.size());
-  const double bytes_before = PrivateBytes();
-  const double start = ProcessorSeconds();
+  const double bytes_before = util::PrivateBytes();
+  const double start = util::ProcessorSeconds();
   for (const ConfigEdit& edit : edits) {
     const auto service = util::Catch(
         [&edit] { return ParseSection(edit.m_section, edit.m_toml); });
     figures->m_targets += service.m_value->m_targets.size();
     services.push_back(*service.m_value);
   }
-  figures->m_parse_s = ProcessorSeconds() - start;
-  figures->m_parsed_bytes = PrivateBytes() - bytes_before;
+  figures->m_parse_s = util::ProcessorSeconds() - start;
+  figures->m_parsed_bytes = util::PrivateBytes() - bytes_before;
 }
 
 ConfigFold MeasureFold(const std::vector<ConfigEdit>& edits, Figures* figures) {
   ConfigFold fold;
-  const double bytes_before = PrivateBytes();
-  const double start = ProcessorSeconds();
+  const double bytes_before = util::PrivateBytes();
+  const double start = util::ProcessorSeconds();
   for (std::size_t i = 0; i < edits.size(); ++i) {
     fold.Apply(i, EncodeEdit(edits[i]));
   }
-  figures->m_fold_s = ProcessorSeconds() - start;
-  figures->m_fold_bytes = PrivateBytes() - bytes_before;
+  figures->m_fold_s = util::ProcessorSeconds() - start;
+  figures->m_fold_bytes = util::PrivateBytes() - bytes_before;
   return fold;
 }
 
 void MeasureSnapshot(const ConfigFold& fold, FakeLog* log, Figures* figures) {
-  const double start = ProcessorSeconds();
+  const double start = util::ProcessorSeconds();
   const auto parts = EncodeParts(fold.state(), 0);
-  figures->m_encode_s = ProcessorSeconds() - start;
+  figures->m_encode_s = util::ProcessorSeconds() - start;
   for (const std::string& part : parts) {
     log->Append(kSnapshotStream, part);
     figures->m_snapshot_bytes += static_cast<double>(part.size());
   }
   const std::string body = AnswerBody(parts);
-  const double decode_start = ProcessorSeconds();
+  const double decode_start = util::ProcessorSeconds();
   const auto batch = util::Catch([&body] { return ParseBatch(body); });
-  figures->m_answer_decode_s = ProcessorSeconds() - decode_start;
+  figures->m_answer_decode_s = util::ProcessorSeconds() - decode_start;
 }
 
 // From nothing to ready, through the snapshot, parsing each section.
 void MeasureStart(util::ManualClock* clock, FakeLog* log, Figures* figures) {
   util::Metrics metrics;
-  const double bytes_before = PrivateBytes();
-  const double start = ProcessorSeconds();
+  const double bytes_before = util::PrivateBytes();
+  const double start = util::ProcessorSeconds();
   ConfigReader reader({}, log->access(), clock->clock(), metrics,
                       {.m_on_change = [](const SectionState& section) {
                         ServiceInForce(section);
@@ -169,8 +145,8 @@
   while (!reader.ready()) {
     clock->Advance(std::chrono::milliseconds(1));
   }
-  figures->m_start_s = ProcessorSeconds() - start;
-  figures->m_reader_bytes = PrivateBytes() - bytes_before;
+  figures->m_start_s = util::ProcessorSeconds() - start;
+  figures->m_reader_bytes = util::PrivateBytes() - bytes_before;
 }
 
 Figures Measure(int section_count) {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -112,7 +112,7 @@
 
   /// Lists a service that has granted attempts. Costs one atomic exchange if it
   /// is listed already. Its attempts are counted before this call, so that
-  /// `ServicesInUse` misses none.
+  /// `CountInFlight` misses none.
   void ListInUse(const std::shared_ptr<ServiceRouter>& service) {
     if (service != nullptr && !service->ExchangeListed(true)) {
       const std::lock_guard lock(m_in_use_mutex);
