--- a/src/peers/sharing_bench_main.cc
+++ b/src/peers/sharing_bench_main.cc
@@ -3,18 +3,19 @@
 #include <iostream>
 
 #include "ledger/ledger_bench.h"
+#include "log_service/config_bench.h"
 #include "peers/peers_bench.h"
 #include "util/log.h"
 
 // Measures what instances share with each other: `guavacross_sharing_bench
-// commit|memory|peers`.
+// commit|memory|peers|config`.
 int main(int argc, char** argv) {
   const QCoreApplication application(argc, argv);
   guavacross::util::StartLogging("bench", "error");
   cxxopts::Options options("guavacross_sharing_bench");
-  options.add_options()("what", "commit, memory or peers",
+  options.add_options()("what", "commit, memory, peers or config",
                         cxxopts::value<std::string>())(
-      "sizes", "claims a second, keys or instances, by commas",
+      "sizes", "claims a second, keys, instances or sections, by commas",
       cxxopts::value<std::vector<int>>())(
       "seconds", "time at each size",
       cxxopts::value<int>()->default_value("10"));
@@ -30,6 +31,8 @@
       guavacross::ledger::RunLedgerMemoryBench(sizes, std::cout);
     } else if (what == "peers") {
       guavacross::peers::RunPeersBench(sizes, seconds, std::cout);
+    } else if (what == "config") {
+      guavacross::log_service::RunConfigBench(sizes, std::cout);
     } else {
       std::cerr << options.help();
       return 2;
