--- a/src/backends/attempt.h
+++ b/src/backends/attempt.h
@@ -36,6 +36,9 @@
 /// What an attempt tells. `m_on_end` or `m_on_failure` is called last, once.
 /// A hook must not destroy the attempt: hand it to `SocketSet::DeleteLater`.
 struct AttemptHooks {
+  /// Whether an answer is to this request; others are passed over. May be
+  /// empty.
+  std::function<bool(const http::ResponseHead&)> m_is_answer;
   std::function<void(const http::ResponseHead&)> m_on_head;
   std::function<void(std::string_view)> m_on_body;
   std::function<void()> m_on_end;
--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -1,6 +1,8 @@
 #include "backends/backend_connection.h"
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "backends/backend_pool.h"
@@ -18,10 +20,30 @@
 
 constexpr int kSwitchingProtocols = 101;
 
+// Part of the idle time that a backend server tells in which it is taken to
+// keep the connection: a request may be on its way as it closes.
+constexpr double kUsedIdleShare = 0.7;
+
 bool IsInterim(int status) {
   return status >= 100 && status < 200;
 }
 
+// The time that a `Keep-Alive: timeout=N` field tells, or nothing.
+std::optional<Duration> ToldIdleTime(const http::Fields& fields) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view text = fields.Find("Keep-Alive").value_or("");
+  const std::size_t at = text.find(kName);
+  int seconds = 0;
+  if (at == std::string_view::npos ||
+      std::from_chars(text.data() + at + kName.size(),
+                      text.data() + text.size(), seconds)
+              .ec != std::errc() ||
+      seconds <= 0) {
+    return std::nullopt;
+  }
+  return FromSeconds(kUsedIdleShare * seconds);
+}
+
 }  // namespace
 
 BackendConnection::BackendConnection(BackendPool* pool, const Endpoint& address)
@@ -79,7 +101,7 @@
                                     m_pool->m_options.m_max_header_bytes};
   m_reader = http::MessageReader::ForResponse(limits, m_head_request,
                                               std::move(hooks));
-  m_interim_head = false;
+  m_passed_over = false;
   m_body_left = 0;
   m_moving = false;
 }
@@ -186,7 +208,7 @@
     if (!m_reader->done()) {
       return;
     }
-    if (!m_interim_head) {
+    if (!m_passed_over) {
       OnComplete(!bytes.empty());
       return;
     }
@@ -196,19 +218,29 @@
 
 void BackendConnection::OnHead(const http::ResponseHead& head) {
   m_keep_alive = head.m_keep_alive;
-  m_interim_head = IsInterim(head.m_status);
-  if (head.m_framing == http::BodyFraming::kLength && !m_head_request) {
+  const bool is_other = m_attempt != nullptr &&
+                        m_attempt->m_hooks.m_is_answer &&
+                        !m_attempt->m_hooks.m_is_answer(head);
+  m_passed_over = IsInterim(head.m_status) || is_other;
+  if (const auto told = ToldIdleTime(head.m_fields)) {
+    m_idle_limit = told;
+  }
+  if (head.m_framing == http::BodyFraming::kLength && !m_head_request &&
+      !m_passed_over) {
     m_body_left = head.m_length;
   }
   if (head.m_status == kSwitchingProtocols) {
     Fail(AttemptEnd::kReset, ErrorKind::kBackendBadAnswer,
          "the backend server switched protocols");
-  } else if (!m_interim_head && m_attempt != nullptr) {
+  } else if (!m_passed_over && m_attempt != nullptr) {
     m_attempt->m_hooks.m_on_head(head);
   }
 }
 
 void BackendConnection::OnBody(std::string_view bytes) {
+  if (m_passed_over) {
+    return;
+  }
   m_body_left -= std::min<std::uint64_t>(m_body_left, bytes.size());
   if (m_attempt != nullptr) {
     m_attempt->m_hooks.m_on_body(bytes);
@@ -230,7 +262,7 @@
   if (m_retired) {
     return;
   }
-  if (!ended) {
+  if (!ended || m_passed_over) {
     FailReset("connection closed inside of an answer");
     return;
   }
--- a/src/backends/backend_connection.h
+++ b/src/backends/backend_connection.h
@@ -44,6 +44,9 @@
 
   const Endpoint& address() const { return m_address; }
   bool connected() const { return m_connected; }
+  /// How long the backend server keeps the connection open without a request,
+  /// with a margin; nothing if it hasn't told.
+  std::optional<Duration> idle_limit() const { return m_idle_limit; }
   /// Without a request, or with one that was discarded.
   bool unattended() const { return m_attempt == nullptr; }
   bool idle() const { return m_idle; }
@@ -79,6 +82,7 @@
   // Of a body of known length.
   std::uint64_t m_body_left = 0;
   bool m_moving = false;
+  std::optional<Duration> m_idle_limit;
   int m_requests = 0;
   bool m_connected = false;
   bool m_idle = false;
@@ -86,7 +90,8 @@
   bool m_head_request = false;
   bool m_request_complete = false;
   bool m_answer_started = false;
-  bool m_interim_head = false;
+  // The message being read isn't the answer: interim, or to another request.
+  bool m_passed_over = false;
   bool m_keep_alive = false;
 };
 
--- a/src/backends/backend_pool.cc
+++ b/src/backends/backend_pool.cc
@@ -54,10 +54,11 @@
   while (!target->m_idle.empty()) {
     BackendConnection* const connection = target->m_idle.back();
     const Duration age = m_clock.m_now() - connection->unattended_since();
-    if (fresh && age > m_options.m_fresh_time) {
+    const std::optional<Duration> told = connection->idle_limit();
+    if (fresh && age > told.value_or(m_options.m_fresh_time)) {
       return nullptr;
     }
-    if (connection->Usable()) {
+    if (connection->Usable() && age <= told.value_or(m_options.m_max_idle)) {
       target->m_idle.pop_back();
       return connection;
     }
@@ -107,7 +108,9 @@
   for (const auto& [address, target] : m_targets) {
     for (const auto& connection : target.m_connections) {
       const Duration limit =
-          connection->idle() ? m_options.m_max_idle : kMaxDiscardTime;
+          connection->idle()
+              ? connection->idle_limit().value_or(m_options.m_max_idle)
+              : kMaxDiscardTime;
       if (connection->unattended() &&
           now - connection->unattended_since() > limit) {
         expired.push_back(connection.get());
--- a/src/backends/probe_runner.cc
+++ b/src/backends/probe_runner.cc
@@ -4,13 +4,10 @@
 #include <utility>
 #include <vector>
 
-#include "backends/load_fields.h"
+#include "backends/backend_pool.h"
 #include "guavacross/wire_names.h"
 #include "http/message.h"
-#include "http/message_reader.h"
 #include "net/socket_set.h"
-#include "net/stream.h"
-#include "util/handle.h"
 #include "util/metrics.h"
 
 namespace guavacross::backends {
@@ -24,47 +21,36 @@
 // While nothing is in flight either, so that nothing can be waiting.
 constexpr Duration kUnusedTickInterval = std::chrono::milliseconds(50);
 
-constexpr http::ReadLimits kLimits{.m_max_header_bytes = std::size_t{8} << 10,
-                                   .m_max_body_bytes = std::size_t{64} << 10};
+// How often connections that were idle for too long are closed.
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
 
 constexpr int kOkStatus = 200;
 
-std::string ProbeText(const Endpoint& address) {
-  http::RequestHead head;
-  head.m_method = "GET";
-  head.m_target = kLoadPath;
-  head.m_fields.Add("Host", ToString(address));
-  head.m_keep_alive = false;
-  return http::Serialize(head);
-}
-
-// One probe in flight, on a connection of its own.
+// One probe in flight.
 class Probe {
  public:
   // Called once, from the event loop, with the probe's result.
   using DoneHook = std::function<void(Probe*, std::optional<LoadReport>)>;
 
-  Probe(net::SocketSet* set,
+  Probe(BackendPool* pool,
+        const TargetDialect* dialect,
         const Clock& clock,
         ProbeOrder order,
         DoneHook on_done)
-      : m_set(set),
+      : m_dialect(dialect),
         m_order(std::move(order)),
         m_sent_at(clock.m_now()),
-        m_on_done(std::move(on_done)),
-        m_reader(MakeReader()) {
-    net::Stream::Hooks hooks;
-    hooks.m_on_connected = [this] { m_stream->SetReading(true); };
-    hooks.m_on_readable = [this] { OnReadable(); };
-    hooks.m_on_closed = [this] { Finish(std::nullopt); };
-    m_stream = net::Stream::Connect(set, m_order.m_address, std::move(hooks));
-    // A connect that fails at once is reported from the event loop as well.
-    const Duration limit =
-        m_stream != nullptr ? m_order.m_timeout : Duration::zero();
-    if (m_stream != nullptr) {
-      m_stream->Write(ProbeText(m_order.m_address));
-    }
-    m_timer = clock.m_call_after(limit, [this] { Finish(std::nullopt); });
+        m_on_done(std::move(on_done)) {
+    AttemptHooks hooks;
+    hooks.m_on_head = [this](const http::ResponseHead& head) { OnHead(head); };
+    hooks.m_on_body = [](std::string_view) {};
+    hooks.m_on_end = [this] { Finish(m_load); };
+    hooks.m_on_failure = [this](const AttemptFailure&) {
+      Finish(std::nullopt);
+    };
+    m_attempt = pool->Start(Request(), std::move(hooks));
+    m_timer =
+        clock.m_call_after(m_order.m_timeout, [this] { Finish(std::nullopt); });
   }
 
   ProbeReport Report(TimePoint now, std::optional<LoadReport> load) const {
@@ -75,47 +61,38 @@
   }
 
  private:
-  http::MessageReader MakeReader() {
-    http::MessageReader::Hooks hooks;
-    hooks.m_on_response = [this](const http::ResponseHead& head) {
-      if (head.m_status == kOkStatus) {
-        m_load = ReadLoad(head.m_fields);
-      }
-    };
-    return http::MessageReader::ForResponse(kLimits, /*no_body=*/false,
-                                            std::move(hooks));
+  AttemptRequest Request() const {
+    AttemptRequest request;
+    request.m_address = m_order.m_address;
+    request.m_head.m_method = "GET";
+    request.m_head.m_target =
+        m_order.m_path.empty() ? kLoadPath : m_order.m_path;
+    request.m_head.m_fields.Add("Host", ToString(m_order.m_address));
+    // Probes of the usual path come too seldom to keep a connection for.
+    request.m_head.m_keep_alive = !m_order.m_path.empty();
+    return request;
   }
 
-  void OnReadable() {
-    const net::Stream::ReadResult read = m_stream->Read(m_set->scratch());
-    if (read.m_status == net::Stream::ReadStatus::kNothingYet) {
-      return;
-    }
-    const bool failed =
-        read.m_status != net::Stream::ReadStatus::kBytes ||
-        !util::Catch([&] { return m_reader.Feed(read.m_bytes); });
-    if (failed) {
-      Finish(std::nullopt);
-    } else if (m_reader.done()) {
-      Finish(m_load);
+  void OnHead(const http::ResponseHead& head) {
+    const std::string answerer = m_dialect->m_read_target(head.m_fields);
+    const bool is_other = !answerer.empty() && answerer != m_order.m_target;
+    if (head.m_status == kOkStatus && !is_other) {
+      m_load = m_dialect->m_read_load(head.m_fields);
     }
   }
 
   void Finish(std::optional<LoadReport> load) {
     m_timer.reset();
-    if (m_stream != nullptr) {
-      m_stream->Abort();
-    }
+    m_attempt->Cancel();
     m_on_done(this, std::move(load));
   }
 
-  net::SocketSet* m_set;
+  const TargetDialect* m_dialect;
   ProbeOrder m_order;
   TimePoint m_sent_at;
   DoneHook m_on_done;
-  http::MessageReader m_reader;
   std::optional<LoadReport> m_load;
-  std::unique_ptr<net::Stream> m_stream;
+  std::unique_ptr<Attempt> m_attempt;
   std::unique_ptr<Timer> m_timer;
 };
 
@@ -123,9 +100,14 @@
 
 class ProbeRunner::Impl {
  public:
-  Impl(Router* router, Clock clock, util::Metrics* metrics)
+  Impl(Router* router,
+       Clock clock,
+       util::Metrics* metrics,
+       const TargetDialect* dialect)
       : m_router(router),
         m_clock(std::move(clock)),
+        m_dialect(dialect),
+        m_pool(&m_sockets, m_clock, {.m_max_connections_per_target = 1}),
         m_answered(metrics->Counter("guavacross_probes_total",
                                     "Probes by how they ended",
                                     {{"end", "answered"}})),
@@ -143,13 +125,18 @@
     if (m_clock.m_now() >= m_first_probe_at) {
       SendDueProbes();
     }
+    const TimePoint now = m_clock.m_now();
+    if (now - m_swept_at >= kSweepInterval) {
+      m_swept_at = now;
+      m_pool.Sweep();
+    }
     m_timer = m_clock.m_call_after(UntilNextTick(), [this] { Tick(); });
   }
 
   void SendDueProbes() {
     for (ProbeOrder& order : m_router->TakeDueProbes()) {
       m_probes.push_back(std::make_unique<Probe>(
-          &m_sockets, m_clock, std::move(order),
+          &m_pool, m_dialect, m_clock, std::move(order),
           [this](Probe* probe, std::optional<LoadReport> load) {
             OnDone(probe, std::move(load));
           }));
@@ -191,14 +178,21 @@
   Clock m_clock;
   prometheus::Counter& m_answered;
   prometheus::Counter& m_failed;
+  const TargetDialect* m_dialect;
   net::SocketSet m_sockets;
+  BackendPool m_pool;
   std::vector<std::unique_ptr<Probe>> m_probes;
   TimePoint m_first_probe_at;
+  TimePoint m_swept_at;
   std::unique_ptr<Timer> m_timer;
 };
 
-ProbeRunner::ProbeRunner(Router* router, Clock clock, util::Metrics* metrics)
-    : m_impl(std::make_unique<Impl>(router, std::move(clock), metrics)) {}
+ProbeRunner::ProbeRunner(Router* router,
+                         Clock clock,
+                         util::Metrics* metrics,
+                         const TargetDialect* dialect)
+    : m_impl(
+          std::make_unique<Impl>(router, std::move(clock), metrics, dialect)) {}
 
 ProbeRunner::~ProbeRunner() = default;
 
--- a/src/backends/probe_runner.h
+++ b/src/backends/probe_runner.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "backends/target_dialect.h"
 #include "guavacross/routing.h"
 #include "guavacross/time.h"
 
@@ -16,13 +17,16 @@
 ///
 /// Make one on the control thread, then call `Start`. Every two milliseconds
 /// while something is due, and less often otherwise, it takes the due probes,
-/// sends each as one GET of the load endpoint on a connection of its own and
-/// reports the answer or its absence. It also lets the router expire its
-/// waiting requests. A probe is never sent twice.
+/// sends each as one GET and reports the answer or its absence. Connections are
+/// kept between probes of a path that the configuration names. It also lets the
+/// router expire its waiting requests. A probe is never sent twice.
 class ProbeRunner {
  public:
   /// `router` and `metrics` must outlive the runner.
-  ProbeRunner(Router* router, Clock clock, util::Metrics* metrics);
+  ProbeRunner(Router* router,
+              Clock clock,
+              util::Metrics* metrics,
+              const TargetDialect* dialect = &OwnTargetDialect());
   ~ProbeRunner();
   ProbeRunner(const ProbeRunner&) = delete;
   ProbeRunner& operator=(const ProbeRunner&) = delete;
--- /dev/null
+++ b/src/backends/target_dialect.cc
@@ -0,0 +1,22 @@
+#include "backends/target_dialect.h"
+
+#include "backends/load_fields.h"
+#include "guavacross/wire_names.h"
+
+namespace guavacross::backends {
+
+const TargetDialect& OwnTargetDialect() {
+  static const TargetDialect dialect{
+      .m_deadline_header = kDeadlineHeader,
+      .m_hops_header = kHopsHeader,
+      .m_read_load = ReadLoad,
+      .m_read_refusal =
+          [](const http::ResponseHead& head) {
+            return IsNotRunRefusal(head) ? Refusal::kNotRun : Refusal::kNone;
+          },
+      .m_is_genuine = [](const http::ResponseHead&) { return true; },
+      .m_read_target = [](const http::Fields&) { return std::string(); }};
+  return dialect;
+}
+
+}  // namespace guavacross::backends
--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -32,11 +32,16 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(CallerWorker* worker, int descriptor)
-    : m_worker(worker), m_last_progress(now()), m_last_sent(m_last_progress) {
+CallerConnection::CallerConnection(CallerWorker* worker,
+                                   int descriptor,
+                                   bool local_only)
+    : m_worker(worker),
+      m_local_only(local_only),
+      m_last_progress(now()),
+      m_last_sent(m_last_progress) {
   net::Stream::Hooks hooks;
   hooks.m_on_readable = [this] { OnReadable(); };
-  hooks.m_on_peer_finished = [this] { m_peer_finished = true; };
+  hooks.m_on_peer_finished = [this] { OnPeerFinished(); };
   hooks.m_on_drained = [this] { OnDrained(); };
   hooks.m_on_closed = [this] { Close(); };
   m_stream =
@@ -84,6 +89,13 @@
   }
 }
 
+void CallerConnection::OnPeerFinished() {
+  m_peer_finished = true;
+  if (m_worker->m_options.m_half_close_is_leaving && !m_lingering) {
+    Close();
+  }
+}
+
 void CallerConnection::OnPeerEnd() {
   m_peer_finished = true;
   if (m_lingering && m_stream->unsent() > 0) {
@@ -166,6 +178,9 @@
 
 // Answers what isn't for a backend server.
 bool CallerConnection::AnswerLocally(const http::RequestHead& head) {
+  if (m_worker->m_hooks->m_answer_locally) {
+    return AnswerByHook(head);
+  }
   const std::string_view path = http::PathOf(head.m_target);
   const ServerState& state = *m_worker->m_state;
   if (path == kHealthPath) {
@@ -195,9 +210,28 @@
   return false;
 }
 
+// On addresses of their own, only the hook answers; elsewhere nothing does.
+bool CallerConnection::AnswerByHook(const http::RequestHead& head) {
+  if (!m_local_only) {
+    return false;
+  }
+  const auto answer = m_worker->m_hooks->m_answer_locally(head);
+  if (answer.has_value()) {
+    SendWhole(*answer);
+  } else {
+    SendError({.m_kind = ErrorKind::kNoMatchingClass,
+               .m_text = "nothing is served under this path"},
+              Outcome::kNotRun);
+  }
+  return true;
+}
+
 void CallerConnection::Forward(const http::RequestHead& head) {
-  auto request = util::Catch(
-      [&] { return Classify(*m_worker->m_hooks->m_router, head, now()); });
+  const CallerServerHooks& server = *m_worker->m_hooks;
+  auto request = util::Catch([&] {
+    return server.m_classify ? server.m_classify(head, now())
+                             : Classify(*server.m_router, head, now());
+  });
   if (!request) {
     SendError(request.m_error, RefusalOutcome(head, request.m_error.m_kind));
     return;
@@ -282,13 +316,18 @@
 
 void CallerConnection::SendError(const Error& error, Outcome outcome) {
   m_worker->m_metrics.CountOwnAnswer(error.m_kind);
-  SendWhole(forwarding::ErrorToAnswer(error, outcome));
+  SendWhole(m_worker->m_hooks->m_caller_dialect->m_error_answer(
+      error, outcome, Duration::zero()));
 }
 
 void CallerConnection::SendHead(http::ResponseHead head) {
   m_answer = Answer::kStarted;
   const bool body_unread = m_has_body && !m_request_complete;
-  if (m_http_10 || body_unread || m_worker->m_state->m_finishing) {
+  const ServerState& state = *m_worker->m_state;
+  const bool leaving =
+      state.m_finishing ||
+      (state.m_leaving && m_worker->m_options.m_close_while_leaving);
+  if (m_http_10 || body_unread || leaving) {
     m_keep_alive = false;
   }
   const bool length_unknown =
--- a/src/callers/caller_connection.h
+++ b/src/callers/caller_connection.h
@@ -24,7 +24,7 @@
 /// that has left altogether ends the request. Owned by the `CallerWorker`.
 class CallerConnection {
  public:
-  CallerConnection(CallerWorker* worker, int descriptor);
+  CallerConnection(CallerWorker* worker, int descriptor, bool local_only);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
@@ -54,6 +54,7 @@
   void StartReader();
   void OnRequest(const http::RequestHead& head);
   bool AnswerLocally(const http::RequestHead& head);
+  bool AnswerByHook(const http::RequestHead& head);
   void Forward(const http::RequestHead& head);
   void OnBody(std::string_view bytes);
   void OnReadError(const Error& error);
@@ -81,6 +82,8 @@
   TimePoint now() const;
 
   CallerWorker* m_worker;
+  // Nothing is forwarded.
+  bool m_local_only;
   std::unique_ptr<net::Stream> m_stream;
   std::optional<http::MessageReader> m_reader;
   forwarding::Exchange* m_exchange = nullptr;
--- a/src/callers/caller_server.cc
+++ b/src/callers/caller_server.cc
@@ -77,10 +77,13 @@
   Impl(CallerServerOptions options, CallerServerHooks hooks)
       : m_options(std::move(options)),
         m_hooks(std::move(hooks)),
-        m_listener([this](int descriptor) { OnAccept(descriptor); }) {}
+        m_listener([this](int descriptor) {
+          OnAccept(descriptor, /*local_only=*/false);
+        }) {}
 
   ~Impl() {
     m_listener.close();
+    m_local_listeners.clear();
     m_control.Stop();
     for (const auto& thread : m_threads) {
       thread->quit();
@@ -92,15 +95,15 @@
 
   Result<void> Start() {
     RaiseDescriptorLimit();
-    m_listener.setListenBacklogSize(kListenBacklog);
-    const Endpoint& listen = m_options.m_listen;
-    if (!m_listener.listen(QHostAddress(QString::fromStdString(listen.m_ip)),
-                           listen.m_port)) {
-      return Fail(ErrorKind::kBadSettings,
-                  "can't listen on " + ToString(listen) + ": " +
-                      m_listener.errorString().toStdString());
+    BOOST_LEAF_CHECK(Listen(&m_listener, m_options.m_listen));
+    for (const Endpoint& local : m_options.m_local_listen) {
+      m_local_listeners.push_back(
+          std::make_unique<Listener>([this](int descriptor) {
+            OnAccept(descriptor, /*local_only=*/true);
+          }));
+      BOOST_LEAF_CHECK(Listen(m_local_listeners.back().get(), local));
     }
-    m_state.m_endpoint = {.m_ip = listen.m_ip,
+    m_state.m_endpoint = {.m_ip = m_options.m_listen.m_ip,
                           .m_port = m_listener.serverPort()};
     for (int i = 0; i < m_options.m_workers; ++i) {
       m_threads.push_back(std::make_unique<WorkerThread>([this] {
@@ -111,7 +114,18 @@
     return {};
   }
 
-  void OnAccept(int descriptor) {
+  static Result<void> Listen(Listener* listener, const Endpoint& endpoint) {
+    listener->setListenBacklogSize(kListenBacklog);
+    if (!listener->listen(QHostAddress(QString::fromStdString(endpoint.m_ip)),
+                          endpoint.m_port)) {
+      return Fail(ErrorKind::kBadSettings,
+                  "can't listen on " + ToString(endpoint) + ": " +
+                      listener->errorString().toStdString());
+    }
+    return {};
+  }
+
+  void OnAccept(int descriptor, bool local_only) {
     const int open = Connections();
     if (open >= m_options.m_max_connections + kMaxRefusedConnections) {
       close(descriptor);
@@ -124,8 +138,9 @@
                             return a->connections() < b->connections();
                           });
     worker->CountConnection();
-    worker->post().Post(
-        [worker, descriptor, refuse] { worker->Accept(descriptor, refuse); });
+    worker->post().Post([worker, descriptor, refuse, local_only] {
+      worker->Accept(descriptor, refuse, local_only);
+    });
   }
 
   int Connections() const {
@@ -161,10 +176,17 @@
     }
   }
 
+  void SetLimits(const CallerLimits& limits) {
+    for (CallerWorker* const worker : m_workers) {
+      worker->post().Post([worker, limits] { worker->SetLimits(limits); });
+    }
+  }
+
   CallerServerOptions m_options;
   CallerServerHooks m_hooks;
   ServerState m_state;
   Listener m_listener;
+  std::vector<std::unique_ptr<Listener>> m_local_listeners;
 
  private:
   void OnWorkerDone() {
@@ -208,6 +230,10 @@
   m_impl->m_state.m_ready = ready;
 }
 
+void CallerServer::SetLimits(const CallerLimits& limits) {
+  m_impl->SetLimits(limits);
+}
+
 void CallerServer::BeginLeaving() {
   m_impl->m_state.m_leaving = true;
 }
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -4,9 +4,13 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "backends/target_dialect.h"
+#include "forwarding/caller_dialect.h"
+#include "forwarding/request_forwarder.h"
 #include "guavacross/error.h"
 #include "guavacross/identity.h"
 #include "guavacross/ledger.h"
@@ -49,6 +53,13 @@
   /// Longest time that `Finish` waits for open requests; zero means no bound.
   Duration m_shutdown_limit = Duration::zero();
   CallerLimits m_limits;
+  /// Further addresses, where only `CallerServerHooks::m_answer_locally` is
+  /// asked and nothing is forwarded.
+  std::vector<Endpoint> m_local_listen;
+  /// Whether a caller that closes its direction is taken to have left.
+  bool m_half_close_is_leaving = false;
+  /// Whether answers close their connections once the server is leaving.
+  bool m_close_while_leaving = false;
 
   bool operator==(const CallerServerOptions&) const = default;
 };
@@ -65,6 +76,20 @@
   /// An identity for a caller's non-repeatable requests, handed out with
   /// address answers. May be empty.
   std::function<std::string()> m_mint_identity;
+  /// Finds out what a request is; the document's rules if empty.
+  std::function<Result<forwarding::ForwardRequest>(const http::RequestHead&,
+                                                   TimePoint now)>
+      m_classify;
+  /// Answers a request without a backend server, or gives nothing. Set, it
+  /// takes the place of the paths of the project's own interface.
+  std::function<std::optional<forwarding::WholeAnswer>(
+      const http::RequestHead&)>
+      m_answer_locally;
+  /// How backend servers and callers are spoken to.
+  const backends::TargetDialect* m_target_dialect =
+      &backends::OwnTargetDialect();
+  const forwarding::CallerDialect* m_caller_dialect =
+      &forwarding::OwnCallerDialect();
 };
 
 struct CallerServerStatus {
@@ -101,6 +126,9 @@
   /// Until ready, requests are refused as `kNotReady` and not run.
   void SetReady(bool ready);
 
+  /// Replaces the bounds on what callers may send.
+  void SetLimits(const CallerLimits& limits);
+
   /// Leaves this instance out of its address answers; requests are still
   /// accepted.
   void BeginLeaving();
--- a/src/callers/caller_worker.cc
+++ b/src/callers/caller_worker.cc
@@ -33,13 +33,16 @@
       m_state(state),
       m_pool(&m_sockets, hooks->m_clock, PoolOptions(options)),
       m_metrics(hooks->m_metrics),
-      m_forwarder(forwarding::ForwardContext{.m_set = &m_sockets,
-                                             .m_pool = &m_pool,
-                                             .m_router = hooks->m_router,
-                                             .m_metrics = &m_metrics,
-                                             .m_ledger = hooks->m_ledger,
-                                             .m_clock = hooks->m_clock,
-                                             .m_post = m_post}) {
+      m_forwarder(forwarding::ForwardContext{
+          .m_set = &m_sockets,
+          .m_pool = &m_pool,
+          .m_router = hooks->m_router,
+          .m_metrics = &m_metrics,
+          .m_ledger = hooks->m_ledger,
+          .m_clock = hooks->m_clock,
+          .m_post = m_post,
+          .m_target_dialect = hooks->m_target_dialect,
+          .m_caller_dialect = hooks->m_caller_dialect}) {
   m_forwarder.SetOnEnded([this] {
     UpdateRequestCount();
     CheckDone();
@@ -53,8 +56,9 @@
   AbortAll();
 }
 
-void CallerWorker::Accept(int descriptor, bool refuse) {
-  auto connection = std::make_unique<CallerConnection>(this, descriptor);
+void CallerWorker::Accept(int descriptor, bool refuse, bool local_only) {
+  auto connection =
+      std::make_unique<CallerConnection>(this, descriptor, local_only);
   CallerConnection* const accepted = connection.get();
   m_connections.emplace(accepted, std::move(connection));
   if (refuse) {
--- a/src/callers/caller_worker.h
+++ b/src/callers/caller_worker.h
@@ -40,7 +40,10 @@
 
   /// Takes over a descriptor. With `refuse` the caller is told that there are
   /// too many connections.
-  void Accept(int descriptor, bool refuse);
+  /// On a connection that is `local_only` nothing is forwarded.
+  void Accept(int descriptor, bool refuse, bool local_only = false);
+
+  void SetLimits(const CallerLimits& limits) { m_options.m_limits = limits; }
 
   /// Calls `on_done` once no connection and no request is left.
   void Finish(std::function<void()> on_done);
--- a/src/callers/classify.cc
+++ b/src/callers/classify.cc
@@ -34,7 +34,24 @@
   return declared ? std::string(named) : kOtherTenant;
 }
 
-// Reads a field that must hold a number from 0 to `max`, if it is there.
+Result<TimePoint> Deadline(const http::RequestHead& head,
+                           const ClassConfig& rule,
+                           TimePoint now) {
+  BOOST_LEAF_AUTO(asked_ms,
+                  ReadNumber(head.m_fields, kDeadlineHeader, kMaxDeadlineMs));
+  TimePoint deadline = TimePoint::max();
+  if (rule.m_deadline > Duration::zero()) {
+    deadline = now + rule.m_deadline;
+  }
+  if (asked_ms.has_value()) {
+    const TimePoint asked = now + std::chrono::milliseconds(*asked_ms);
+    deadline = std::min(deadline, asked);
+  }
+  return deadline;
+}
+
+}  // namespace
+
 Result<std::optional<std::int64_t>> ReadNumber(const http::Fields& fields,
                                                const char* name,
                                                std::int64_t max) {
@@ -54,24 +71,6 @@
   return std::optional<std::int64_t>(value);
 }
 
-Result<TimePoint> Deadline(const http::RequestHead& head,
-                           const ClassConfig& rule,
-                           TimePoint now) {
-  BOOST_LEAF_AUTO(asked_ms,
-                  ReadNumber(head.m_fields, kDeadlineHeader, kMaxDeadlineMs));
-  TimePoint deadline = TimePoint::max();
-  if (rule.m_deadline > Duration::zero()) {
-    deadline = now + rule.m_deadline;
-  }
-  if (asked_ms.has_value()) {
-    const TimePoint asked = now + std::chrono::milliseconds(*asked_ms);
-    deadline = std::min(deadline, asked);
-  }
-  return deadline;
-}
-
-}  // namespace
-
 Result<forwarding::ForwardRequest> Classify(const Router& router,
                                             const http::RequestHead& head,
                                             TimePoint now) {
--- a/src/callers/classify.h
+++ b/src/callers/classify.h
@@ -1,6 +1,9 @@
 #ifndef GUAVACROSS_CALLERS_CLASSIFY_H_
 #define GUAVACROSS_CALLERS_CLASSIFY_H_
 
+#include <cstdint>
+#include <optional>
+
 #include "forwarding/request_forwarder.h"
 #include "guavacross/error.h"
 #include "guavacross/routing.h"
@@ -14,6 +17,12 @@
 /// The balancers that a request may have passed.
 inline constexpr int kMaxHops = 16;
 
+/// Reads a field that must hold a number from 0 to `max`, if it is there.
+/// Errors: `kBadRequest`.
+Result<std::optional<std::int64_t>> ReadNumber(const http::Fields& fields,
+                                               const char* name,
+                                               std::int64_t max);
+
 /// Finds out by the document's rules what a request is: its service (header,
 /// else host name), class, tenant, deadline and hops.
 ///
--- /dev/null
+++ b/src/callers/route_classifier.cc
@@ -0,0 +1,99 @@
+#include "callers/route_classifier.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "callers/classify.h"
+
+namespace guavacross::callers {
+
+namespace {
+
+// Longest time that a caller is taken to wait.
+constexpr std::int64_t kMaxDeadlineMs = std::int64_t{24} * 3600 * 1000;
+
+const ClassConfig* FindClassNamed(const ServiceConfig& service,
+                                  const std::string& name) {
+  const auto found =
+      std::find_if(service.m_classes.begin(), service.m_classes.end(),
+                   [&name](const auto& each) { return each.m_name == name; });
+  return found == service.m_classes.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+RouteClassifier::RouteClassifier(const Router* router,
+                                 std::string deadline_header)
+    : m_router(router), m_deadline_header(std::move(deadline_header)) {}
+
+void RouteClassifier::SetTable(std::shared_ptr<const RouteTable> table) {
+  const std::lock_guard lock(m_mutex);
+  m_table = std::move(table);
+  std::erase_if(m_splits, [this](const auto& entry) {
+    return std::none_of(
+        m_table->m_routes.begin(), m_table->m_routes.end(),
+        [&entry](const Route& route) { return route.m_name == entry.first; });
+  });
+}
+
+void RouteClassifier::SetEnd(TimePoint end) {
+  const std::lock_guard lock(m_mutex);
+  m_end = end;
+}
+
+std::string RouteClassifier::PickService(const Route& route) {
+  if (route.m_shares.size() == 1) {
+    return route.m_shares.front().m_service;
+  }
+  std::vector<int> weights;
+  weights.reserve(route.m_shares.size());
+  for (const ServiceShare& share : route.m_shares) {
+    weights.push_back(share.m_weight);
+  }
+  return route.m_shares[m_splits[route.m_name].Pick(weights)].m_service;
+}
+
+Result<forwarding::ForwardRequest> RouteClassifier::Classify(
+    const http::RequestHead& head,
+    TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  if (m_table == nullptr) {
+    return Fail(ErrorKind::kNotReady, "no configuration is in force yet");
+  }
+  if (!head.m_target.starts_with('/')) {
+    return Fail(ErrorKind::kBadRequest, "the request target must be a path");
+  }
+  const std::string_view host = head.m_fields.Find("Host").value_or("");
+  const Route* const route =
+      FindRoute(*m_table, host, http::PathOf(head.m_target));
+  if (route == nullptr) {
+    return Fail(ErrorKind::kNoMatchingClass,
+                "no route of " + std::string(host) + " takes this path");
+  }
+  BOOST_LEAF_AUTO(asked_ms, ReadNumber(head.m_fields, m_deadline_header.c_str(),
+                                       kMaxDeadlineMs));
+  forwarding::ForwardRequest request;
+  request.m_deadline = now + route->m_deadline;
+  if (asked_ms.has_value()) {
+    request.m_deadline = std::min(request.m_deadline,
+                                  now + std::chrono::milliseconds(*asked_ms));
+  }
+  if (m_end.has_value() && request.m_deadline > *m_end) {
+    return Fail(ErrorKind::kShuttingDown, "this instance is shutting down");
+  }
+  const std::string service = PickService(*route);
+  request.m_service = m_router->FindService(service);
+  request.m_class = request.m_service == nullptr
+                        ? nullptr
+                        : FindClassNamed(*request.m_service, route->m_name);
+  if (request.m_class == nullptr) {
+    return Fail(ErrorKind::kNoTarget, "service " + service + " has no targets");
+  }
+  request.m_head = head;
+  request.m_tenant = kOtherTenant;
+  request.m_arrived = now;
+  return request;
+}
+
+}  // namespace guavacross::callers
--- /dev/null
+++ b/src/feed/keyed_feed.cc
@@ -0,0 +1,138 @@
+#include "feed/keyed_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavacross::feed {
+
+namespace {
+
+// A call is repeated after this, doubled with each further failure up to the
+// limit: an outage must be noticed to be over within some tenths of a second.
+constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
+constexpr Duration kMaxRetry = std::chrono::milliseconds(800);
+
+// Longest wait for a listing's page, which the store gives at once.
+constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+KeyedFeed::KeyedFeed(FeedOptions options, Clock clock, FeedHooks hooks)
+    : m_options(options),
+      m_clock(std::move(clock)),
+      m_hooks(std::move(hooks)),
+      m_random(options.m_seed) {}
+
+KeyedFeed::~KeyedFeed() {
+  *m_alive = false;
+}
+
+void KeyedFeed::Start() {
+  Call();
+}
+
+void KeyedFeed::Next(Duration delay) {
+  m_timer = m_clock.m_call_after(delay, [this] { Call(); });
+}
+
+void KeyedFeed::Call() {
+  m_called_at = m_clock.m_now();
+  if (m_listing) {
+    List();
+  } else {
+    Read();
+  }
+}
+
+void KeyedFeed::List() {
+  m_hooks.m_list(m_after, kListTimeout, [this, alive = m_alive](FeedPage page) {
+    if (*alive) {
+      OnListed(std::move(page));
+    }
+  });
+}
+
+void KeyedFeed::OnListed(FeedPage page) {
+  if (page.m_status != FeedPage::Status::kOk) {
+    OnFailure(page);
+    return;
+  }
+  SetReachable(true, {});
+  if (m_after.empty()) {
+    // Pages are no snapshot: what changes meanwhile is read again from here.
+    m_listing_offset = page.m_end;
+    m_pages.clear();
+  }
+  const bool goes_on = page.m_has_more && !page.m_records.empty();
+  if (goes_on) {
+    m_after = page.m_records.back().m_key;
+  }
+  std::move(page.m_records.begin(), page.m_records.end(),
+            std::back_inserter(m_pages));
+  if (goes_on) {
+    List();
+    return;
+  }
+  m_after.clear();
+  m_listing = false;
+  m_listed = true;
+  m_offset = m_listing_offset;
+  m_hooks.m_on_listing(std::exchange(m_pages, {}));
+  Next(m_options.m_min_interval);
+}
+
+void KeyedFeed::Read() {
+  m_hooks.m_read(m_offset, m_options.m_wait,
+                 m_options.m_wait + m_options.m_slack,
+                 [this, alive = m_alive](FeedPage page) {
+                   if (*alive) {
+                     OnRead(std::move(page));
+                   }
+                 });
+}
+
+void KeyedFeed::OnRead(FeedPage page) {
+  if (page.m_status == FeedPage::Status::kExpired) {
+    SetReachable(true, {});
+    m_listing = true;
+    m_after.clear();
+    Call();
+    return;
+  }
+  if (page.m_status != FeedPage::Status::kOk) {
+    OnFailure(page);
+    return;
+  }
+  SetReachable(true, {});
+  if (!page.m_records.empty()) {
+    m_offset = page.m_records.back().m_offset + 1;
+    m_hooks.m_on_records(page.m_records);
+  } else if (page.m_end < m_offset) {
+    // The stream is another than the one that was listed.
+    m_listing = true;
+    m_after.clear();
+  }
+  const Duration passed = m_clock.m_now() - m_called_at;
+  Next(std::max(Duration::zero(), m_options.m_min_interval - passed));
+}
+
+void KeyedFeed::OnFailure(const FeedPage& page) {
+  m_after.clear();
+  SetReachable(false, page.m_error);
+  const Duration backoff =
+      std::min(kMaxRetry, kFirstRetry * (1 << std::min(m_failures, 6)));
+  ++m_failures;
+  Next(FromSeconds(Seconds(backoff) * (0.5 + m_random.Uniform())));
+}
+
+void KeyedFeed::SetReachable(bool reachable, const std::string& why) {
+  if (reachable) {
+    m_failures = 0;
+    m_answered_at = m_clock.m_now();
+  }
+  if (std::exchange(m_reachable, reachable) != reachable) {
+    m_hooks.m_on_reachable(reachable, why);
+  }
+}
+
+}  // namespace guavacross::feed
--- /dev/null
+++ b/src/forwarding/caller_dialect.cc
@@ -0,0 +1,15 @@
+#include "forwarding/caller_dialect.h"
+
+#include "forwarding/forwarded_head.h"
+
+namespace guavacross::forwarding {
+
+const CallerDialect& OwnCallerDialect() {
+  static const CallerDialect dialect{
+      .m_error_answer = [](const Error& error, Outcome outcome,
+                           Duration) { return ErrorToAnswer(error, outcome); },
+      .m_answer_head = HeadForCaller};
+  return dialect;
+}
+
+}  // namespace guavacross::forwarding
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -24,7 +24,7 @@
       m_request(std::move(request)),
       m_hooks(std::move(hooks)),
       m_body(m_request.m_head,
-             /*keep_whole=*/!m_request.m_class->m_repeatable,
+             /*keep_whole=*/claims(),
              m_request.m_class->m_max_body_bytes) {}
 
 Exchange::~Exchange() = default;
@@ -55,7 +55,7 @@
          .m_text = "the class allows " + std::to_string(max_bytes) + " bytes"});
     return false;
   }
-  if (repeatable()) {
+  if (!claims()) {
     return true;
   }
   const auto key = head.m_fields.Find(kIdempotencyKeyHeader);
@@ -136,10 +136,10 @@
 
 void Exchange::OnBodyReady() {
   SetTraits();
-  if (repeatable()) {
-    Acquire();
-  } else {
+  if (claims()) {
     Claim();
+  } else {
+    Acquire();
   }
 }
 
@@ -232,23 +232,32 @@
   }
 }
 
-http::RequestHead Exchange::HeadToSend() const {
-  std::optional<Duration> remaining;
+http::RequestHead Exchange::HeadToSend(const Grant& grant) const {
+  BackendFields told{.m_hops = m_request.m_hops, .m_target = grant.m_target};
   if (m_request.m_deadline != TimePoint::max()) {
-    remaining = m_request.m_deadline - now();
+    told.m_remaining = m_request.m_deadline - now();
   }
-  std::optional<std::size_t> body_bytes;
   if (m_body.replayable()) {
-    body_bytes = m_body.size();
+    told.m_body_bytes = m_body.size();
   }
-  return HeadForBackend(m_request.m_head, m_request.m_hops, remaining,
-                        body_bytes);
+  return HeadForBackend(m_request.m_head, told, *context().m_target_dialect);
+}
+
+// Whether an answer is to this request: a backend server may send a second
+// answer to an earlier one.
+bool Exchange::IsAnswer(const http::ResponseHead& head) const {
+  const std::string& name = context().m_target_dialect->m_request_id_header;
+  if (name.empty()) {
+    return true;
+  }
+  const auto id = head.m_fields.Find(name);
+  return !id.has_value() || id == m_request.m_head.m_fields.Find(name);
 }
 
 void Exchange::Send(Try* sent, bool fresh_connection) {
   backends::AttemptRequest request;
   request.m_address = sent->m_grant.m_address;
-  request.m_head = HeadToSend();
+  request.m_head = HeadToSend(sent->m_grant);
   request.m_body = m_body.TakeForAttempt();
   request.m_body_complete = m_body.complete();
   request.m_fresh_connection = fresh_connection;
@@ -257,6 +266,9 @@
   hooks.m_on_head = [this, sent](const http::ResponseHead& head) {
     OnHead(sent, head);
   };
+  hooks.m_is_answer = [this](const http::ResponseHead& head) {
+    return IsAnswer(head);
+  };
   hooks.m_on_body = [this, sent](std::string_view bytes) {
     OnAnswerBody(sent, bytes);
   };
@@ -321,7 +333,8 @@
     m_winner = nullptr;
   }
   ReleaseTry(owned.get(), end);
-  if (end == AttemptEnd::kRefusedNotRun || end == AttemptEnd::kServerError) {
+  if (end == AttemptEnd::kRefusedNotRun || end == AttemptEnd::kWrongTarget ||
+      end == AttemptEnd::kServerError) {
     owned->m_attempt->Discard();
   } else {
     owned->m_attempt->Cancel();
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -86,7 +86,8 @@
   void StopAcquiring();
   void StartTry(Grant grant);
   void Send(Try* sent, bool fresh_connection);
-  http::RequestHead HeadToSend() const;
+  http::RequestHead HeadToSend(const Grant& grant) const;
+  bool IsAnswer(const http::ResponseHead& head) const;
   void ArmHedge();
   void OnHedgeDue();
   void EndTry(Try* ended, AttemptEnd end);
@@ -96,7 +97,8 @@
 
   // What attempts tell.
   void OnHead(Try* from, const http::ResponseHead& head);
-  void OnRefused(Try* from);
+  void OnRefused(Try* from, AttemptEnd end);
+  void OnBadAnswer(Try* from);
   bool RetriesServerError(const http::ResponseHead& head);
   void OnWinner(Try* winner, const http::ResponseHead& head);
   void OnAnswerBody(Try* from, std::string_view bytes);
@@ -123,6 +125,7 @@
 
   const ForwardContext& context() const { return m_owner->m_context; }
   bool repeatable() const { return m_request.m_class->m_repeatable; }
+  bool claims() const { return !repeatable() && m_request.m_class->m_claims; }
   TimePoint now() const { return context().m_clock.m_now(); }
 
   RequestForwarder* m_owner;
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "backends/load_fields.h"
 #include "forwarding/exchange.h"
 #include "forwarding/forwarded_head.h"
 
@@ -30,9 +29,15 @@
 void Exchange::OnHead(Try* from, const http::ResponseHead& head) {
   from->m_answer_status = head.m_status;
   from->m_report.m_latency = now() - from->m_sent_at;
-  from->m_report.m_load = backends::ReadLoad(head.m_fields);
-  if (backends::IsNotRunRefusal(head)) {
-    OnRefused(from);
+  const backends::TargetDialect& dialect = *context().m_target_dialect;
+  from->m_report.m_load = dialect.m_read_load(head.m_fields);
+  const backends::Refusal refusal = dialect.m_read_refusal(head);
+  if (refusal != backends::Refusal::kNone) {
+    OnRefused(from, refusal == backends::Refusal::kNotRun
+                        ? AttemptEnd::kRefusedNotRun
+                        : AttemptEnd::kWrongTarget);
+  } else if (!dialect.m_is_genuine(head)) {
+    OnBadAnswer(from);
   } else if (RetriesServerError(head)) {
     m_worst = std::max(m_worst, Outcome::kDone);
     EndTry(from, AttemptEnd::kServerError);
@@ -42,10 +47,22 @@
   }
 }
 
-void Exchange::OnRefused(Try* from) {
-  EndTry(from, AttemptEnd::kRefusedNotRun);
+void Exchange::OnRefused(Try* from, AttemptEnd end) {
+  EndTry(from, end);
   RetryOrGiveUp({.m_kind = ErrorKind::kBackendRefused,
-                 .m_text = "the backend server refused the request"});
+                 .m_text = end == AttemptEnd::kWrongTarget
+                               ? "another backend server has the address"
+                               : "the backend server refused the request"});
+}
+
+// What came can't be the backend server's whole answer; the request may have
+// run.
+void Exchange::OnBadAnswer(Try* from) {
+  m_worst = std::max(m_worst, Outcome::kUnknown);
+  from->m_report.m_answer_begun = true;
+  EndTry(from, AttemptEnd::kReset);
+  RetryOrGiveUp({.m_kind = ErrorKind::kBackendBadAnswer,
+                 .m_text = "the answer isn't the backend server's own"});
 }
 
 bool Exchange::RetriesServerError(const http::ResponseHead& head) {
@@ -62,7 +79,8 @@
   EndAllTriesBut(winner, AttemptEnd::kCancelled);
   context().m_router->ReportLoad(winner->m_grant, winner->m_report.m_load,
                                  winner->m_report.m_latency);
-  const http::ResponseHead to_caller = HeadForCaller(head);
+  const http::ResponseHead to_caller =
+      context().m_caller_dialect->m_answer_head(head);
   if (m_claimed) {
     m_record.m_status = head.m_status;
     m_record.m_headers = to_caller.m_fields.all();
@@ -224,11 +242,11 @@
   if (m_claiming) {
     return;
   }
-  if (m_claimed && AnySent()) {
+  const bool sent = AnySent();
+  if (!repeatable() && sent) {
     Detach();
     return;
   }
-  const bool sent = AnySent();
   FinishClaim(std::max(m_worst, sent ? Outcome::kUnknown : Outcome::kNotRun));
   Count(sent ? Outcome::kUnknown : m_worst);
   End();
@@ -254,6 +272,10 @@
 // against the target's slots; if the backend server is still at it, its own
 // reports of load say so.
 void Exchange::OnDetachedDeadline() {
+  if (!m_claimed) {
+    Abandon();
+    return;
+  }
   for (const auto& each : m_tries) {
     if (each.get() != m_winner) {
       ReleaseTry(each.get(), AttemptEnd::kTimeout);
@@ -284,7 +306,8 @@
 void Exchange::AnswerError(const Error& error, Outcome outcome) {
   Count(outcome);
   context().m_metrics->CountOwnAnswer(error.m_kind);
-  m_hooks.m_on_answer(ErrorToAnswer(error, outcome));
+  m_hooks.m_on_answer(context().m_caller_dialect->m_error_answer(
+      error, outcome, Duration::zero()));
 }
 
 void Exchange::FinishClaim(Outcome outcome) {
--- a/src/forwarding/forwarded_head.cc
+++ b/src/forwarding/forwarded_head.cc
@@ -13,10 +13,6 @@
 
 namespace {
 
-// Replaced on the way to a backend server.
-constexpr std::array<std::string_view, 3> kNotForBackend = {
-    "Expect", kHopsHeader, kDeadlineHeader};
-
 // What only guavacross may say to a caller, and what only it needs to know.
 constexpr std::array<std::string_view, 7> kNotForCaller = {
     kInFlightHeader, kDrainingHeader, kNotRunHeader, kIncarnationHeader,
@@ -25,25 +21,36 @@
 }  // namespace
 
 http::RequestHead HeadForBackend(const http::RequestHead& from_caller,
-                                 int hops,
-                                 std::optional<Duration> remaining,
-                                 std::optional<std::size_t> body_bytes) {
+                                 const BackendFields& told,
+                                 const backends::TargetDialect& dialect) {
+  // Replaced on the way to a backend server.
+  const std::array<std::string_view, 4> replaced = {
+      "Expect", dialect.m_hops_header, dialect.m_deadline_header,
+      dialect.m_expected_target_header};
   http::RequestHead head;
   head.m_method = from_caller.m_method;
   head.m_target = from_caller.m_target;
   head.m_framing = from_caller.m_framing;
   head.m_length = from_caller.m_length;
-  head.m_fields = http::EndToEndFields(from_caller.m_fields, kNotForBackend);
-  head.m_fields.Add(kHopsHeader, std::to_string(hops + 1));
-  if (remaining.has_value()) {
+  head.m_fields = http::EndToEndFields(from_caller.m_fields, replaced);
+  if (!dialect.m_hops_header.empty()) {
+    head.m_fields.Add(dialect.m_hops_header, std::to_string(told.m_hops + 1));
+  }
+  if (told.m_remaining.has_value()) {
     const auto milliseconds =
-        std::chrono::duration_cast<std::chrono::milliseconds>(*remaining);
-    head.m_fields.Add(kDeadlineHeader, std::to_string(std::max<std::int64_t>(
-                                           milliseconds.count(), 0)));
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            *told.m_remaining);
+    head.m_fields.Add(
+        dialect.m_deadline_header,
+        std::to_string(std::max<std::int64_t>(milliseconds.count(), 0)));
+  }
+  if (!dialect.m_expected_target_header.empty()) {
+    head.m_fields.Add(dialect.m_expected_target_header, told.m_target);
   }
-  if (body_bytes.has_value() && head.m_framing != http::BodyFraming::kNone) {
+  if (told.m_body_bytes.has_value() &&
+      head.m_framing != http::BodyFraming::kNone) {
     head.m_framing = http::BodyFraming::kLength;
-    head.m_length = *body_bytes;
+    head.m_length = *told.m_body_bytes;
   }
   return head;
 }
--- a/src/forwarding/request_forwarder.h
+++ b/src/forwarding/request_forwarder.h
@@ -8,6 +8,8 @@
 #include <unordered_map>
 
 #include "backends/backend_pool.h"
+#include "backends/target_dialect.h"
+#include "forwarding/caller_dialect.h"
 #include "forwarding/forward_metrics.h"
 #include "forwarding/own_answer.h"
 #include "forwarding/worker_post.h"
@@ -67,6 +69,10 @@
   LedgerAccess m_ledger;
   Clock m_clock;
   WorkerPost m_post;
+  /// How backend servers and callers are spoken to.
+  const backends::TargetDialect* m_target_dialect =
+      &backends::OwnTargetDialect();
+  const CallerDialect* m_caller_dialect = &OwnCallerDialect();
 };
 
 class Exchange;
--- a/src/guavacross/commands.h
+++ b/src/guavacross/commands.h
@@ -12,6 +12,8 @@
 
 /// Runs an entry instance until SIGTERM.
 int Serve(int argc, char** argv);
+/// Runs an entry instance on the Darkframe platform.
+int Platform(int argc, char** argv);
 /// Checks documents.
 int Check(int argc, char** argv);
 /// Publishes sections of a document.
--- a/src/guavacross/guavacross_main.cc
+++ b/src/guavacross/guavacross_main.cc
@@ -16,6 +16,8 @@
 
 constexpr std::array kCommands = {
     Command{"serve", commands::Serve, "run an entry instance"},
+    Command{"platform", commands::Platform,
+            "run an entry instance on the Darkframe platform"},
     Command{"check", commands::Check, "check a configuration document"},
     Command{"publish", commands::Publish, "publish sections of a document"},
     Command{"status", commands::Status,
--- a/src/guavacross/serve_command.cc
+++ b/src/guavacross/serve_command.cc
@@ -1,4 +1,5 @@
 #include <QCoreApplication>
+#include <csignal>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -78,8 +79,12 @@
   std::unique_ptr<serve::Instance> instance;
   bool shutting_down = false;
   // A second signal changes nothing: open requests are still finished.
-  const util::SignalWatcher watcher([&](int) {
-    if (!shutting_down && instance != nullptr) {
+  const util::SignalWatcher watcher([&](int signal) {
+    if (signal == SIGHUP) {
+      util::LogChange("serve",
+                      "SIGHUP changes nothing: settings are read at "
+                      "the start only");
+    } else if (!shutting_down && instance != nullptr) {
       shutting_down = true;
       instance->Shutdown([] { QCoreApplication::exit(kExitOk); });
     }
--- a/src/include/guavacross/document.h
+++ b/src/include/guavacross/document.h
@@ -34,6 +34,11 @@
   std::string m_zone;
   /// Requests that the backend server runs at one time.
   int m_slots = 4;
+  /// The run of a backend server that registers itself; 0 if it isn't told.
+  /// Another run under the same name is another server.
+  std::uint64_t m_incarnation = 0;
+  /// How much longer a backend server that has just started stays slow.
+  Duration m_warm_up_left{};
 
   bool operator==(const TargetConfig&) const = default;
 };
@@ -61,6 +66,15 @@
   /// Share of the service's slots under contention, against other classes.
   int m_weight = 1;
   std::int64_t m_max_body_bytes = 1 << 20;
+  /// Whether a non-repeatable request is claimed under its caller's key, so
+  /// that a copy of it is recognised. Otherwise each request stands alone.
+  bool m_claims = true;
+  /// Time within which an answer is worth most; zero if none is stated.
+  Duration m_objective{};
+  /// Rank against the service's other classes; 0 is the most urgent.
+  int m_priority = 0;
+  /// Targets to which one request may be sent; 0 leaves it to the service.
+  int m_max_attempts = 0;
 
   bool operator==(const ClassConfig&) const = default;
 };
@@ -81,6 +95,8 @@
   /// Time that one probe takes on a backend server.
   Duration m_probe_cost = std::chrono::milliseconds(6);
   Duration m_timeout = std::chrono::milliseconds(250);
+  /// The path that probes ask; empty for the usual one.
+  std::string m_path;
 
   bool operator==(const ProbeConfig&) const = default;
 };
@@ -90,6 +106,9 @@
   double m_budget_share = 0.1;
   /// Attempts for one request, the first included.
   int m_max_attempts = 3;
+  /// Retries that all instances together may save up; 0 leaves each instance
+  /// the usual savings.
+  double m_shared_savings = 0;
 
   bool operator==(const RetryConfig&) const = default;
 };
@@ -133,6 +152,8 @@
   HedgeConfig m_hedge;
   EjectionConfig m_ejection;
   SlowStartConfig m_slow_start;
+  /// Connections that one target accepts from all instances; 0 if not told.
+  int m_max_target_connections = 0;
 
   bool operator==(const ServiceConfig&) const = default;
 };
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -56,6 +56,8 @@
   kServerError,
   /// Refused with the not-run mark.
   kRefusedNotRun,
+  /// Another backend server has the address; it ran nothing.
+  kWrongTarget,
   kConnectFailed,
   kReset,
   kTimeout,
@@ -67,6 +69,9 @@
 struct LoadReport {
   /// Requests in flight on the backend server, from all instances.
   std::optional<int> m_in_flight;
+  /// How many times longer than usual work takes there at this moment, for
+  /// example because of neighbours on its machine.
+  std::optional<double> m_slowdown;
   bool m_draining = false;
   /// Identifies one run of the backend server; empty if not told.
   std::string m_incarnation;
@@ -92,6 +97,8 @@
   std::string m_target;
   Endpoint m_address;
   Duration m_timeout{};
+  /// The path to ask; empty for the usual one.
+  std::string m_path;
 
   bool operator==(const ProbeOrder&) const = default;
 };
--- a/src/policy/retry_budget.cc
+++ b/src/policy/retry_budget.cc
@@ -11,8 +11,13 @@
 
 }  // namespace
 
+void RetryBudget::SetMaxSavings(double savings) {
+  m_max_savings = savings;
+  m_savings = std::min(m_savings, savings);
+}
+
 void RetryBudget::Earn(double share) {
-  m_savings = std::min(kMaxSavings, m_savings + share);
+  m_savings = std::min(m_max_savings, m_savings + share);
 }
 
 bool RetryBudget::Spend(AttemptReach reach, int hops) {
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -25,9 +25,12 @@
 /// which is less than 1.18 for a share of 0.1 and any depth. Not thread safe.
 class RetryBudget {
  public:
-  /// The most that can be saved.
+  /// The most that can be saved, unless another limit is set.
   static constexpr double kMaxSavings = 25;
 
+  /// Limits the savings; what is above the limit is lost.
+  void SetMaxSavings(double savings);
+
   /// A new request, not a retry or hedge of one.
   void Earn(double share);
 
@@ -37,6 +40,7 @@
 
  private:
   double m_savings = 0;
+  double m_max_savings = kMaxSavings;
 };
 
 }  // namespace guavacross::policy
--- a/src/policy/target_choice.cc
+++ b/src/policy/target_choice.cc
@@ -30,8 +30,8 @@
   const double borrowing = candidate.m_borrows ? kBorrowCost : 0;
   const double slowness =
       candidate.m_slowness > kUsualSlowness ? candidate.m_slowness : 1;
-  return slowness * queueing + kOccupancyCost * std::min(1.0, occupancy) +
-         zone + borrowing;
+  return candidate.m_slowdown * slowness * queueing +
+         kOccupancyCost * std::min(1.0, occupancy) + zone + borrowing;
 }
 
 }  // namespace guavacross::policy
--- a/src/policy/target_choice.h
+++ b/src/policy/target_choice.h
@@ -19,6 +19,8 @@
   double m_slots = 1;
   /// How many times slower than usual the target answers.
   double m_slowness = 1;
+  /// How many times longer work takes there by the target's own word.
+  double m_slowdown = 1;
   bool m_other_zone = false;
   /// Whether the attempt would take more than this instance's share.
   bool m_borrows = false;
--- a/src/policy/target_load.cc
+++ b/src/policy/target_load.cc
@@ -13,6 +13,10 @@
 // Peers that have told of no use for this long are taken to go on so.
 constexpr Duration kUnusedAfter = std::chrono::milliseconds(300);
 
+// A told slowdown holds for this long: neighbours come and go within about
+// 150 ms, and the next word may take as long.
+constexpr Duration kSlowdownLife = std::chrono::milliseconds(400);
+
 // The part of a new latency in the average.
 constexpr double kSlownessGain = 0.3;
 constexpr double kMinRatio = 0.1;
@@ -41,6 +45,19 @@
   m_uses = 0;
 }
 
+void TargetLoad::ReportSlowdown(double slowdown, TimePoint at) {
+  if (at >= m_slowdown_at) {
+    m_slowdown = std::max(1.0, slowdown);
+    m_slowdown_at = at;
+  }
+}
+
+double TargetLoad::Slowdown(TimePoint now) const {
+  const bool known =
+      m_slowdown_at != TimePoint::min() && now - m_slowdown_at < kSlowdownLife;
+  return known ? m_slowdown : 1;
+}
+
 void TargetLoad::PeersReport(int in_flight, TimePoint at) {
   m_peers = std::max(0, in_flight);
   m_peers_at = at;
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -40,6 +40,9 @@
   /// The target reported `in_flight` requests, from all instances, at `at`.
   /// A report that is older than the last one is left aside.
   void Report(int in_flight, TimePoint at);
+  /// The target reported at `at` that work takes `slowdown` times longer than
+  /// usual there.
+  void ReportSlowdown(double slowdown, TimePoint at);
   /// The other instances tell that they have `in_flight` attempts there.
   void PeersReport(int in_flight, TimePoint at);
 
@@ -74,6 +77,11 @@
   /// what isn't known: the average over the service's targets.
   double Others(const LoadAging& aging, double usual, TimePoint now) const;
 
+  /// How many times longer work takes by the target's own last word, which
+  /// neighbours on its machine change many times a second; 1 if it hasn't told
+  /// lately.
+  double Slowdown(TimePoint now) const;
+
   /// How many times slower than usual the target answers; faded towards 1.
   double Slowness(const LoadAging& aging, TimePoint now) const;
 
@@ -89,6 +97,8 @@
   TimePoint m_peers_at = TimePoint::min();
   // Since when the other instances tell that they don't use the target.
   TimePoint m_unused_since = TimePoint::max();
+  double m_slowdown = 1;
+  TimePoint m_slowdown_at = TimePoint::min();
   double m_log_slowness = 0;
   TimePoint m_slowness_at = TimePoint::min();
 };
--- /dev/null
+++ b/src/routes/service_plan.cc
@@ -0,0 +1,102 @@
+#include "routes/service_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavacross::routes {
+
+namespace {
+
+// Part of a shared allowance that the instances plan with: a window that slides
+// sees some of two spans of the instances' own accounts.
+constexpr double kUsedShare = 0.85;
+
+// Each step of priority halves a class's weight under contention.
+constexpr int kTopWeight = 64;
+constexpr int kMaxPrioritySteps = 6;
+
+// Requests that may wait on one instance for one route; the wait itself is
+// bounded by what the callers' deadlines allow.
+constexpr int kQueueLimit = 256;
+
+// Readings older than this are worth a probe: neighbours of a target come and
+// go within some tenths of a second.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+
+bool SendsTo(const Route& route, const std::string& service) {
+  return std::any_of(route.m_shares.begin(), route.m_shares.end(),
+                     [&service](const ServiceShare& share) {
+                       return share.m_service == service;
+                     });
+}
+
+ClassConfig PlanClass(const Route& route, const RequestLimits& limits) {
+  ClassConfig plan;
+  plan.m_name = route.m_name;
+  plan.m_path_prefix = route.m_path_prefix;
+  plan.m_repeatable = route.m_kind != RouteKind::kOnce;
+  plan.m_claims = false;
+  plan.m_deadline = route.m_deadline;
+  plan.m_objective = route.m_objective;
+  plan.m_priority = route.m_priority;
+  plan.m_max_attempts = route.m_max_attempts;
+  plan.m_queue_limit = kQueueLimit;
+  plan.m_queue_wait = route.m_deadline;
+  plan.m_weight =
+      kTopWeight >> std::clamp(route.m_priority, 0, kMaxPrioritySteps);
+  plan.m_max_body_bytes = limits.m_max_body_bytes;
+  return plan;
+}
+
+}  // namespace
+
+ServiceConfig PlanService(const RouteTable& table,
+                          const RoutedService& service,
+                          const std::vector<RegisteredTarget>& targets,
+                          const SharedBudgets& budgets) {
+  ServiceConfig plan;
+  plan.m_name = service.m_name;
+  plan.m_profile = Profile::kTailFirst;
+  for (const RegisteredTarget& target : targets) {
+    if (target.m_service == service.m_name && !target.m_draining) {
+      plan.m_targets.push_back({.m_name = target.m_id,
+                                .m_address = target.m_address,
+                                .m_zone = target.m_zone,
+                                .m_slots = target.m_slots,
+                                .m_incarnation = target.m_incarnation,
+                                .m_warm_up_left = target.m_warm_up_left});
+    }
+  }
+  plan.m_retry.m_max_attempts = 1;
+  for (const Route& route : table.m_routes) {
+    if (SendsTo(route, service.m_name)) {
+      plan.m_classes.push_back(PlanClass(route, table.m_limits));
+      plan.m_retry.m_max_attempts =
+          std::max(plan.m_retry.m_max_attempts, route.m_max_attempts);
+    }
+  }
+  plan.m_retry.m_budget_share = budgets.m_retry_share * kUsedShare;
+  plan.m_retry.m_shared_savings = budgets.m_retry_extra * kUsedShare;
+  plan.m_probe.m_path = service.m_health_path;
+  plan.m_probe.m_probes_per_second = budgets.m_probes_per_target_second *
+                                     kUsedShare *
+                                     static_cast<double>(plan.m_targets.size());
+  // The targets' probes take no slot.
+  plan.m_probe.m_probe_cost = Duration::zero();
+  plan.m_probe.m_timeout = kProbeTimeout;
+  plan.m_max_target_connections = service.m_max_connections;
+  return plan;
+}
+
+std::map<std::string, ServiceConfig> PlanServices(
+    const RouteTable& table,
+    const std::vector<RegisteredTarget>& targets,
+    const SharedBudgets& budgets) {
+  std::map<std::string, ServiceConfig> plans;
+  for (const RoutedService& service : table.m_services) {
+    plans[service.m_name] = PlanService(table, service, targets, budgets);
+  }
+  return plans;
+}
+
+}  // namespace guavacross::routes
--- /dev/null
+++ b/src/routes/target_registry.cc
@@ -0,0 +1,163 @@
+#include "routes/target_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavacross::routes {
+
+// Whether an entry is from a run, or a time of a run, that has been removed.
+bool TargetRegistry::IsOutdated(const RegisteredTarget& entry) const {
+  const auto removed = m_removed.find(entry.m_id);
+  if (removed == m_removed.end()) {
+    return false;
+  }
+  const RegisteredTarget& last = removed->second;
+  if (entry.m_incarnation != last.m_incarnation) {
+    return entry.m_incarnation < last.m_incarnation;
+  }
+  return last.m_draining || entry.m_draining ||
+         entry.m_heartbeat <= last.m_heartbeat;
+}
+
+TargetRegistry::Change TargetRegistry::Put(const RegisteredTarget& entry) {
+  if (IsOutdated(entry)) {
+    return Change::kNone;
+  }
+  m_removed.erase(entry.m_id);
+  const auto [place, added] = m_entries.try_emplace(entry.m_id);
+  RegisteredTarget& known = place->second.m_target;
+  if (added) {
+    known = entry;
+    return Change::kAdded;
+  }
+  if (entry.m_incarnation != known.m_incarnation) {
+    if (entry.m_incarnation < known.m_incarnation) {
+      return Change::kNone;
+    }
+    place->second = {.m_target = entry};
+    return Change::kReplaced;
+  }
+  if (entry.m_heartbeat < known.m_heartbeat) {
+    return Change::kNone;
+  }
+  place->second.m_lapses_at.reset();
+  const bool was_draining = known.m_draining;
+  RegisteredTarget updated = entry;
+  updated.m_draining = entry.m_draining || was_draining;
+  RegisteredTarget before = std::exchange(known, updated);
+  before.m_heartbeat = known.m_heartbeat;
+  // The warm-up passes by itself.
+  before.m_warm_up_left = known.m_warm_up_left;
+  if (known.m_draining && !was_draining) {
+    return Change::kDraining;
+  }
+  return before == known ? Change::kHeartbeat : Change::kUpdated;
+}
+
+TargetRegistry::Change TargetRegistry::Remove(const std::string& id,
+                                              TimePoint now) {
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end()) {
+    return Change::kNone;
+  }
+  Entry& entry = found->second;
+  const bool may_have_lapsed = !m_reachable || now < m_returning_until;
+  if (may_have_lapsed && !entry.m_target.m_draining) {
+    if (!entry.m_lapses_at.has_value()) {
+      entry.m_lapses_at = m_reachable ? m_returning_until : TimePoint::max();
+    }
+    return Change::kLapsed;
+  }
+  m_removed[id] = entry.m_target;
+  m_entries.erase(found);
+  return Change::kRemoved;
+}
+
+std::vector<std::string> TargetRegistry::KeepOnly(
+    const std::set<std::string>& ids,
+    TimePoint now) {
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : m_entries) {
+    if (!ids.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    Remove(id, now);
+  }
+  return missing;
+}
+
+void TargetRegistry::SetStoreReachable(bool reachable, TimePoint now) {
+  if (reachable == m_reachable) {
+    return;
+  }
+  m_reachable = reachable;
+  if (!reachable) {
+    return;
+  }
+  m_returning_until = now + kReturnTime;
+  for (auto& [id, entry] : m_entries) {
+    if (entry.m_lapses_at.has_value()) {
+      entry.m_lapses_at = m_returning_until;
+    }
+  }
+}
+
+std::vector<std::string> TargetRegistry::Expire(TimePoint now) {
+  std::vector<std::string> expired;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.m_lapses_at.has_value() && *entry.m_lapses_at <= now) {
+      expired.push_back(id);
+    }
+  }
+  for (const std::string& id : expired) {
+    m_removed[id] = m_entries[id].m_target;
+    m_entries.erase(id);
+  }
+  return expired;
+}
+
+std::optional<TimePoint> TargetRegistry::NextExpiry() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.m_lapses_at.has_value() &&
+        (!next.has_value() || *entry.m_lapses_at < *next)) {
+      next = entry.m_lapses_at;
+    }
+  }
+  return next;
+}
+
+std::vector<RegisteredTarget> TargetRegistry::Targets() const {
+  std::vector<RegisteredTarget> targets;
+  targets.reserve(m_entries.size());
+  for (const auto& [id, entry] : m_entries) {
+    targets.push_back(entry.m_target);
+  }
+  return targets;
+}
+
+std::string_view RegistryChangeName(TargetRegistry::Change change) {
+  switch (change) {
+    case TargetRegistry::Change::kNone:
+      return "none";
+    case TargetRegistry::Change::kHeartbeat:
+      return "heartbeat";
+    case TargetRegistry::Change::kAdded:
+      return "added";
+    case TargetRegistry::Change::kReplaced:
+      return "replaced";
+    case TargetRegistry::Change::kDraining:
+      return "draining";
+    case TargetRegistry::Change::kUpdated:
+      return "updated";
+    case TargetRegistry::Change::kRemoved:
+      return "removed";
+    case TargetRegistry::Change::kLapsed:
+      break;
+  }
+  return "lapsed";
+}
+
+}  // namespace guavacross::routes
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -28,6 +28,7 @@
       return policy::Verdict::kGood;
     case AttemptEnd::kRefusedNotRun:
       return policy::Verdict::kRefused;
+    case AttemptEnd::kWrongTarget:
     case AttemptEnd::kServerError:
     case AttemptEnd::kConnectFailed:
     case AttemptEnd::kReset:
@@ -121,7 +122,8 @@
     orders->push_back({.m_service = m_config->m_name,
                        .m_target = target->m_config.m_name,
                        .m_address = target->m_config.m_address,
-                       .m_timeout = m_config->m_probe.m_timeout});
+                       .m_timeout = m_config->m_probe.m_timeout,
+                       .m_path = m_config->m_probe.m_path});
   }
   const TimePoint affordable = m_probe_budget.NextAt(now);
   const TimePoint next =
@@ -201,6 +203,9 @@
   if (load.m_in_flight.has_value()) {
     m_pool.ReportInFlight(target, *load.m_in_flight, reported_at);
   }
+  if (load.m_slowdown.has_value()) {
+    target->m_load.ReportSlowdown(*load.m_slowdown, reported_at);
+  }
   const bool told_of_run = load.m_in_flight.has_value() || load.m_draining ||
                            !load.m_incarnation.empty();
   if (told_of_run && m_pool.LearnRun(target, load, now)) {
@@ -238,6 +243,9 @@
   if (report.m_end == AttemptEnd::kConnectFailed) {
     target->m_draining.ConnectFailed();
   }
+  if (report.m_end == AttemptEnd::kWrongTarget) {
+    target->m_replaced = true;
+  }
   if (report.m_end == AttemptEnd::kReset) {
     // A backend server that has begun its answer has survived the request.
     const bool may_have_killed =
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -38,6 +38,7 @@
   const std::lock_guard lock(m_mutex);
   m_config = std::move(config);
   m_pool.Configure(m_config, now);
+  LimitSavings();
   double bulk_weight = 0;
   double all_weights = 0;
   for (const ClassConfig& wanted : m_config->m_classes) {
@@ -79,6 +80,7 @@
   const std::lock_guard lock(m_mutex);
   m_instances = instances;
   m_pool.SetInstances(instances);
+  LimitSavings();
   m_last_request = now;
   // Retries and hedges avoid a target; a new request has none to avoid.
   if (targets_to_avoid.empty()) {
@@ -131,11 +133,12 @@
                              int attempts_so_far,
                              AttemptEnd last_end) {
   const std::lock_guard lock(m_mutex);
-  if (attempts_so_far >= m_config->m_retry.m_max_attempts) {
+  if (attempts_so_far >= MaxAttempts(traits)) {
     return false;
   }
   const bool not_run = last_end == AttemptEnd::kConnectFailed ||
-                       last_end == AttemptEnd::kRefusedNotRun;
+                       last_end == AttemptEnd::kRefusedNotRun ||
+                       last_end == AttemptEnd::kWrongTarget;
   const bool allowed =
       m_retry_budget.Spend(not_run ? policy::AttemptReach::kNotRun
                                    : policy::AttemptReach::kMayHaveRun,
@@ -167,13 +170,27 @@
   const std::lock_guard lock(m_mutex);
   // With requests waiting, a slot is worth more to them than to a second copy.
   const bool allowed =
-      attempts_so_far < m_config->m_retry.m_max_attempts &&
-      m_queue.size() == 0 &&
+      attempts_so_far < MaxAttempts(traits) && m_queue.size() == 0 &&
       m_retry_budget.Spend(policy::AttemptReach::kMayHaveRun, traits.m_hops);
   m_hedges += allowed ? 1 : 0;
   return allowed;
 }
 
+int ServiceRouter::MaxAttempts(const RequestTraits& traits) const {
+  const ClassState* const state = FindClassState(traits.m_class_name);
+  const int own = state == nullptr ? 0 : state->m_config.m_max_attempts;
+  return own > 0 ? own : m_config->m_retry.m_max_attempts;
+}
+
+// Each instance saves its part of what all may spend together, since it can't
+// know whether the others spend theirs.
+void ServiceRouter::LimitSavings() {
+  const double shared = m_config->m_retry.m_shared_savings;
+  if (shared > 0) {
+    m_retry_budget.SetMaxSavings(shared / std::max(1, m_instances));
+  }
+}
+
 ServiceStatus ServiceRouter::Status(TimePoint now) const {
   const std::lock_guard lock(m_mutex);
   ServiceStatus status{.m_name = m_config->m_name,
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -97,6 +97,8 @@
   };
 
   bool IsEnabled(Mechanism mechanism) const;
+  int MaxAttempts(const RequestTraits& traits) const;
+  void LimitSavings();
   ClassState* ClassOf(const std::string& name);
   const ClassState* FindClassState(const std::string& name) const;
   policy::FlowKey FlowOf(const RequestTraits& traits) const;
--- a/src/routing/target.h
+++ b/src/routing/target.h
@@ -42,6 +42,8 @@
   bool m_other_zone = false;
   /// Taken from the configuration; kept until its attempts have ended.
   bool m_removed = false;
+  /// Another backend server answers at its address.
+  bool m_replaced = false;
   policy::TargetLoad m_load;
   policy::Ejection m_ejection;
   policy::Draining m_draining;
@@ -49,6 +51,8 @@
   std::vector<Attempt> m_attempts;
   /// When slow start began; `TimePoint::min()` for a warm target.
   TimePoint m_cold_since = TimePoint::min();
+  /// How long slow start lasts; zero for the service's usual time.
+  Duration m_cold_for{};
   std::optional<int> m_reported_in_flight;
   /// When the last probe was sent, and whether it is still on its way.
   TimePoint m_probed_at = TimePoint::min();
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -43,13 +43,18 @@
   }
   for (const TargetConfig& wanted : m_config->m_targets) {
     Target* target = Find(wanted.m_name);
-    if (target == nullptr || target->m_config.m_address != wanted.m_address) {
+    if (target == nullptr || target->m_config.m_address != wanted.m_address ||
+        target->m_config.m_incarnation != wanted.m_incarnation) {
       // Another address under the same name is another server. The old one
       // keeps its attempts, without its name, until they have ended.
       m_targets.push_back(std::make_unique<Target>());
       target = m_targets.back().get();
-      target->m_cold_since = is_first ? TimePoint::min() : now;
-      m_cold_until = is_first ? m_cold_until : TimePoint::max();
+      const bool told_cold = wanted.m_warm_up_left > Duration::zero();
+      const bool told_warm = wanted.m_incarnation != 0 && !told_cold;
+      const bool is_warm = told_warm || (is_first && !told_cold);
+      target->m_cold_since = is_warm ? TimePoint::min() : now;
+      target->m_cold_for = wanted.m_warm_up_left;
+      m_cold_until = is_warm ? m_cold_until : TimePoint::max();
       m_by_name[wanted.m_name] = target;
     }
     target->m_config = wanted;
@@ -258,7 +263,12 @@
 
 bool TargetPool::IsSlowStart(const Target& target, TimePoint now) const {
   return target.m_cold_since != TimePoint::min() &&
-         now < target.m_cold_since + m_config->m_slow_start.m_window;
+         now < target.m_cold_since + ColdTime(target);
+}
+
+Duration TargetPool::ColdTime(const Target& target) const {
+  return target.m_cold_for > Duration::zero() ? target.m_cold_for
+                                              : m_config->m_slow_start.m_window;
 }
 
 bool TargetPool::IsEnabled(Mechanism mechanism) const {
@@ -276,15 +286,16 @@
   for (const auto& target : m_targets) {
     if (IsSlowStart(*target, now)) {
       ++cold;
-      m_cold_until = std::max(
-          m_cold_until, target->m_cold_since + m_config->m_slow_start.m_window);
+      m_cold_until =
+          std::max(m_cold_until, target->m_cold_since + ColdTime(*target));
     }
   }
   m_all_cold = cold > kMaxColdShare * static_cast<double>(m_targets.size());
 }
 
 bool TargetPool::IsEligible(const Target& target, TimePoint now) const {
-  if (target.m_removed || target.m_draining.is_draining()) {
+  if (target.m_removed || target.m_replaced ||
+      target.m_draining.is_draining()) {
     return false;
   }
   return m_panic || now >= m_ejections_until ||
@@ -296,8 +307,8 @@
       !IsEnabled(Mechanism::kSlowStart)) {
     return 1;
   }
-  const double passed = Seconds(now - target.m_cold_since) /
-                        Seconds(m_config->m_slow_start.m_window);
+  const double passed =
+      Seconds(now - target.m_cold_since) / Seconds(ColdTime(target));
   return kColdestShare + (1 - kColdestShare) * passed;
 }
 
@@ -336,6 +347,7 @@
   return policy::Cost({.m_load = load.own() + others,
                        .m_slots = static_cast<double>(target.m_config.m_slots),
                        .m_slowness = SlownessOf(target, now),
+                       .m_slowdown = load.Slowdown(now),
                        .m_other_zone = target.m_other_zone &&
                                        IsEnabled(Mechanism::kZonePreference),
                        .m_borrows = claim == policy::SlotClaim::kBorrowed});
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -84,6 +84,7 @@
   bool IsEnabled(Mechanism mechanism) const;
   void RefreshExceptions(TimePoint now);
   bool IsEligible(const Target& target, TimePoint now) const;
+  Duration ColdTime(const Target& target) const;
   double Warmth(const Target& target, TimePoint now) const;
   double SlownessOf(const Target& target, TimePoint now) const;
   /// The target's cost, or nothing if no attempt may be sent there now.
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -14,6 +14,7 @@
 #include "operators/operator_server.h"
 #include "peers/peer_network.h"
 #include "serve/control_thread.h"
+#include "serve/peer_news.h"
 #include "util/hash.h"
 #include "util/log.h"
 #include "util/metrics.h"
@@ -117,25 +118,15 @@
 }
 
 void Instance::Impl::MakeRouter() {
-  // The router calls these on whichever thread learnt the news.
-  const auto post = m_control.poster();
-  RouterHooks hooks;
-  hooks.m_on_drain = [this, post](const DrainNotice& notice) {
-    post([this, notice] { m_peers->PushDrain(notice); });
-  };
-  hooks.m_on_quarantine = [this, post](const QuarantineNotice& notice) {
-    post([this, notice] { m_peers->PushQuarantine(notice); });
-  };
-  hooks.m_on_suspect = [this, post](const SuspectNotice& notice) {
-    post([this, notice] { m_peers->PushSuspect(notice); });
-  };
   RouterOptions options;
   options.m_zone = m_settings.m_zone;
   options.m_policy = m_settings.m_choice_policy;
   options.m_disabled = m_settings.m_disabled_mechanisms;
   options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
   options.m_clock = m_clock;
-  m_router = std::make_unique<Router>(std::move(options), std::move(hooks));
+  m_router = std::make_unique<Router>(
+      std::move(options),
+      TellPeers(m_control.poster(), [this] { return m_peers.get(); }));
 }
 
 void Instance::Impl::MakeConfig() {
@@ -172,27 +163,13 @@
   hooks.m_post = m_control.poster();
   hooks.m_local_state = [this] { return LocalState(); };
   hooks.m_sections = [this] { return SectionsInForce(); };
-  hooks.m_drains = [this] { return m_router->Drains(); };
-  hooks.m_quarantines = [this] { return m_router->Quarantines(); };
+  LearnFromPeers(m_router.get(), &hooks);
   hooks.m_on_sections = [this](const std::vector<SectionState>& sections) {
     m_config->MergeFromPeers(sections, false);
   };
   hooks.m_on_fold_digest = [this](std::uint64_t as_of, std::uint64_t digest) {
     m_config->ComparePeerDigest({.m_as_of = as_of, .m_digest = digest});
   };
-  hooks.m_on_drain = [this](const DrainNotice& notice) {
-    m_router->LearnDrain(notice);
-  };
-  hooks.m_on_quarantine = [this](const QuarantineNotice& notice) {
-    m_router->LearnQuarantine(notice);
-  };
-  hooks.m_on_suspect = [this](const SuspectNotice& notice) {
-    m_router->LearnSuspect(notice);
-  };
-  hooks.m_on_in_flight = [this](const auto& peer, const auto& service,
-                                const auto& counts) {
-    m_router->SetPeerInFlight(peer, service, counts);
-  };
   hooks.m_on_members = [this] { CountInstances(); };
   hooks.m_answer_ledger = [this](const auto& question, auto reply) {
     m_ledger->AnswerPeer(question, std::move(reply));
--- /dev/null
+++ b/src/serve/peer_news.cc
@@ -0,0 +1,41 @@
+#include "serve/peer_news.h"
+
+#include <utility>
+
+namespace guavacross::serve {
+
+RouterHooks TellPeers(std::function<void(std::function<void()>)> post,
+                      std::function<peers::PeerNetwork*()> peers) {
+  // The router calls these on whichever thread learnt the news.
+  RouterHooks hooks;
+  hooks.m_on_drain = [post, peers](const DrainNotice& notice) {
+    post([peers, notice] { peers()->PushDrain(notice); });
+  };
+  hooks.m_on_quarantine = [post, peers](const QuarantineNotice& notice) {
+    post([peers, notice] { peers()->PushQuarantine(notice); });
+  };
+  hooks.m_on_suspect = [post, peers](const SuspectNotice& notice) {
+    post([peers, notice] { peers()->PushSuspect(notice); });
+  };
+  return hooks;
+}
+
+void LearnFromPeers(Router* router, peers::PeerHooks* hooks) {
+  hooks->m_drains = [router] { return router->Drains(); };
+  hooks->m_quarantines = [router] { return router->Quarantines(); };
+  hooks->m_on_drain = [router](const DrainNotice& notice) {
+    router->LearnDrain(notice);
+  };
+  hooks->m_on_quarantine = [router](const QuarantineNotice& notice) {
+    router->LearnQuarantine(notice);
+  };
+  hooks->m_on_suspect = [router](const SuspectNotice& notice) {
+    router->LearnSuspect(notice);
+  };
+  hooks->m_on_in_flight = [router](const auto& peer, const auto& service,
+                                   const auto& counts) {
+    router->SetPeerInFlight(peer, service, counts);
+  };
+}
+
+}  // namespace guavacross::serve
--- /dev/null
+++ b/src/serve/route_instance.cc
@@ -0,0 +1,464 @@
+#include "serve/route_instance.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <utility>
+
+#include "backends/probe_runner.h"
+#include "callers/address_answer.h"
+#include "callers/caller_server.h"
+#include "callers/route_classifier.h"
+#include "guavacross/routing.h"
+#include "operators/metrics_server.h"
+#include "peers/peer_network.h"
+#include "routes/target_registry.h"
+#include "serve/control_thread.h"
+#include "serve/peer_news.h"
+#include "util/hash.h"
+#include "util/log.h"
+#include "util/metrics.h"
+
+namespace guavacross::serve {
+
+namespace {
+
+// Callers must learn within about a second that an instance is gone, which
+// takes some lost heartbeats.
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(300);
+constexpr Duration kSuspectAfter = std::chrono::milliseconds(900);
+constexpr Duration kDeadAfter = std::chrono::milliseconds(2000);
+
+constexpr Duration kInstanceCountInterval = std::chrono::milliseconds(200);
+
+// Instances share a budget for probes by counting each other, which takes some
+// heartbeats.
+constexpr Duration kFirstProbeAfter = std::chrono::milliseconds(1500);
+
+// Before the grace time ends: requests that may take longer are refused, open
+// connections are finished, and what is left is cut off.
+constexpr Duration kLastAnswerBefore = std::chrono::milliseconds(400);
+constexpr Duration kFinishBefore = std::chrono::milliseconds(900);
+constexpr Duration kCutOffBefore = std::chrono::milliseconds(200);
+
+// One thread carries the requests: the machines have a part of one core.
+constexpr int kWorkers = 1;
+
+callers::CallerLimits LimitsOf(const RequestLimits& limits) {
+  callers::CallerLimits out;
+  out.m_max_header_bytes = static_cast<std::size_t>(limits.m_max_header_bytes);
+  out.m_header_time = limits.m_header_time;
+  out.m_idle_time = limits.m_idle_time;
+  return out;
+}
+
+}  // namespace
+
+class RouteInstance::Impl {
+ public:
+  Impl(RouteInstanceOptions options, Clock clock, RouteInstanceHooks hooks)
+      : m_options(std::move(options)),
+        m_clock(std::move(clock)),
+        m_hooks(std::move(hooks)),
+        m_self{.m_name = m_options.m_name,
+               .m_incarnation = static_cast<std::uint64_t>(
+                   m_clock.m_wall_now().time_since_epoch().count())} {
+    MakeRouter();
+    MakePeers();
+    MakeCallers();
+    m_probes = std::make_unique<backends::ProbeRunner>(
+        m_router.get(), m_clock, &m_metrics, m_hooks.m_target_dialect);
+  }
+
+  ~Impl() {
+    // Threads of their own first, so that nothing is called half destroyed.
+    m_callers.reset();
+    m_peers->Stop();
+  }
+
+  Result<bool> Start() {
+    BOOST_LEAF_CHECK(m_callers->Start());
+    if (!m_peers->Start()) {
+      return Fail(ErrorKind::kBadSettings,
+                  "peers: cannot listen on " + ToString(m_options.m_peers));
+    }
+    BOOST_LEAF_CHECK(StartMetrics());
+    m_peers->SetListed(Seeds());
+    m_probes->Start(kFirstProbeAfter);
+    CountInstances();
+    util::LogChange("serve", "started",
+                    {{"callers", ToString(m_options.m_callers)},
+                     {"peers", ToString(m_options.m_peers)},
+                     {"seeds", std::to_string(m_options.m_seeds.size())}});
+    return true;
+  }
+
+  void SetTable(const RouteTable& table) {
+    if (m_table != nullptr && table.m_version <= m_table->m_version) {
+      return;
+    }
+    util::LogChange("config", "configuration in force",
+                    {{"version", std::to_string(table.m_version)},
+                     {"before", std::to_string(version())},
+                     {"routes", std::to_string(table.m_routes.size())},
+                     {"services", std::to_string(table.m_services.size())}});
+    m_table = std::make_shared<const RouteTable>(table);
+    ApplyPlans();
+    // After the services, so that no route points to one that isn't there.
+    m_classifier->SetTable(m_table);
+    m_callers->SetLimits(LimitsOf(table.m_limits));
+    UpdateReady();
+  }
+
+  void PutTarget(const RegisteredTarget& target) {
+    NoteChange(m_registry.Put(target), target);
+    ApplyIfChanged();
+  }
+
+  void RemoveTarget(const std::string& id) {
+    const auto change = m_registry.Remove(id, m_clock.m_now());
+    NoteChange(change, {.m_id = id});
+    ApplyIfChanged();
+    ScheduleExpiry();
+  }
+
+  void ListTargets(const std::vector<RegisteredTarget>& targets) {
+    std::set<std::string> ids;
+    for (const RegisteredTarget& target : targets) {
+      ids.insert(target.m_id);
+    }
+    for (const std::string& id : m_registry.KeepOnly(ids, m_clock.m_now())) {
+      NoteChange(routes::TargetRegistry::Change::kRemoved, {.m_id = id});
+    }
+    for (const RegisteredTarget& target : targets) {
+      NoteChange(m_registry.Put(target), target);
+    }
+    m_targets_listed = true;
+    ApplyIfChanged();
+    ScheduleExpiry();
+    UpdateReady();
+  }
+
+  void SetStoreReachable(bool reachable, const std::string& why) {
+    m_registry.SetStoreReachable(reachable, m_clock.m_now());
+    if (reachable) {
+      util::LogChange("store", "the store answers again");
+    } else {
+      util::LogWarning("store", "the store is lost", {{"why", why}});
+    }
+    ScheduleExpiry();
+  }
+
+  void Shutdown(std::function<void()> on_done) {
+    if (m_leaving.exchange(true)) {
+      return;
+    }
+    m_on_shut_down = std::move(on_done);
+    util::LogChange(
+        "serve", "leaving",
+        {{"grace_ms",
+          std::to_string(static_cast<int>(Milliseconds(m_options.m_grace)))}});
+    m_classifier->SetEnd(m_clock.m_now() + m_options.m_grace -
+                         kLastAnswerBefore);
+    m_callers->BeginLeaving();
+    m_peers->AnnounceLeaving();
+    m_shutdown_timer = m_clock.m_call_after(m_options.m_grace - kFinishBefore,
+                                            [this] { FinishRequests(); });
+  }
+
+  bool ready() const { return m_ready && !m_leaving; }
+
+  std::vector<Endpoint> Addresses(const std::string& region,
+                                  const std::string& zone) const {
+    std::vector<Member> members = m_peers->Members();
+    std::erase_if(members, [](const Member& member) {
+      return member.m_config_version == 0;
+    });
+    members = callers::MembersToOffer(std::move(members), Self(), !ready());
+    std::vector<Endpoint> addresses;
+    for (const callers::WeightedAddress& each : callers::WeighAddresses(
+             members, {.m_region = region, .m_zone = zone})) {
+      addresses.push_back(each.m_address);
+    }
+    return addresses;
+  }
+
+ private:
+  using Change = routes::TargetRegistry::Change;
+
+  void MakeRouter() {
+    RouterOptions options;
+    options.m_zone = m_options.m_zone;
+    options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
+    options.m_clock = m_clock;
+    m_router = std::make_unique<Router>(
+        std::move(options),
+        TellPeers(m_control.poster(), [this] { return m_peers.get(); }));
+  }
+
+  void MakePeers() {
+    peers::PeerOptions options;
+    options.m_self = m_self;
+    options.m_region = m_options.m_region;
+    options.m_zone = m_options.m_zone;
+    options.m_callers = m_options.m_callers;
+    options.m_listen = m_options.m_peers;
+    options.m_clock = m_clock;
+    options.m_metrics = &m_metrics;
+    options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation + 1);
+    options.m_heartbeat_interval = kHeartbeatInterval;
+    options.m_suspect_after = kSuspectAfter;
+    options.m_dead_after = kDeadAfter;
+
+    peers::PeerHooks hooks;
+    hooks.m_post = m_control.poster();
+    hooks.m_local_state = [this] { return LocalState(); };
+    hooks.m_on_members = [this] { CountInstances(); };
+    LearnFromPeers(m_router.get(), &hooks);
+    m_peers = std::make_unique<peers::PeerNetwork>(std::move(options),
+                                                   std::move(hooks));
+  }
+
+  void MakeCallers() {
+    m_classifier = std::make_unique<callers::RouteClassifier>(
+        m_router.get(), m_hooks.m_deadline_header);
+    callers::CallerServerOptions options;
+    options.m_listen = m_options.m_callers;
+    options.m_local_listen = m_options.m_local;
+    options.m_workers = kWorkers;
+    options.m_max_connections = m_options.m_max_caller_connections;
+    options.m_region = m_options.m_region;
+    options.m_zone = m_options.m_zone;
+    options.m_shutdown_limit = kFinishBefore - kCutOffBefore;
+    options.m_half_close_is_leaving = true;
+    options.m_close_while_leaving = true;
+
+    callers::CallerServerHooks hooks;
+    hooks.m_router = m_router.get();
+    hooks.m_metrics = &m_metrics;
+    hooks.m_clock = m_clock;
+    hooks.m_classify = [this](const http::RequestHead& head, TimePoint now) {
+      return m_classifier->Classify(head, now);
+    };
+    hooks.m_answer_locally = m_hooks.m_answer_locally;
+    hooks.m_target_dialect = m_hooks.m_target_dialect;
+    hooks.m_caller_dialect = m_hooks.m_caller_dialect;
+    m_callers = std::make_unique<callers::CallerServer>(std::move(options),
+                                                        std::move(hooks));
+    // Classification refuses requests until there is a table.
+    m_callers->SetReady(true);
+  }
+
+  Result<void> StartMetrics() {
+    if (m_options.m_operators.m_port == 0) {
+      return {};
+    }
+    m_operators = std::make_unique<operators::MetricsServer>(
+        [this] { return m_metrics.Text(); });
+    if (!m_operators->Start(m_options.m_operators)) {
+      return Fail(ErrorKind::kBadSettings, "metrics: cannot listen on " +
+                                               ToString(m_options.m_operators));
+    }
+    return {};
+  }
+
+  // Seeds are addresses to ask; a seed is known as a member once it answers
+  // under its own name.
+  std::vector<ListedInstance> Seeds() const {
+    std::vector<ListedInstance> listed;
+    for (const Endpoint& seed : m_options.m_seeds) {
+      if (seed != m_options.m_peers) {
+        listed.push_back({.m_name = ToString(seed), .m_peers = seed});
+      }
+    }
+    return listed;
+  }
+
+  std::uint64_t version() const {
+    return m_table == nullptr ? 0 : m_table->m_version;
+  }
+
+  void NoteChange(Change change, const RegisteredTarget& target) {
+    if (change == Change::kNone || change == Change::kHeartbeat) {
+      return;
+    }
+    m_registry_changed = true;
+    util::LogChange(
+        "targets", "target changed",
+        {{"target", target.m_id},
+         {"change", std::string(routes::RegistryChangeName(change))},
+         {"service", target.m_service},
+         {"incarnation", std::to_string(target.m_incarnation)},
+         {"heartbeat", std::to_string(target.m_heartbeat)},
+         {"address", ToString(target.m_address)}});
+  }
+
+  void ApplyIfChanged() {
+    if (std::exchange(m_registry_changed, false) && m_table != nullptr) {
+      ApplyPlans();
+    }
+  }
+
+  // Configures the services whose plan has changed.
+  void ApplyPlans() {
+    std::map<std::string, ServiceConfig> plans = routes::PlanServices(
+        *m_table, m_registry.Targets(), m_options.m_budgets);
+    for (const auto& [name, plan] : plans) {
+      const auto known = m_plans.find(name);
+      if (known == m_plans.end() || known->second != plan) {
+        m_router->Configure(plan);
+        m_peers->SetTargets(name, TargetNames(plan));
+      }
+    }
+    for (const auto& [name, plan] : m_plans) {
+      if (!plans.contains(name)) {
+        m_router->Remove(name);
+        m_peers->SetTargets(name, {});
+      }
+    }
+    m_plans = std::move(plans);
+  }
+
+  static std::vector<std::string> TargetNames(const ServiceConfig& service) {
+    std::vector<std::string> names;
+    for (const TargetConfig& target : service.m_targets) {
+      names.push_back(target.m_name);
+    }
+    return names;
+  }
+
+  void ScheduleExpiry() {
+    const auto next = m_registry.NextExpiry();
+    if (!next.has_value() || *next == TimePoint::max()) {
+      return;
+    }
+    const Duration delay = std::max(Duration::zero(), *next - m_clock.m_now());
+    m_expiry_timer = m_clock.m_call_after(delay, [this] {
+      for (const std::string& id : m_registry.Expire(m_clock.m_now())) {
+        NoteChange(Change::kRemoved, {.m_id = id});
+      }
+      ApplyIfChanged();
+      ScheduleExpiry();
+    });
+  }
+
+  void UpdateReady() {
+    const bool ready = m_table != nullptr && m_targets_listed;
+    if (m_ready.exchange(ready) != ready) {
+      util::LogChange("serve", "ready",
+                      {{"version", std::to_string(version())}});
+    }
+  }
+
+  void CountInstances() {
+    m_router->SetInstanceCount(m_peers->LiveCount());
+    m_count_timer = m_clock.m_call_after(kInstanceCountInterval,
+                                         [this] { CountInstances(); });
+  }
+
+  peers::LocalState LocalState() const {
+    peers::LocalState state;
+    state.m_load =
+        static_cast<double>(m_callers->status().m_requests_in_flight) /
+        m_options.m_max_caller_connections;
+    state.m_config_version = ready() ? version() : 0;
+    state.m_in_flight = m_router->InFlight();
+    return state;
+  }
+
+  Member Self() const {
+    Member self;
+    self.m_id = m_self;
+    self.m_region = m_options.m_region;
+    self.m_zone = m_options.m_zone;
+    self.m_callers = m_options.m_callers;
+    self.m_peers = m_options.m_peers;
+    return self;
+  }
+
+  void FinishRequests() {
+    util::LogChange(
+        "serve", "finishing open requests",
+        {{"requests",
+          std::to_string(m_callers->status().m_requests_in_flight)}});
+    m_callers->StopAccepting();
+    m_callers->Finish([this] {
+      util::LogChange("serve", "shut down");
+      m_probes->Stop();
+      std::exchange(m_on_shut_down, nullptr)();
+    });
+  }
+
+  // Members are destroyed in reverse order: what calls others comes last.
+  RouteInstanceOptions m_options;
+  Clock m_clock;
+  RouteInstanceHooks m_hooks;
+  InstanceId m_self;
+  ControlThread m_control;
+  util::Metrics m_metrics;
+  routes::TargetRegistry m_registry;
+  bool m_registry_changed = false;
+  bool m_targets_listed = false;
+  std::shared_ptr<const RouteTable> m_table;
+  std::map<std::string, ServiceConfig> m_plans;
+  std::unique_ptr<Router> m_router;
+  std::unique_ptr<peers::PeerNetwork> m_peers;
+  std::unique_ptr<callers::RouteClassifier> m_classifier;
+  std::unique_ptr<backends::ProbeRunner> m_probes;
+  std::unique_ptr<callers::CallerServer> m_callers;
+  std::unique_ptr<operators::MetricsServer> m_operators;
+  std::unique_ptr<Timer> m_count_timer;
+  std::unique_ptr<Timer> m_expiry_timer;
+  std::unique_ptr<Timer> m_shutdown_timer;
+  std::function<void()> m_on_shut_down;
+  std::atomic<bool> m_ready{false};
+  std::atomic<bool> m_leaving{false};
+};
+
+RouteInstance::RouteInstance(RouteInstanceOptions options,
+                             Clock clock,
+                             RouteInstanceHooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(options),
+                                    std::move(clock),
+                                    std::move(hooks))) {}
+
+RouteInstance::~RouteInstance() = default;
+
+Result<bool> RouteInstance::Start() {
+  return m_impl->Start();
+}
+
+void RouteInstance::SetTable(const RouteTable& table) {
+  m_impl->SetTable(table);
+}
+
+void RouteInstance::PutTarget(const RegisteredTarget& target) {
+  m_impl->PutTarget(target);
+}
+
+void RouteInstance::RemoveTarget(const std::string& id) {
+  m_impl->RemoveTarget(id);
+}
+
+void RouteInstance::ListTargets(const std::vector<RegisteredTarget>& targets) {
+  m_impl->ListTargets(targets);
+}
+
+void RouteInstance::SetStoreReachable(bool reachable, const std::string& why) {
+  m_impl->SetStoreReachable(reachable, why);
+}
+
+void RouteInstance::Shutdown(std::function<void()> on_done) {
+  m_impl->Shutdown(std::move(on_done));
+}
+
+bool RouteInstance::ready() const {
+  return m_impl->ready();
+}
+
+std::vector<Endpoint> RouteInstance::Addresses(const std::string& region,
+                                               const std::string& zone) const {
+  return m_impl->Addresses(region, zone);
+}
+
+}  // namespace guavacross::serve
--- a/src/util/log.cc
+++ b/src/util/log.cc
@@ -49,9 +49,11 @@
 
 }  // namespace
 
-void StartLogging(const std::string& instance, const std::string& level) {
+void StartLogging(const std::string& instance,
+                  const std::string& level,
+                  LogOutput output) {
   Library();
-  const bool to_standard_error = true;
+  const bool to_standard_error = output == LogOutput::kStandardError;
   const bool flush_each_line = true;
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(to_standard_error, flush_each_line));
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -15,9 +15,14 @@
 
 using LogField = std::pair<std::string_view, std::string>;
 
-/// Sends log lines to standard error. `level` is debug, info, warn or error.
+/// Where log lines go.
+enum class LogOutput { kStandardError, kStandardOutput };
+
+/// Sends log lines to `output`. `level` is debug, info, warn or error.
 /// `instance` is added to each line. Call once, before threads start.
-void StartLogging(const std::string& instance, const std::string& level);
+void StartLogging(const std::string& instance,
+                  const std::string& level,
+                  LogOutput output = LogOutput::kStandardError);
 
 /// Logs a change of state. Thread safe.
 void LogChange(std::string_view package,
--- a/src/util/signal_watcher.cc
+++ b/src/util/signal_watcher.cc
@@ -16,6 +16,7 @@
   sigemptyset(&caught);
   sigaddset(&caught, SIGTERM);
   sigaddset(&caught, SIGINT);
+  sigaddset(&caught, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &caught, nullptr);
   // A peer that closes its end must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/util/signal_watcher.h
+++ b/src/util/signal_watcher.h
@@ -8,7 +8,7 @@
 
 namespace guavacross::util {
 
-/// Turns SIGTERM and SIGINT into calls on the event loop.
+/// Turns SIGTERM, SIGINT and SIGHUP into calls on the event loop.
 ///
 /// Construct it in `main` before any other thread starts, so that every thread
 /// inherits the blocked signals; a signal that comes before the event loop runs
