Probe three targets before placing a request

Each instance probed each target 8 times a second, while neighbours come and go within 150 ms, and work is slow or not by what the machine is at its start.

Ruled out: slower targets by themselves (the late requests spread evenly), queues at the targets (busiest to mean 1.2).

Change: a request first asks up to three targets that seem the best and whose last word is older than 20 ms, nearest first, and is placed on the first that tells of room and usual speed; after 20 ms the best known one is taken. The told slowdown fades towards the service's average. A target that answers no probe is left out until it does. The budget of probes holds as before.

--- a/src/backends/probe_runner.cc
+++ b/src/backends/probe_runner.cc
@@ -57,7 +57,8 @@
     return ProbeReport{.m_service = m_order.m_service,
                        .m_target = m_order.m_target,
                        .m_load = std::move(load),
-                       .m_latency = now - m_sent_at};
+                       .m_latency = now - m_sent_at,
+                       .m_answered = m_answered};
   }
 
  private:
@@ -76,7 +77,11 @@
   void OnHead(const http::ResponseHead& head) {
     const std::string answerer = m_dialect->m_read_target(head.m_fields);
     const bool is_other = !answerer.empty() && answerer != m_order.m_target;
-    if (head.m_status == kOkStatus && !is_other) {
+    m_answered = !is_other;
+    // A health check may be wrong either way; the load beside it isn't.
+    const bool takes_load =
+        head.m_status == kOkStatus || !m_order.m_path.empty();
+    if (takes_load && !is_other) {
       m_load = m_dialect->m_read_load(head.m_fields);
     }
   }
@@ -92,6 +97,7 @@
   TimePoint m_sent_at;
   DoneHook m_on_done;
   std::optional<LoadReport> m_load;
+  bool m_answered = false;
   std::unique_ptr<Attempt> m_attempt;
   std::unique_ptr<Timer> m_timer;
 };
@@ -123,7 +129,7 @@
   void Tick() {
     m_router->ExpireWaiters();
     if (m_clock.m_now() >= m_first_probe_at) {
-      SendDueProbes();
+      Send(m_router->TakeDueProbes());
     }
     const TimePoint now = m_clock.m_now();
     if (now - m_swept_at >= kSweepInterval) {
@@ -133,8 +139,8 @@
     m_timer = m_clock.m_call_after(UntilNextTick(), [this] { Tick(); });
   }
 
-  void SendDueProbes() {
-    for (ProbeOrder& order : m_router->TakeDueProbes()) {
+  void Send(std::vector<ProbeOrder> orders) {
+    for (ProbeOrder& order : orders) {
       m_probes.push_back(std::make_unique<Probe>(
           &m_pool, m_dialect, m_clock, std::move(order),
           [this](Probe* probe, std::optional<LoadReport> load) {
@@ -200,6 +206,10 @@
   m_impl->Start(first_probe_after);
 }
 
+void ProbeRunner::Send(std::vector<ProbeOrder> orders) {
+  m_impl->Send(std::move(orders));
+}
+
 void ProbeRunner::Stop() {
   m_impl->Stop();
 }
--- a/src/backends/probe_runner.h
+++ b/src/backends/probe_runner.h
@@ -2,6 +2,7 @@
 #define GUAVACROSS_BACKENDS_PROBE_RUNNER_H_
 
 #include <memory>
+#include <vector>
 
 #include "backends/target_dialect.h"
 #include "guavacross/routing.h"
@@ -33,6 +34,8 @@
 
   /// No probe is sent before `first_probe_after` has passed.
   void Start(Duration first_probe_after = Duration::zero());
+  /// Sends probes that the router has ordered beside those that are due.
+  void Send(std::vector<ProbeOrder> orders);
   /// Abandons the probes in flight and reports them as failed.
   void Stop();
 
--- a/src/include/guavacross/document.h
+++ b/src/include/guavacross/document.h
@@ -97,6 +97,10 @@
   Duration m_timeout = std::chrono::milliseconds(250);
   /// The path that probes ask; empty for the usual one.
   std::string m_path;
+  /// Whether some targets are probed for each request before one is chosen,
+  /// rather than all of them from time to time. For targets whose speed changes
+  /// faster than the budget lets them be probed in turn.
+  bool m_before_placing = false;
 
   bool operator==(const ProbeConfig&) const = default;
 };
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -109,6 +109,8 @@
   std::string m_target;
   std::optional<LoadReport> m_load;
   Duration m_latency{};
+  /// Whether the target answered at all.
+  bool m_answered = false;
 
   bool operator==(const ProbeReport&) const = default;
 };
@@ -213,6 +215,8 @@
   std::function<void(const DrainNotice&)> m_on_drain;
   std::function<void(const QuarantineNotice&)> m_on_quarantine;
   std::function<void(const SuspectNotice&)> m_on_suspect;
+  /// Probes to be sent at once, beside those of `Router::TakeDueProbes`.
+  std::function<void(std::vector<ProbeOrder>)> m_on_probes;
 };
 
 /// Called once with a grant or the reason for the refusal; a plain value, since
--- a/src/policy/probe_budget.cc
+++ b/src/policy/probe_budget.cc
@@ -75,7 +75,7 @@
   }
   const double earned = m_rate * Seconds(now - m_refilled_at);
   m_allowed += earned;
-  m_tokens = std::min(kBurst, m_tokens + earned);
+  m_tokens = std::min(m_burst, m_tokens + earned);
   m_refilled_at = now;
 }
 
--- a/src/policy/probe_budget.h
+++ b/src/policy/probe_budget.h
@@ -40,8 +40,8 @@
 /// One instance's token bucket for the probes of one service.
 ///
 /// A probe is charged when it is sent and never refunded. The bucket holds at
-/// most `kBurst` probes, so that an instance that was paused doesn't make up
-/// for what it missed. Not thread safe.
+/// most `kBurst` probes, unless another burst is set, so that an instance that
+/// was paused doesn't make up for what it missed. Not thread safe.
 class ProbeBudget {
  public:
   /// Probes that may be sent at once after a quiet time.
@@ -50,6 +50,9 @@
   /// Sets the rate from `now` on, in probes per second of this instance.
   void SetRate(double probes_per_second, TimePoint now);
 
+  /// Sets the most probes that may be sent at once after a quiet time.
+  void SetBurst(double probes) { m_burst = probes; }
+
   /// Charges one probe. Returns false, charging nothing, if the bucket is
   /// empty.
   bool Take(TimePoint now);
@@ -64,6 +67,7 @@
   void Refill(TimePoint now);
 
   double m_rate = 0;
+  double m_burst = kBurst;
   double m_tokens = 0;
   double m_allowed = 0;
   TimePoint m_refilled_at{};
--- a/src/policy/target_choice.cc
+++ b/src/policy/target_choice.cc
@@ -17,6 +17,18 @@
 // have sent meanwhile isn't known, what this instance has sent is.
 constexpr double kBorrowCost = 0.5;
 
+// Beyond this part of its slots a target works this many times more slowly on
+// all its requests.
+constexpr double kNearlyFull = 0.8;
+constexpr double kNearlyFullSlowness = 1.5;
+
+// Of measured targets the nearer one is taken unless it is slower: the way
+// there takes a hundredth of a request's time, but its bytes are paid for.
+constexpr double kMeasuredZoneCost = 0.2;
+
+// Prefers the emptier of two targets with room.
+constexpr double kMeasuredOccupancyCost = 0.15;
+
 // Service times vary; a target is slow only beyond this.
 constexpr double kUsualSlowness = 3;
 
@@ -34,4 +46,17 @@
          kOccupancyCost * std::min(1.0, occupancy) + zone + borrowing;
 }
 
+double MeasuredCost(const Candidate& candidate) {
+  const double slots = std::max(1.0, candidate.m_slots);
+  const double occupancy = (candidate.m_load + 1) / slots;
+  const double crowding = occupancy <= kNearlyFull
+                              ? 1
+                              : kNearlyFullSlowness * std::max(1.0, occupancy);
+  const double slowness =
+      candidate.m_slowness > kUsualSlowness ? candidate.m_slowness : 1;
+  return candidate.m_slowdown * slowness * crowding +
+         kMeasuredOccupancyCost * std::min(1.0, occupancy) +
+         (candidate.m_other_zone ? kMeasuredZoneCost : 0);
+}
+
 }  // namespace guavacross::policy
--- a/src/policy/target_choice.h
+++ b/src/policy/target_choice.h
@@ -34,6 +34,12 @@
 /// Beyond this cost waiting for another target's slot is better.
 inline constexpr double kWaitCost = 2.2;
 
+/// The cost of sending the next attempt to a target whose load and speed it has
+/// told itself, about 1 for one of usual speed with room. A target that is
+/// nearly full works more slowly on everything, so that the step there counts
+/// for more than the order among emptier ones. Pure.
+double MeasuredCost(const Candidate& candidate);
+
 /// The cost of sending the next attempt to a target, about 1 for an idle one
 /// of usual speed. Pure.
 double Cost(const Candidate& candidate);
--- a/src/policy/target_load.cc
+++ b/src/policy/target_load.cc
@@ -13,9 +13,9 @@
 // Peers that have told of no use for this long are taken to go on so.
 constexpr Duration kUnusedAfter = std::chrono::milliseconds(300);
 
-// A told slowdown holds for this long: neighbours come and go within about
-// 150 ms, and the next word may take as long.
-constexpr Duration kSlowdownLife = std::chrono::milliseconds(400);
+// What a target tells of its speed fades over this time, in which neighbours on
+// its machine come and go.
+constexpr Duration kSlowdownLife = std::chrono::milliseconds(150);
 
 // The part of a new latency in the average.
 constexpr double kSlownessGain = 0.3;
@@ -52,10 +52,12 @@
   }
 }
 
-double TargetLoad::Slowdown(TimePoint now) const {
-  const bool known =
-      m_slowdown_at != TimePoint::min() && now - m_slowdown_at < kSlowdownLife;
-  return known ? m_slowdown : 1;
+double TargetLoad::Slowdown(double usual, TimePoint now) const {
+  if (m_slowdown_at == TimePoint::min()) {
+    return usual;
+  }
+  const double lives = Seconds(now - m_slowdown_at) / Seconds(kSlowdownLife);
+  return usual + (m_slowdown - usual) * std::exp(-std::max(0.0, lives));
 }
 
 void TargetLoad::PeersReport(int in_flight, TimePoint at) {
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -77,10 +77,10 @@
   /// what isn't known: the average over the service's targets.
   double Others(const LoadAging& aging, double usual, TimePoint now) const;
 
-  /// How many times longer work takes by the target's own last word, which
-  /// neighbours on its machine change many times a second; 1 if it hasn't told
-  /// lately.
-  double Slowdown(TimePoint now) const;
+  /// How many times longer work takes there: by the target's own last word,
+  /// which neighbours on its machine change many times a second, and with the
+  /// word's age more and more what is `usual` among the service's targets.
+  double Slowdown(double usual, TimePoint now) const;
 
   /// How many times slower than usual the target answers; faded towards 1.
   double Slowness(const LoadAging& aging, TimePoint now) const;
--- a/src/routes/service_plan.cc
+++ b/src/routes/service_plan.cc
@@ -19,8 +19,7 @@
 // bounded by what the callers' deadlines allow.
 constexpr int kQueueLimit = 256;
 
-// Readings older than this are worth a probe: neighbours of a target come and
-// go within some tenths of a second.
+// A living target answers a probe at once, whatever its load.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 
 bool SendsTo(const Route& route, const std::string& service) {
@@ -84,6 +83,7 @@
   // The targets' probes take no slot.
   plan.m_probe.m_probe_cost = Duration::zero();
   plan.m_probe.m_timeout = kProbeTimeout;
+  plan.m_probe.m_before_placing = true;
   plan.m_max_target_connections = service.m_max_connections;
   return plan;
 }
--- a/src/routing/effects.h
+++ b/src/routing/effects.h
@@ -21,6 +21,7 @@
   std::vector<GrantDecision> m_decisions;
   std::vector<DrainNotice> m_drains;
   std::vector<SuspectNotice> m_suspects;
+  std::vector<ProbeOrder> m_probes;
   /// When `ExpireWaiters` has to look at the service next.
   std::optional<TimePoint> m_expire_at;
   /// When `TakeDueProbes` has to look at the service next.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -56,6 +56,9 @@
       ListInUse(service);
     }
     routing::Deliver(std::move(effects.m_decisions));
+    if (!effects.m_probes.empty() && m_hooks.m_on_probes) {
+      m_hooks.m_on_probes(std::move(effects.m_probes));
+    }
     for (const DrainNotice& notice : effects.m_drains) {
       NoteDrain(notice.m_service);
       if (m_hooks.m_on_drain) {
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -18,6 +18,14 @@
 // A probe whose result never comes is given up after this many timeouts.
 constexpr int kProbeTimeoutsToForget = 4;
 
+// Probes sent for each request that waits to be placed, and at one time: of
+// three targets one is nearly always free and of usual speed.
+constexpr int kProbesPerWaiter = 3;
+constexpr int kMaxProbesOut = 16;
+
+// Probes that may be sent at once are those of this time.
+constexpr Duration kMeasuringBurst = std::chrono::milliseconds(250);
+
 // The part of a new time in the averages of slot times.
 constexpr double kSlotTimeGain = 0.05;
 
@@ -67,7 +75,7 @@
     Average(&m_slot_time, now - attempt.m_sent_at);
     Average(&attempt.m_class->m_slot_time, now - attempt.m_sent_at);
     if (!attempt.m_first_byte_seen) {
-      RecordFirstByte(target, attempt.m_class, report.m_latency, now);
+      RecordFirstByte(target, attempt, report.m_latency, now);
     }
     m_pool.Judge(target, policy::Verdict::kGood, now);
   } else if (report.m_end == AttemptEnd::kCancelled) {
@@ -92,7 +100,7 @@
     if (attempt.m_id == grant.m_id && !attempt.m_first_byte_seen) {
       attempt.m_first_byte_seen = true;
       attempt.m_slow_at = TimePoint::max();
-      RecordFirstByte(target, attempt.m_class, time_to_first_byte, now);
+      RecordFirstByte(target, attempt, time_to_first_byte, now);
     }
   }
   Learn(target, load, now, now, effects);
@@ -105,7 +113,7 @@
                                Effects* effects) {
   const std::lock_guard lock(m_mutex);
   if (m_last_request + kProbeIdleAfter < now || m_pool.targets().empty() ||
-      !IsEnabled(Mechanism::kProbes) ||
+      !IsEnabled(Mechanism::kProbes) || m_config->m_probe.m_before_placing ||
       m_options.m_policy != ChoicePolicy::kGuavacross) {
     m_probes_scheduled = false;
     return;
@@ -116,14 +124,7 @@
   TimePoint next_stale = TimePoint::max();
   Target* const target = NextToProbe(now, &next_stale);
   if (target != nullptr && m_probe_budget.Take(now)) {
-    target->m_probed_at = now;
-    target->m_probe_in_flight = true;
-    ++m_probes_sent;
-    orders->push_back({.m_service = m_config->m_name,
-                       .m_target = target->m_config.m_name,
-                       .m_address = target->m_config.m_address,
-                       .m_timeout = m_config->m_probe.m_timeout,
-                       .m_path = m_config->m_probe.m_path});
+    orders->push_back(OrderProbe(target, now));
   }
   const TimePoint affordable = m_probe_budget.NextAt(now);
   const TimePoint next =
@@ -136,13 +137,18 @@
                                 TimePoint now,
                                 Effects* effects) {
   const std::lock_guard lock(m_mutex);
+  m_probes_out = std::max(0, m_probes_out - 1);
   Target* const target = m_pool.Find(report.m_target);
   if (target == nullptr) {
     return;
   }
   target->m_probe_in_flight = false;
+  // With probes seldom sent, a lost one says little.
+  target->m_silent = !report.m_answered && MeasuresFirst();
   if (report.m_load.has_value()) {
     Learn(target, *report.m_load, now, now, effects);
+  }
+  if (report.m_load.has_value() || MeasuresFirst()) {
     ServeWaiters(now, effects);
   }
 }
@@ -204,7 +210,7 @@
     m_pool.ReportInFlight(target, *load.m_in_flight, reported_at);
   }
   if (load.m_slowdown.has_value()) {
-    target->m_load.ReportSlowdown(*load.m_slowdown, reported_at);
+    m_pool.ReportSlowdown(target, *load.m_slowdown, reported_at);
   }
   const bool told_of_run = load.m_in_flight.has_value() || load.m_draining ||
                            !load.m_incarnation.empty();
@@ -216,17 +222,53 @@
   }
 }
 
+void ServiceRouter::OrderProbes(TimePoint now, Effects* effects) {
+  const double rate =
+      policy::AllowedProbeRate(m_config->m_probe, m_pool.total_slots()) /
+      std::max(1, m_instances);
+  m_probe_budget.SetBurst(std::max(1.0, rate * Seconds(kMeasuringBurst)));
+  m_probe_budget.SetRate(rate, now);
+  const int wanted =
+      std::min(kProbesPerWaiter * m_queue.size(), kMaxProbesOut) - m_probes_out;
+  if (wanted <= 0) {
+    return;
+  }
+  for (Target* const target :
+       m_pool.ToMeasure(static_cast<std::size_t>(wanted), now)) {
+    if (!m_probe_budget.Take(now)) {
+      break;
+    }
+    effects->m_probes.push_back(OrderProbe(target, now));
+    ++m_probes_out;
+  }
+}
+
+ProbeOrder ServiceRouter::OrderProbe(Target* target, TimePoint now) {
+  target->m_probed_at = now;
+  target->m_probe_in_flight = true;
+  ++m_probes_sent;
+  return {.m_service = m_config->m_name,
+          .m_target = target->m_config.m_name,
+          .m_address = target->m_config.m_address,
+          .m_timeout = m_config->m_probe.m_timeout,
+          .m_path = m_config->m_probe.m_path};
+}
+
 void ServiceRouter::RecordFirstByte(Target* target,
-                                    ClassState* state,
+                                    const Attempt& attempt,
                                     Duration latency,
                                     TimePoint now) {
+  ClassState* const state = attempt.m_class;
+  target->m_silent = false;
   if (state->m_latency.is_ready()) {
     // Judged against what is usual at the target's load, so that a full target
     // isn't taken for a slow one as well.
     const double load = target->m_load.own() + target->m_load.reported_others();
     const double crowding =
         std::max(1.0, load / std::max(1, target->m_config.m_slots));
-    const double usual_s = Seconds(state->m_latency.median()) * crowding;
+    // And that it told to be slow has been reckoned with when it was chosen.
+    const double usual_s = Seconds(state->m_latency.median()) * crowding *
+                           std::max(1.0, attempt.m_slowdown);
     target->m_load.RecordSlowness(Seconds(latency) / usual_s,
                                   m_pool.parameters().m_aging, now);
   }
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -14,6 +14,10 @@
 // age can open a target without any event.
 constexpr Duration kQueueTick = std::chrono::milliseconds(5);
 
+// How long a request may wait for a target that is known to be good: some round
+// trips between availability zones.
+constexpr Duration kMeasureTime = std::chrono::milliseconds(20);
+
 // A class that has had no request for this long leaves its slots to others.
 constexpr Duration kClassIdleAfter = std::chrono::seconds(5);
 
@@ -103,7 +107,8 @@
                 .m_flow = FlowOf(traits),
                 .m_deadline = traits.m_deadline,
                 .m_avoid = targets_to_avoid,
-                .m_on_grant = std::move(on_grant)};
+                .m_on_grant = std::move(on_grant),
+                .m_measure_until = now + kMeasureTime};
   if (!TryGrantAtOnce(ticket, &waiter, now, effects)) {
     Enqueue(ticket, std::move(waiter), now, effects);
   }
@@ -286,6 +291,7 @@
   if (state->m_latency.is_ready()) {
     attempt.m_slow_at = now + state->m_latency.p99();
   }
+  attempt.m_slowdown = m_pool.SlowdownOf(*target, now);
   m_bulk_in_flight += state->m_config.m_bulk ? 1 : 0;
   attempt.m_counted_as_bulk = state->m_config.m_bulk;
   m_pool.Sent(target, attempt);
@@ -303,7 +309,7 @@
   if (m_queue.size() > 0 || !MayServe(*waiter->m_class, now)) {
     return false;
   }
-  const Choice choice = m_pool.Choose(waiter->m_avoid, now);
+  const Choice choice = Choose(*waiter, now);
   if (choice.m_target == nullptr && choice.m_worth_waiting) {
     return false;
   }
@@ -391,7 +397,7 @@
     }
     const auto found = m_waiters.find(next->m_ticket);
     Waiter& waiter = found->second;
-    const Choice choice = m_pool.Choose(waiter.m_avoid, now);
+    const Choice choice = Choose(waiter, now);
     if (choice.m_target == nullptr && choice.m_worth_waiting) {
       m_queue.UndoPop();
       break;
@@ -406,9 +412,24 @@
          {MakeGrant(choice.m_target, waiter.m_class, next->m_ticket, now)}});
     m_waiters.erase(found);
   }
+  if (MeasuresFirst()) {
+    OrderProbes(now, effects);
+  }
   WakeForWaiters(now, effects);
 }
 
+bool ServiceRouter::MeasuresFirst() const {
+  return m_config->m_probe.m_before_placing && IsEnabled(Mechanism::kProbes) &&
+         m_options.m_policy == ChoicePolicy::kGuavacross;
+}
+
+Choice ServiceRouter::Choose(const Waiter& waiter, TimePoint now) {
+  return MeasuresFirst()
+             ? m_pool.ChooseMeasured(waiter.m_avoid,
+                                     now < waiter.m_measure_until, now)
+             : m_pool.Choose(waiter.m_avoid, now);
+}
+
 void ServiceRouter::WakeForWaiters(TimePoint now, Effects* effects) {
   if (m_queue.size() == 0 ||
       (m_wake_at > now && m_wake_at <= now + kQueueTick)) {
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -90,6 +90,8 @@
     TimePoint m_deadline;
     std::vector<std::string> m_avoid;
     GrantCallback m_on_grant;
+    /// Until then only a target that is known to be good is taken.
+    TimePoint m_measure_until;
   };
   struct PeerCounts {
     std::vector<std::pair<std::string, int>> m_counts;
@@ -133,8 +135,14 @@
              TimePoint reported_at,
              TimePoint now,
              Effects* effects);
+  /// Whether targets are probed before one is chosen.
+  bool MeasuresFirst() const;
+  Choice Choose(const Waiter& waiter, TimePoint now);
+  /// Orders probes for the requests that wait to be placed.
+  void OrderProbes(TimePoint now, Effects* effects);
+  ProbeOrder OrderProbe(Target* target, TimePoint now);
   void RecordFirstByte(Target* target,
-                       ClassState* state,
+                       const Attempt& attempt,
                        Duration latency,
                        TimePoint now);
   void RecordFailure(Target* target,
@@ -165,6 +173,8 @@
   policy::RetryBudget m_retry_budget;
   policy::ProbeBudget m_probe_budget;
   bool m_probes_scheduled = false;
+  // Probes sent before placing that haven't ended.
+  int m_probes_out = 0;
   TimePoint m_last_request = TimePoint::min();
   std::unordered_map<std::string, PeerCounts> m_peers;
   std::uint64_t m_requests = 0;
--- a/src/routing/target.h
+++ b/src/routing/target.h
@@ -31,6 +31,8 @@
   TimePoint m_sent_at;
   /// When the wait for the first byte becomes unusually long.
   TimePoint m_slow_at = TimePoint::max();
+  /// The target's slowdown as it was known then.
+  double m_slowdown = 1;
   bool m_first_byte_seen = false;
   bool m_counted_as_bulk = false;
 };
@@ -57,6 +59,8 @@
   /// When the last probe was sent, and whether it is still on its way.
   TimePoint m_probed_at = TimePoint::min();
   bool m_probe_in_flight = false;
+  /// The last probe got no answer, and no attempt has had one since.
+  bool m_silent = false;
 };
 
 }  // namespace guavacross::routing
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -20,6 +20,17 @@
 // ones to carry the load meanwhile.
 constexpr double kMaxColdShare = 0.5;
 
+// A target that has told its load and speed within this time is known: its
+// neighbours stay for some 150 ms, and its other requests for longer.
+constexpr Duration kMeasuredFor = std::chrono::milliseconds(20);
+
+// A target that gave no answer to a probe is probed again after this.
+constexpr Duration kSilentProbeInterval = std::chrono::milliseconds(250);
+
+// A target is full for measured choices with this many requests beyond its
+// slots.
+constexpr int kMeasuredOverflow = 2;
+
 // How much a late answer counts against a target while it is still awaited.
 constexpr double kLateSlowness = 2;
 
@@ -89,6 +100,93 @@
   return BestOfAll(avoid, now);
 }
 
+Choice TargetPool::ChooseMeasured(const std::vector<std::string>& avoid,
+                                  bool must_be_good,
+                                  TimePoint now) {
+  RefreshExceptions(now);
+  Offer best;
+  bool any_eligible = false;
+  const std::size_t start =
+      m_targets.empty() ? 0 : m_random.Below(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    Target* const target = m_targets[(start + i) % m_targets.size()].get();
+    if (!IsEligible(*target, now) || Contains(avoid, target->m_config.m_name)) {
+      continue;
+    }
+    any_eligible = true;
+    if (must_be_good && !IsMeasured(*target, now)) {
+      continue;
+    }
+    const double cost = MeasuredCostOf(*target, now);
+    if (best.m_target == nullptr || cost < best.m_cost) {
+      best = {.m_target = target, .m_cost = cost};
+    }
+  }
+  const double limit = must_be_good ? policy::kGoodCost : policy::kWaitCost;
+  if (best.m_target != nullptr && best.m_cost <= limit) {
+    return {.m_target = best.m_target};
+  }
+  if (!any_eligible && !avoid.empty() && !must_be_good) {
+    return ChooseMeasured({}, must_be_good, now);
+  }
+  return {.m_worth_waiting = any_eligible || !avoid.empty()};
+}
+
+std::vector<Target*> TargetPool::ToMeasure(std::size_t count, TimePoint now) {
+  std::vector<Offer> offers;
+  for (const auto& target : m_targets) {
+    if (target->m_removed || target->m_replaced || target->m_probe_in_flight ||
+        target->m_draining.is_draining() || IsMeasured(*target, now) ||
+        (target->m_silent &&
+         now - target->m_probed_at < kSilentProbeInterval)) {
+      continue;
+    }
+    // A random part, so that the instances don't all ask the same ones.
+    offers.push_back({.m_target = target.get(),
+                      .m_cost = MeasuredCostOf(*target, now) *
+                                (1 + 0.1 * m_random.Uniform())});
+  }
+  const std::size_t kept = std::min(count, offers.size());
+  std::partial_sort(
+      offers.begin(), offers.begin() + static_cast<std::ptrdiff_t>(kept),
+      offers.end(),
+      [](const Offer& a, const Offer& b) { return a.m_cost < b.m_cost; });
+  std::vector<Target*> targets;
+  for (std::size_t i = 0; i < kept; ++i) {
+    targets.push_back(offers[i].m_target);
+  }
+  return targets;
+}
+
+bool TargetPool::IsMeasured(const Target& target, TimePoint now) const {
+  return target.m_load.ReadingAge(now) <= kMeasuredFor;
+}
+
+double TargetPool::MeasuredCostOf(const Target& target, TimePoint now) const {
+  const policy::TargetLoad& load = target.m_load;
+  const double in_flight =
+      load.own() + load.Others(m_parameters.m_aging, m_usual_others, now);
+  const double full = target.m_config.m_slots + kMeasuredOverflow;
+  if (in_flight >= full) {
+    return std::numeric_limits<double>::max();
+  }
+  return policy::MeasuredCost(
+      {.m_load = in_flight,
+       .m_slots = static_cast<double>(target.m_config.m_slots),
+       .m_slowness = SlownessOf(target, now),
+       .m_slowdown = SlowdownOf(target, now) / Warmth(target, now),
+       .m_other_zone = target.m_other_zone});
+}
+
+void TargetPool::ReportSlowdown(Target* target, double slowdown, TimePoint at) {
+  target->m_load.ReportSlowdown(slowdown, at);
+  m_usual_slowdown += kUsualGain * (slowdown - m_usual_slowdown);
+}
+
+double TargetPool::SlowdownOf(const Target& target, TimePoint now) const {
+  return target.m_load.Slowdown(m_usual_slowdown, now);
+}
+
 TargetPool::Offer TargetPool::BestOfSample(
     const std::vector<std::string>& avoid,
     TimePoint now) {
@@ -277,6 +375,9 @@
 
 void TargetPool::RefreshExceptions(TimePoint now) {
   m_panic = now < m_ejections_until && IsPanic(now);
+  m_all_silent = std::all_of(
+      m_targets.begin(), m_targets.end(),
+      [](const auto& target) { return target->m_silent || target->m_removed; });
   if (now >= m_cold_until) {
     m_all_cold = false;
     return;
@@ -298,6 +399,9 @@
       target.m_draining.is_draining()) {
     return false;
   }
+  if (target.m_silent && !m_all_silent) {
+    return false;
+  }
   return m_panic || now >= m_ejections_until ||
          !IsEnabled(Mechanism::kEjection) || !target.m_ejection.IsEjected(now);
 }
@@ -347,7 +451,7 @@
   return policy::Cost({.m_load = load.own() + others,
                        .m_slots = static_cast<double>(target.m_config.m_slots),
                        .m_slowness = SlownessOf(target, now),
-                       .m_slowdown = load.Slowdown(now),
+                       .m_slowdown = SlowdownOf(target, now),
                        .m_other_zone = target.m_other_zone &&
                                        IsEnabled(Mechanism::kZonePreference),
                        .m_borrows = claim == policy::SlotClaim::kBorrowed});
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -39,6 +39,17 @@
   /// others are out of question.
   Choice Choose(const std::vector<std::string>& avoid, TimePoint now);
 
+  /// Chooses by what the targets have just told. With `must_be_good` only a
+  /// target that has told of room and usual speed within some milliseconds
+  /// comes into question, so that it may be worth asking more of them first.
+  Choice ChooseMeasured(const std::vector<std::string>& avoid,
+                        bool must_be_good,
+                        TimePoint now);
+
+  /// Up to `count` targets that are worth a probe before one is chosen: those
+  /// that seem the best and haven't told lately.
+  std::vector<Target*> ToMeasure(std::size_t count, TimePoint now);
+
   /// Books an attempt that is sent to the target.
   void Sent(Target* target, Attempt attempt);
   /// Books the end of an attempt and returns it, or nothing if it isn't known.
@@ -54,6 +65,10 @@
   /// Takes in that peers have `in_flight` attempts on a target.
   void PeersReport(Target* target, int in_flight, TimePoint now);
 
+  /// Takes in how slow the target says its machine is.
+  void ReportSlowdown(Target* target, double slowdown, TimePoint at);
+  double SlowdownOf(const Target& target, TimePoint now) const;
+
   /// Ejects a target if `verdict` is one too many.
   void Judge(Target* target, policy::Verdict verdict, TimePoint now);
 
@@ -92,6 +107,8 @@
   Offer BestOfSample(const std::vector<std::string>& avoid, TimePoint now);
   Choice BestOfAll(const std::vector<std::string>& avoid, TimePoint now);
   Choice ChooseBaseline();
+  double MeasuredCostOf(const Target& target, TimePoint now) const;
+  bool IsMeasured(const Target& target, TimePoint now) const;
 
   const RouterOptions& m_options;
   std::shared_ptr<const ServiceConfig> m_config;
@@ -105,11 +122,15 @@
   int m_total_slots = 0;
   // Average over the targets of the other instances' attempts in flight.
   double m_usual_others = 0;
+  // Average over the slowdowns that targets tell.
+  double m_usual_slowdown = 1;
   // No target is ejected or in slow start after these times; while one is, the
   // flags say whether so many are that it has to be overlooked.
   TimePoint m_ejections_until = TimePoint::min();
   TimePoint m_cold_until = TimePoint::min();
   bool m_panic = false;
+  // No target answers probes, so that silence is overlooked.
+  bool m_all_silent = false;
   bool m_all_cold = false;
 };
 
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -191,9 +191,14 @@
     options.m_zone = m_options.m_zone;
     options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
     options.m_clock = m_clock;
-    m_router = std::make_unique<Router>(
-        std::move(options),
-        TellPeers(m_control.poster(), [this] { return m_peers.get(); }));
+    const auto post = m_control.poster();
+    RouterHooks hooks = TellPeers(post, [this] { return m_peers.get(); });
+    hooks.m_on_probes = [this, post](std::vector<ProbeOrder> orders) {
+      post([this, orders = std::move(orders)]() mutable {
+        m_probes->Send(std::move(orders));
+      });
+    };
+    m_router = std::make_unique<Router>(std::move(options), std::move(hooks));
   }
 
   void MakePeers() {
