Instances pass on what they read of the store

Change: each instance keeps the newest record that mattered of each key; heartbeats tell how far it has read, one that is behind fetches what it lacks, and news make the next heartbeat go out at once. Offsets of the store order the records, so that it is no matter which way they came.

--- a/src/feed/keyed_feed.cc
+++ b/src/feed/keyed_feed.cc
@@ -77,7 +77,7 @@
   m_listing = false;
   m_listed = true;
   m_offset = m_listing_offset;
-  m_hooks.m_on_listing(std::exchange(m_pages, {}));
+  m_hooks.m_on_listing(std::exchange(m_pages, {}), m_offset);
   Next(m_options.m_min_interval);
 }
 
--- a/src/feed/keyed_feed.h
+++ b/src/feed/keyed_feed.h
@@ -59,8 +59,9 @@
   std::function<
       void(std::uint64_t from, Duration wait, Duration timeout, PageDone)>
       m_read;
-  /// The newest record of every key.
-  std::function<void(const std::vector<KeyedRecord>&)> m_on_listing;
+  /// The newest record of every key, as of the offset `end`.
+  std::function<void(const std::vector<KeyedRecord>&, std::uint64_t end)>
+      m_on_listing;
   /// Further records, in their order.
   std::function<void(const std::vector<KeyedRecord>&)> m_on_records;
   /// The store has been lost, with the reason, or answers again.
--- /dev/null
+++ b/src/feed/shared_records.cc
@@ -0,0 +1,83 @@
+#include "feed/shared_records.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace guavacross::feed {
+
+std::vector<KeyedRecord> SharedRecords::Take(
+    const std::vector<KeyedRecord>& records) {
+  std::vector<KeyedRecord> newer;
+  for (const KeyedRecord& record : records) {
+    const auto [place, added] = m_known.try_emplace(record.m_key);
+    Known& known = place->second;
+    if (!added && record.m_offset <= known.m_newest) {
+      continue;
+    }
+    known.m_newest = record.m_offset;
+    if (m_matters(added ? nullptr : &known.m_record, record)) {
+      known.m_record = record;
+      m_changed_to = std::max(m_changed_to, record.m_offset + 1);
+    }
+    newer.push_back(record);
+  }
+  return newer;
+}
+
+std::vector<KeyedRecord> SharedRecords::TakeFromPeer(
+    const std::vector<KeyedRecord>& records) {
+  std::vector<KeyedRecord> newer = Take(records);
+  // What made no difference here need not be asked for again.
+  for (const KeyedRecord& record : records) {
+    m_changed_to = std::max(m_changed_to, record.m_offset + 1);
+  }
+  return newer;
+}
+
+std::vector<KeyedRecord> SharedRecords::TakeListing(
+    const std::vector<KeyedRecord>& records,
+    std::uint64_t end) {
+  std::set<std::string> present;
+  for (const KeyedRecord& record : records) {
+    present.insert(record.m_key);
+  }
+  std::vector<KeyedRecord> all = records;
+  for (const auto& [key, known] : m_known) {
+    const bool dropped = !present.contains(key) && end > 0 &&
+                         known.m_record.m_value.has_value() &&
+                         known.m_newest < end;
+    if (dropped) {
+      // Later than what is known, earlier than anything written afterwards.
+      all.push_back(
+          {.m_key = key, .m_offset = std::max(end - 1, known.m_newest + 1)});
+    }
+  }
+  return Take(all);
+}
+
+std::vector<KeyedRecord> SharedRecords::Since(std::uint64_t from,
+                                              std::size_t max_bytes) const {
+  std::vector<const Known*> wanted;
+  for (const auto& [key, known] : m_known) {
+    if (known.m_record.m_offset >= from) {
+      wanted.push_back(&known);
+    }
+  }
+  std::sort(wanted.begin(), wanted.end(), [](const Known* a, const Known* b) {
+    return a->m_record.m_offset < b->m_record.m_offset;
+  });
+  std::vector<KeyedRecord> records;
+  std::size_t bytes = 0;
+  for (const Known* known : wanted) {
+    bytes += known->m_record.m_key.size() +
+             known->m_record.m_value.value_or("").size();
+    if (bytes > max_bytes && !records.empty()) {
+      break;
+    }
+    records.push_back(known->m_record);
+  }
+  return records;
+}
+
+}  // namespace guavacross::feed
--- /dev/null
+++ b/src/feed/shared_records.h
@@ -0,0 +1,75 @@
+#ifndef GUAVACROSS_FEED_SHARED_RECORDS_H_
+#define GUAVACROSS_FEED_SHARED_RECORDS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "feed/keyed_feed.h"
+
+namespace guavacross::feed {
+
+/// The newest record of each key of a stream, from whoever has read it.
+///
+/// Instances read the same stream and pass on to each other what they have
+/// read, so that one that the store turns away knows it as well. The store's
+/// offsets order the records: of two for one key the later counts, whichever
+/// way it came. Records that change nothing that matters, such as heartbeats of
+/// targets, are taken but not passed on. No I/O; not thread safe.
+class SharedRecords {
+ public:
+  /// Whether `now` says something else than `before`, which may be null.
+  using Matters =
+      std::function<bool(const KeyedRecord* before, const KeyedRecord& now)>;
+
+  explicit SharedRecords(Matters matters) : m_matters(std::move(matters)) {}
+
+  /// Takes records of this instance's own reading.
+  ///
+  /// @return those that are newer than what was known, in their order.
+  std::vector<KeyedRecord> Take(const std::vector<KeyedRecord>& records);
+
+  /// Takes records that mattered to a peer. Returns as `Take`.
+  std::vector<KeyedRecord> TakeFromPeer(
+      const std::vector<KeyedRecord>& records);
+
+  /// Takes a listing of all keys as of the offset `end`. Keys that it lacks
+  /// have been dropped.
+  ///
+  /// @return as for `Take`, with a record without a value for a dropped key.
+  std::vector<KeyedRecord> TakeListing(const std::vector<KeyedRecord>& records,
+                                       std::uint64_t end);
+
+  /// The offset after the last record that mattered; 0 if there is none.
+  std::uint64_t changed_to() const { return m_changed_to; }
+
+  /// Records that mattered from the offset `from` on, in the order of their
+  /// offsets, up to `max_bytes` but at least one.
+  std::vector<KeyedRecord> Since(std::uint64_t from,
+                                 std::size_t max_bytes) const;
+
+ private:
+  struct Known {
+    /// The last record that mattered, and the offset of the newest.
+    KeyedRecord m_record;
+    std::uint64_t m_newest = 0;
+  };
+
+  Matters m_matters;
+  std::map<std::string, Known> m_known;
+  std::uint64_t m_changed_to = 0;
+};
+
+/// What one instance knows of a stream, as told to the others.
+struct StreamState {
+  std::string m_stream;
+  std::uint64_t m_changed_to = 0;
+
+  bool operator==(const StreamState&) const = default;
+};
+
+}  // namespace guavacross::feed
+
+#endif  // GUAVACROSS_FEED_SHARED_RECORDS_H_
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -46,6 +46,17 @@
   m_metrics.Report(m_transport->counts(), m_table.Members());
 }
 
+void PeerNetwork::Impl::BeatNow() {
+  if (m_stopped) {
+    return;
+  }
+  m_local.reset();
+  for (const Member& member :
+       m_table.TakeTurns(static_cast<std::size_t>(m_options.m_fanout))) {
+    SendHeartbeat(member);
+  }
+}
+
 void PeerNetwork::Impl::SendHeartbeat(const Member& member) {
   proto::PeerRequest request;
   proto::Heartbeat* heartbeat = request.mutable_heartbeat();
@@ -85,6 +96,11 @@
   out->set_fold_as_of(local.m_fold_as_of);
   out->set_fold_digest(local.m_fold_digest);
   out->set_notices_digest(NoticesDigest());
+  for (const feed::StreamState& stream : local.m_streams) {
+    proto::StreamState* const told = out->add_streams();
+    told->set_stream(stream.m_stream);
+    told->set_changed_to(stream.m_changed_to);
+  }
   WriteRumors(out);
   PeerRecord& record = m_records[peer];
   if (record.m_owes_notices) {
@@ -191,6 +207,7 @@
   OnNews(from, heartbeat.news());
   OnInFlight(from.m_name, heartbeat);
   CompareDigests(from, heartbeat);
+  CompareStreams(from, heartbeat);
   return true;
 }
 
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -17,6 +17,7 @@
 constexpr int kMaxRumors = 64;
 constexpr int kMaxInFlight = 4096;
 constexpr int kMaxNotices = 4096;
+constexpr int kMaxStreams = 16;
 // Sections that come in force within this time are told together, and most
 // peers will have read them from the log by then.
 constexpr Duration kSectionPushDelay = std::chrono::milliseconds(150);
@@ -43,7 +44,7 @@
       heartbeat.suspects_size() > kMaxRumors ||
       heartbeat.in_flight_size() > kMaxInFlight ||
       heartbeat.in_flight_size() != heartbeat.target_hashes_size() ||
-      !IsSane(heartbeat.news())) {
+      heartbeat.streams_size() > kMaxStreams || !IsSane(heartbeat.news())) {
     return false;
   }
   for (const proto::Rumor& rumor : heartbeat.rumors()) {
@@ -198,6 +199,9 @@
       reply.set_taken(m_hooks.m_take_handover(part));
       break;
     }
+    case proto::PeerRequest::kRecords:
+      AnswerRecords(request.records(), reply.mutable_records());
+      break;
     case proto::PeerRequest::BODY_NOT_SET:
       refuse();
       break;
@@ -380,14 +384,14 @@
   impl.m_push_timer =
       impl.m_options.m_clock.m_call_after(kSectionPushDelay, [&impl] {
         const auto running = std::move(impl.m_push_timer);
-        impl.m_local.reset();
-        for (const Member& member : impl.m_table.TakeTurns(
-                 static_cast<std::size_t>(impl.m_options.m_fanout))) {
-          impl.SendHeartbeat(member);
-        }
+        impl.BeatNow();
       });
 }
 
+void PeerNetwork::BeatNow() {
+  m_impl->BeatNow();
+}
+
 void PeerNetwork::AnnounceLeaving() {
   m_impl->m_leaving = true;
   proto::News news;
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "feed/shared_records.h"
 #include "guavacross/config_state.h"
 #include "guavacross/membership.h"
 #include "guavacross/routing.h"
@@ -62,6 +63,7 @@
   std::uint64_t m_fold_as_of = 0;
   std::uint64_t m_fold_digest = 0;
   InFlightCounts m_in_flight;
+  std::vector<feed::StreamState> m_streams;
 
   bool operator==(const LocalState&) const = default;
 };
@@ -90,6 +92,15 @@
                      const std::string& service,
                      const std::vector<std::pair<std::string, int>>& counts)>
       m_on_in_flight;
+  /// The records of a stream that a peer asks for, and records that a peer has
+  /// read.
+  std::function<std::vector<feed::KeyedRecord>(const std::string& stream,
+                                               std::uint64_t from,
+                                               std::size_t max_bytes)>
+      m_records;
+  std::function<void(const std::string& stream,
+                     const std::vector<feed::KeyedRecord>& records)>
+      m_on_records;
   /// Some member's state, address or digest changed.
   std::function<void()> m_on_members;
   /// For `RequestLedger::AnswerPeer` and `TakeHandover`.
@@ -144,6 +155,8 @@
   void PushQuarantine(const QuarantineNotice& notice);
   void PushSuspect(const SuspectNotice& notice);
   void PushSections(const std::vector<SectionState>& sections);
+  /// Sends heartbeats now, since there is something new to tell.
+  void BeatNow();
   /// Tells all peers that this instance is shutting down.
   void AnnounceLeaving();
 
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
 
   // Heartbeats (heartbeat_exchange.cc).
   void Beat();
+  void BeatNow();
   void SendHeartbeat(const Member& member);
   void WriteHeartbeat(const std::string& peer, proto::Heartbeat* out);
   void WriteRumors(proto::Heartbeat* out);
@@ -82,6 +84,15 @@
   void OnPage(const InstanceId& peer,
               const std::optional<proto::PeerReply>& reply);
 
+  // Records of the store's streams (record_exchange.cc).
+  void CompareStreams(const InstanceId& from,
+                      const proto::Heartbeat& heartbeat);
+  void FetchRecords(const InstanceId& from,
+                    const std::string& stream,
+                    std::uint64_t from_offset);
+  void AnswerRecords(const proto::RecordsRequest& request,
+                     proto::RecordsReply* reply) const;
+
   // Members.
   void OnMembersChanged();
   void PublishMembers();
@@ -97,6 +108,8 @@
   std::deque<RecentSection> m_recent;
   std::uint64_t m_recent_number = 0;
   std::optional<LocalState> m_local;
+  /// Streams of which records are being fetched.
+  std::set<std::string> m_fetching;
   bool m_leaving = false;
   bool m_repairing = false;
   /// The repair under way began with no sections and isn't slowed down.
--- a/src/routes/target_registry.cc
+++ b/src/routes/target_registry.cc
@@ -73,21 +73,6 @@
   return Change::kRemoved;
 }
 
-std::vector<std::string> TargetRegistry::KeepOnly(
-    const std::set<std::string>& ids,
-    TimePoint now) {
-  std::vector<std::string> missing;
-  for (const auto& [id, entry] : m_entries) {
-    if (!ids.contains(id)) {
-      missing.push_back(id);
-    }
-  }
-  for (const std::string& id : missing) {
-    Remove(id, now);
-  }
-  return missing;
-}
-
 void TargetRegistry::SetStoreReachable(bool reachable, TimePoint now) {
   if (reachable == m_reachable) {
     return;
--- a/src/routes/target_registry.h
+++ b/src/routes/target_registry.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -48,13 +47,6 @@
   /// The entry of `id` has been removed.
   Change Remove(const std::string& id, TimePoint now);
 
-  /// Takes a listing of all entries; those that aren't among `ids` are gone.
-  /// Entries among them are to be given to `Put` as well.
-  ///
-  /// @return the ids of the targets that have been removed or have lapsed.
-  std::vector<std::string> KeepOnly(const std::set<std::string>& ids,
-                                    TimePoint now);
-
   /// The store has been lost, or has answered again.
   void SetStoreReachable(bool reachable, TimePoint now);
 
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -112,33 +112,22 @@
 
   void PutTarget(const RegisteredTarget& target) {
     NoteChange(m_registry.Put(target), target);
-    ApplyIfChanged();
   }
 
   void RemoveTarget(const std::string& id) {
     const auto change = m_registry.Remove(id, m_clock.m_now());
     NoteChange(change, {.m_id = id});
-    ApplyIfChanged();
-    ScheduleExpiry();
   }
 
-  void ListTargets(const std::vector<RegisteredTarget>& targets) {
-    std::set<std::string> ids;
-    for (const RegisteredTarget& target : targets) {
-      ids.insert(target.m_id);
-    }
-    for (const std::string& id : m_registry.KeepOnly(ids, m_clock.m_now())) {
-      NoteChange(routes::TargetRegistry::Change::kRemoved, {.m_id = id});
-    }
-    for (const RegisteredTarget& target : targets) {
-      NoteChange(m_registry.Put(target), target);
-    }
+  void ApplyTargets() {
     m_targets_listed = true;
     ApplyIfChanged();
     ScheduleExpiry();
     UpdateReady();
   }
 
+  void TellPeers() { m_peers->BeatNow(); }
+
   void SetStoreReachable(bool reachable, const std::string& why) {
     m_registry.SetStoreReachable(reachable, m_clock.m_now());
     if (reachable) {
@@ -192,7 +181,8 @@
     options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
     options.m_clock = m_clock;
     const auto post = m_control.poster();
-    RouterHooks hooks = TellPeers(post, [this] { return m_peers.get(); });
+    RouterHooks hooks =
+        serve::TellPeers(post, [this] { return m_peers.get(); });
     hooks.m_on_probes = [this, post](std::vector<ProbeOrder> orders) {
       post([this, orders = std::move(orders)]() mutable {
         m_probes->Send(std::move(orders));
@@ -219,6 +209,8 @@
     hooks.m_post = m_control.poster();
     hooks.m_local_state = [this] { return LocalState(); };
     hooks.m_on_members = [this] { CountInstances(); };
+    hooks.m_records = m_hooks.m_records;
+    hooks.m_on_records = m_hooks.m_on_records;
     LearnFromPeers(m_router.get(), &hooks);
     m_peers = std::make_unique<peers::PeerNetwork>(std::move(options),
                                                    std::move(hooks));
@@ -368,6 +360,7 @@
         m_options.m_max_caller_connections;
     state.m_config_version = ready() ? version() : 0;
     state.m_in_flight = m_router->InFlight();
+    state.m_streams = m_hooks.m_streams();
     return state;
   }
 
@@ -445,8 +438,12 @@
   m_impl->RemoveTarget(id);
 }
 
-void RouteInstance::ListTargets(const std::vector<RegisteredTarget>& targets) {
-  m_impl->ListTargets(targets);
+void RouteInstance::ApplyTargets() {
+  m_impl->ApplyTargets();
+}
+
+void RouteInstance::TellPeers() {
+  m_impl->TellPeers();
 }
 
 void RouteInstance::SetStoreReachable(bool reachable, const std::string& why) {
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "backends/target_dialect.h"
+#include "feed/shared_records.h"
 #include "forwarding/caller_dialect.h"
 #include "guavacross/error.h"
 #include "guavacross/identity.h"
@@ -52,6 +53,17 @@
   std::function<std::optional<forwarding::WholeAnswer>(
       const http::RequestHead&)>
       m_answer_locally;
+  /// What this instance knows of the store's streams, the records of one that a
+  /// peer asks for, and records that a peer has read. Called on the control
+  /// thread.
+  std::function<std::vector<feed::StreamState>()> m_streams;
+  std::function<std::vector<feed::KeyedRecord>(const std::string& stream,
+                                               std::uint64_t from,
+                                               std::size_t max_bytes)>
+      m_records;
+  std::function<void(const std::string& stream,
+                     const std::vector<feed::KeyedRecord>& records)>
+      m_on_records;
 };
 
 /// An entry instance whose configuration is a table of routes and whose targets
@@ -76,10 +88,14 @@
   /// Puts a table in force, unless a newer one is.
   void SetTable(const RouteTable& table);
 
-  /// A target's newest entry, the removal of one, and a listing of all.
+  /// A target's newest entry, and the removal of one. They come in force with
+  /// `ApplyTargets`, so that many together cost little more than one.
   void PutTarget(const RegisteredTarget& target);
   void RemoveTarget(const std::string& id);
-  void ListTargets(const std::vector<RegisteredTarget>& targets);
+  /// Puts the targets in force. With the first call they count as complete.
+  void ApplyTargets();
+  /// Tells the other instances at once that there is something new.
+  void TellPeers();
   /// The source of table and targets has been lost, or answers again.
   void SetStoreReachable(bool reachable, const std::string& why);
 
