--- a/src/feed/keyed_feed.cc
+++ b/src/feed/keyed_feed.cc
@@ -12,6 +12,9 @@
 constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetry = std::chrono::milliseconds(800);
 
+// A read that is put off is thought over again after this.
+constexpr Duration kLongestPostponement = std::chrono::milliseconds(300);
+
 // Longest wait for a listing's page, which the store gives at once.
 constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
 
@@ -31,11 +34,21 @@
   Call();
 }
 
+void KeyedFeed::SkipTo(std::uint64_t offset) {
+  m_offset = std::max(m_offset, offset);
+}
+
 void KeyedFeed::Next(Duration delay) {
   m_timer = m_clock.m_call_after(delay, [this] { Call(); });
 }
 
 void KeyedFeed::Call() {
+  const bool may_wait = !m_listing && m_reachable && m_hooks.m_postpone;
+  const Duration postponed = may_wait ? m_hooks.m_postpone() : Duration::zero();
+  if (postponed > Duration::zero()) {
+    Next(std::min(postponed, kLongestPostponement));
+    return;
+  }
   m_called_at = m_clock.m_now();
   if (m_listing) {
     List();
@@ -105,12 +118,8 @@
   }
   SetReachable(true, {});
   if (!page.m_records.empty()) {
-    m_offset = page.m_records.back().m_offset + 1;
+    SkipTo(page.m_records.back().m_offset + 1);
     m_hooks.m_on_records(page.m_records);
-  } else if (page.m_end < m_offset) {
-    // The stream is another than the one that was listed.
-    m_listing = true;
-    m_after.clear();
   }
   const Duration passed = m_clock.m_now() - m_called_at;
   Next(std::max(Duration::zero(), m_options.m_min_interval - passed));
@@ -128,7 +137,9 @@
 void KeyedFeed::SetReachable(bool reachable, const std::string& why) {
   if (reachable) {
     m_failures = 0;
-    m_answered_at = m_clock.m_now();
+    if (m_hooks.m_on_answered) {
+      m_hooks.m_on_answered();
+    }
   }
   if (std::exchange(m_reachable, reachable) != reachable) {
     m_hooks.m_on_reachable(reachable, why);
--- a/src/feed/keyed_feed.h
+++ b/src/feed/keyed_feed.h
@@ -59,6 +59,11 @@
   std::function<
       void(std::uint64_t from, Duration wait, Duration timeout, PageDone)>
       m_read;
+  /// How long the next read is to be put off; nothing or less for not at all.
+  /// May be empty.
+  std::function<Duration()> m_postpone;
+  /// The store has answered a call.
+  std::function<void()> m_on_answered;
   /// The newest record of every key, as of the offset `end`.
   std::function<void(const std::vector<KeyedRecord>&, std::uint64_t end)>
       m_on_listing;
@@ -93,12 +98,13 @@
 
   void Start();
 
+  /// Takes it that nothing before `offset` has to be read any more.
+  void SkipTo(std::uint64_t offset);
+
   /// Whether a listing has been received.
   bool listed() const { return m_listed; }
   /// Whether the last call was answered.
   bool reachable() const { return m_reachable; }
-  /// When the store last answered; nothing if it never has.
-  std::optional<TimePoint> answered_at() const { return m_answered_at; }
   /// The offset after the last record taken.
   std::uint64_t offset() const { return m_offset; }
 
@@ -123,7 +129,6 @@
   bool m_listed = false;
   bool m_reachable = true;
   int m_failures = 0;
-  std::optional<TimePoint> m_answered_at;
   TimePoint m_called_at;
   std::uint64_t m_offset = 0;
   // A listing under way.
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -65,7 +65,14 @@
 /// What one instance knows of a stream, as told to the others.
 struct StreamState {
   std::string m_stream;
+  /// The offset after the last record that mattered.
   std::uint64_t m_changed_to = 0;
+  /// The offset up to which it has read, or knows that nothing matters.
+  std::uint64_t m_read_to = 0;
+  /// Time since any instance has read, as far as it knows.
+  std::optional<Duration> m_read_age;
+  /// Whether it reaches the store itself.
+  bool m_reads = false;
 
   bool operator==(const StreamState&) const = default;
 };
--- /dev/null
+++ b/src/feed/shared_stream.cc
@@ -0,0 +1,124 @@
+#include "feed/shared_stream.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace guavacross::feed {
+
+SharedStream::SharedStream(SharedStreamOptions options,
+                           Clock clock,
+                           SharedRecords::Matters matters,
+                           SharedStreamHooks hooks)
+    : m_options(std::move(options)),
+      m_clock(std::move(clock)),
+      m_hooks(std::move(hooks)),
+      m_records(std::move(matters)),
+      m_feed(m_options.m_feed, m_clock, MakeFeedHooks()) {}
+
+void SharedStream::Start() {
+  m_feed.Start();
+}
+
+FeedHooks SharedStream::MakeFeedHooks() {
+  FeedHooks hooks;
+  hooks.m_list = m_hooks.m_list;
+  hooks.m_read = m_hooks.m_read;
+  hooks.m_postpone = [this] { return Postpone(); };
+  hooks.m_on_listing = [this](const std::vector<KeyedRecord>& records,
+                              std::uint64_t end) {
+    const std::uint64_t before = m_records.changed_to();
+    Pass(m_records.TakeListing(records, end), before);
+  };
+  hooks.m_on_records = [this](const std::vector<KeyedRecord>& records) {
+    const std::uint64_t before = m_records.changed_to();
+    Pass(m_records.Take(records), before);
+  };
+  hooks.m_on_answered = [this] { NoteRead(m_clock.m_now()); };
+  hooks.m_on_reachable = [this](bool reachable, const std::string& why) {
+    m_why_lost = why;
+    if (!reachable) {
+      // Another instance may have to read from now on.
+      m_hooks.m_on_news();
+    }
+  };
+  return hooks;
+}
+
+void SharedStream::Pass(const std::vector<KeyedRecord>& newer,
+                        std::uint64_t before) {
+  m_hooks.m_on_records(newer);
+  if (m_records.changed_to() != before) {
+    m_hooks.m_on_news();
+  }
+}
+
+StreamState SharedStream::state() const {
+  StreamState state{.m_stream = m_options.m_name,
+                    .m_changed_to = m_records.changed_to(),
+                    .m_read_to = m_feed.offset(),
+                    .m_reads = m_feed.listed() && m_feed.reachable()};
+  if (m_read_at.has_value()) {
+    state.m_read_age = m_clock.m_now() - *m_read_at;
+  }
+  return state;
+}
+
+std::vector<KeyedRecord> SharedStream::Since(std::uint64_t from,
+                                             std::size_t max_bytes) const {
+  return m_records.Since(from, max_bytes);
+}
+
+void SharedStream::Hear(const std::string& peer, const StreamState& told) {
+  m_peer_reads[peer] = told.m_reads;
+  if (told.m_read_age.has_value()) {
+    NoteRead(m_clock.m_now() - *told.m_read_age);
+  }
+  if (told.m_changed_to <= m_records.changed_to()) {
+    // Nothing that matters lies between.
+    m_feed.SkipTo(told.m_read_to);
+  }
+}
+
+void SharedStream::TakeFromPeer(const std::vector<KeyedRecord>& records) {
+  m_hooks.m_on_records(m_records.TakeFromPeer(records));
+}
+
+void SharedStream::Tick() {
+  const bool lost = m_read_at.has_value() &&
+                    m_clock.m_now() - *m_read_at > m_options.m_lost_after;
+  if (lost && std::exchange(m_reachable, false)) {
+    m_hooks.m_on_reachable(
+        false, m_why_lost.empty() ? "no instance has read it" : m_why_lost);
+  }
+}
+
+void SharedStream::NoteRead(TimePoint at) {
+  if (!m_read_at.has_value() || at > *m_read_at) {
+    m_read_at = at;
+  }
+  const bool recent = m_clock.m_now() - at <= m_options.m_lost_after;
+  if (recent && !std::exchange(m_reachable, true)) {
+    m_hooks.m_on_reachable(true, {});
+  }
+}
+
+Duration SharedStream::Postpone() {
+  policy::ReadDuty duty = m_options.m_duty;
+  duty.m_rank = Rank();
+  const TimePoint now = m_clock.m_now();
+  return policy::NextRead(duty, m_read_at, now) - now;
+}
+
+// An instance that doesn't reach the store itself goes on trying, since only
+// that tells when it does again.
+int SharedStream::Rank() const {
+  int rank = 0;
+  for (const std::string& peer : m_hooks.m_live_peers()) {
+    const auto reads = m_peer_reads.find(peer);
+    const bool counts = reads != m_peer_reads.end() && reads->second;
+    rank += counts && peer < m_options.m_self ? 1 : 0;
+  }
+  return rank;
+}
+
+}  // namespace guavacross::feed
--- /dev/null
+++ b/src/feed/shared_stream.h
@@ -0,0 +1,95 @@
+#ifndef GUAVACROSS_FEED_SHARED_STREAM_H_
+#define GUAVACROSS_FEED_SHARED_STREAM_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "feed/keyed_feed.h"
+#include "feed/shared_records.h"
+#include "guavacross/time.h"
+#include "policy/read_duty.h"
+
+namespace guavacross::feed {
+
+struct SharedStreamOptions {
+  std::string m_name;
+  /// This instance's name.
+  std::string m_self;
+  FeedOptions m_feed;
+  /// Rank and number of readers aside, when others step in; see `ReadDuty`.
+  policy::ReadDuty m_duty;
+  /// The store counts as lost when no instance has read for this long.
+  Duration m_lost_after = std::chrono::milliseconds(1500);
+};
+
+struct SharedStreamHooks {
+  /// As in `FeedHooks`.
+  std::function<void(const std::string& after, Duration timeout, PageDone)>
+      m_list;
+  std::function<
+      void(std::uint64_t from, Duration wait, Duration timeout, PageDone)>
+      m_read;
+  /// Names of the other live instances.
+  std::function<std::vector<std::string>()> m_live_peers;
+  /// Records that are newer than what was known.
+  std::function<void(const std::vector<KeyedRecord>&)> m_on_records;
+  /// There is something new to tell the others.
+  std::function<void()> m_on_news;
+  /// Nobody has read for long, with the reason as far as it is known, or
+  /// somebody has again.
+  std::function<void(bool reachable, const std::string& why)> m_on_reachable;
+};
+
+/// A stream of the store that all instances follow together.
+///
+/// Some instances read it (`policy::ReadDuty`) and pass on what matters.
+/// Call `Start`, `Hear` for what peers tell, `TakeFromPeer` for their records,
+/// and `Tick` a few times a second. Lives on the control thread.
+class SharedStream {
+ public:
+  SharedStream(SharedStreamOptions options,
+               Clock clock,
+               SharedRecords::Matters matters,
+               SharedStreamHooks hooks);
+  SharedStream(const SharedStream&) = delete;
+  SharedStream& operator=(const SharedStream&) = delete;
+
+  void Start();
+
+  /// What this instance knows, for the others.
+  StreamState state() const;
+  /// Records that mattered; see `SharedRecords::Since`.
+  std::vector<KeyedRecord> Since(std::uint64_t from,
+                                 std::size_t max_bytes) const;
+
+  void Hear(const std::string& peer, const StreamState& told);
+  void TakeFromPeer(const std::vector<KeyedRecord>& records);
+
+  /// Notices that nobody has read for long.
+  void Tick();
+
+ private:
+  FeedHooks MakeFeedHooks();
+  Duration Postpone();
+  int Rank() const;
+  void NoteRead(TimePoint at);
+  void Pass(const std::vector<KeyedRecord>& newer, std::uint64_t before);
+
+  SharedStreamOptions m_options;
+  Clock m_clock;
+  SharedStreamHooks m_hooks;
+  SharedRecords m_records;
+  // Whether each peer reaches the store.
+  std::map<std::string, bool> m_peer_reads;
+  std::optional<TimePoint> m_read_at;
+  bool m_reachable = true;
+  std::string m_why_lost;
+  KeyedFeed m_feed;
+};
+
+}  // namespace guavacross::feed
+
+#endif  // GUAVACROSS_FEED_SHARED_STREAM_H_
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -100,6 +100,12 @@
     proto::StreamState* const told = out->add_streams();
     told->set_stream(stream.m_stream);
     told->set_changed_to(stream.m_changed_to);
+    told->set_read_to(stream.m_read_to);
+    told->set_reads(stream.m_reads);
+    if (stream.m_read_age.has_value()) {
+      told->set_read_age_ms(
+          static_cast<std::uint32_t>(Milliseconds(*stream.m_read_age)));
+    }
   }
   WriteRumors(out);
   PeerRecord& record = m_records[peer];
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -101,6 +101,9 @@
   std::function<void(const std::string& stream,
                      const std::vector<feed::KeyedRecord>& records)>
       m_on_records;
+  /// What a peer knows of a stream.
+  std::function<void(const std::string& peer, const feed::StreamState&)>
+      m_on_stream;
   /// Some member's state, address or digest changed.
   std::function<void()> m_on_members;
   /// For `RequestLedger::AnswerPeer` and `TakeHandover`.
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -128,6 +128,16 @@
 
   void TellPeers() { m_peers->BeatNow(); }
 
+  std::vector<std::string> LivePeers() const {
+    std::vector<std::string> names;
+    for (const Member& member : m_peers->Members()) {
+      if (member.m_state == MemberState::kLive) {
+        names.push_back(member.m_id.m_name);
+      }
+    }
+    return names;
+  }
+
   void SetStoreReachable(bool reachable, const std::string& why) {
     m_registry.SetStoreReachable(reachable, m_clock.m_now());
     if (reachable) {
@@ -211,6 +221,7 @@
     hooks.m_on_members = [this] { CountInstances(); };
     hooks.m_records = m_hooks.m_records;
     hooks.m_on_records = m_hooks.m_on_records;
+    hooks.m_on_stream = m_hooks.m_on_stream;
     LearnFromPeers(m_router.get(), &hooks);
     m_peers = std::make_unique<peers::PeerNetwork>(std::move(options),
                                                    std::move(hooks));
@@ -442,6 +453,10 @@
   m_impl->ApplyTargets();
 }
 
+std::vector<std::string> RouteInstance::LivePeers() const {
+  return m_impl->LivePeers();
+}
+
 void RouteInstance::TellPeers() {
   m_impl->TellPeers();
 }
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -64,6 +64,9 @@
   std::function<void(const std::string& stream,
                      const std::vector<feed::KeyedRecord>& records)>
       m_on_records;
+  /// What a peer knows of a stream.
+  std::function<void(const std::string& peer, const feed::StreamState&)>
+      m_on_stream;
 };
 
 /// An entry instance whose configuration is a table of routes and whose targets
@@ -94,6 +97,8 @@
   void RemoveTarget(const std::string& id);
   /// Puts the targets in force. With the first call they count as complete.
   void ApplyTargets();
+  /// Names of the other instances that are live.
+  std::vector<std::string> LivePeers() const;
   /// Tells the other instances at once that there is something new.
   void TellPeers();
   /// The source of table and targets has been lost, or answers again.
