Reads of the store age on their way between instances

Each relay of 'somebody has read' made the read younger by the message's transit, so that with ten instances nobody missed the reader.

SharedStreamReplacesItsReader fails without the 50 ms.

--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -69,8 +69,9 @@
   std::uint64_t m_changed_to = 0;
   /// The offset up to which it has read, or knows that nothing matters.
   std::uint64_t m_read_to = 0;
-  /// Time since any instance has read, as far as it knows.
-  std::optional<Duration> m_read_age;
+  /// When any instance has last read, as far as it knows. Told as an age, which
+  /// grows on the way.
+  std::optional<TimePoint> m_read_at;
   /// Whether it reaches the store itself.
   bool m_reads = false;
 
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -5,6 +5,15 @@
 
 namespace guavacross::feed {
 
+namespace {
+
+// What is told of a read is taken to have been on its way for this long. Less
+// than the truth would make the read younger each time that it is passed on, so
+// that nobody would miss a reader that is gone.
+constexpr Duration kLongestTransit = std::chrono::milliseconds(50);
+
+}  // namespace
+
 SharedStream::SharedStream(SharedStreamOptions options,
                            Clock clock,
                            SharedRecords::Matters matters,
@@ -53,14 +62,11 @@
 }
 
 StreamState SharedStream::state() const {
-  StreamState state{.m_stream = m_options.m_name,
-                    .m_changed_to = m_records.changed_to(),
-                    .m_read_to = m_feed.offset(),
-                    .m_reads = m_feed.listed() && m_feed.reachable()};
-  if (m_read_at.has_value()) {
-    state.m_read_age = m_clock.m_now() - *m_read_at;
-  }
-  return state;
+  return {.m_stream = m_options.m_name,
+          .m_changed_to = m_records.changed_to(),
+          .m_read_to = m_feed.offset(),
+          .m_read_at = m_read_at,
+          .m_reads = m_feed.listed() && m_feed.reachable()};
 }
 
 std::vector<KeyedRecord> SharedStream::Since(std::uint64_t from,
@@ -70,8 +76,8 @@
 
 void SharedStream::Hear(const std::string& peer, const StreamState& told) {
   m_peer_reads[peer] = told.m_reads;
-  if (told.m_read_age.has_value()) {
-    NoteRead(m_clock.m_now() - *told.m_read_age);
+  if (told.m_read_at.has_value()) {
+    NoteRead(*told.m_read_at - kLongestTransit);
   }
   if (told.m_changed_to <= m_records.changed_to()) {
     // Nothing that matters lies between.
--- /dev/null
+++ b/src/feed/shared_stream_test.cc
@@ -0,0 +1,319 @@
+#include "feed/shared_stream.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::feed {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using util::Section;
+
+KeyedRecord Record(const std::string& key,
+                   const std::string& value,
+                   std::uint64_t offset) {
+  return {.m_key = key, .m_value = value, .m_offset = offset};
+}
+
+bool AnyChange(const KeyedRecord* before, const KeyedRecord& now) {
+  return before == nullptr || before->m_value != now.m_value;
+}
+
+// A store that answers after a round trip, holds reads back until there is a
+// record, and can be taken away from single instances.
+struct Store {
+  explicit Store(util::ManualClock* clock) : m_clock(clock->clock()) {}
+
+  void Append(const std::string& key, std::optional<std::string> value) {
+    m_log.push_back(
+        {.m_key = key, .m_value = std::move(value), .m_offset = m_log.size()});
+  }
+
+  FeedPage Listing() const {
+    std::map<std::string, KeyedRecord> newest;
+    for (const KeyedRecord& record : m_log) {
+      newest[record.m_key] = record;
+    }
+    FeedPage page{.m_status = FeedPage::Status::kOk, .m_end = m_log.size()};
+    for (const auto& [key, record] : newest) {
+      if (record.m_value.has_value()) {
+        page.m_records.push_back(record);
+      }
+    }
+    return page;
+  }
+
+  FeedPage From(std::uint64_t from) const {
+    if (from < m_first) {
+      return {.m_status = FeedPage::Status::kExpired};
+    }
+    FeedPage page{.m_status = FeedPage::Status::kOk, .m_end = m_log.size()};
+    for (std::uint64_t i = from; i < m_log.size(); ++i) {
+      page.m_records.push_back(m_log[i]);
+    }
+    return page;
+  }
+
+  Clock m_clock;
+  std::vector<KeyedRecord> m_log;
+  // The first offset that is retained.
+  std::uint64_t m_first = 0;
+  int m_calls = 0;
+};
+
+// One instance's stream, with its way to the store.
+struct Reader {
+  Reader(Store* store, std::string name)
+      : m_store(store), m_name(std::move(name)) {
+    SharedStreamOptions options;
+    options.m_name = "targets";
+    options.m_self = m_name;
+    options.m_feed = {.m_wait = milliseconds(300),
+                      .m_min_interval = milliseconds(400)};
+    options.m_duty = {.m_missed_after = milliseconds(780),
+                      .m_step = milliseconds(150)};
+    SharedStreamHooks hooks;
+    hooks.m_list = [this](const std::string&, Duration timeout, PageDone done) {
+      Answer([this] { return m_store->Listing(); }, timeout, std::move(done));
+    };
+    hooks.m_read = [this](std::uint64_t from, Duration, Duration timeout,
+                          PageDone done) {
+      Answer([this, from] { return m_store->From(from); }, timeout,
+             std::move(done));
+    };
+    hooks.m_live_peers = [this] { return m_live_peers; };
+    hooks.m_on_records = [this](const std::vector<KeyedRecord>& records) {
+      m_seen.insert(m_seen.end(), records.begin(), records.end());
+    };
+    hooks.m_on_news = [] {};
+    hooks.m_on_reachable = [this](bool reachable, const std::string&) {
+      m_reachable = reachable;
+    };
+    m_stream = std::make_unique<SharedStream>(options, store->m_clock,
+                                              AnyChange, std::move(hooks));
+  }
+
+  void Answer(std::function<FeedPage()> page, Duration timeout, PageDone done) {
+    ++m_store->m_calls;
+    ++m_calls;
+    const bool cut = m_cut;
+    m_timers.push_back(m_store->m_clock.m_call_after(
+        cut ? timeout : Duration(milliseconds(4)),
+        [this, cut, page = std::move(page), done = std::move(done)] {
+          done(cut ? FeedPage{.m_error = "no answer in time"} : page());
+        }));
+  }
+
+  bool Knows(const std::string& key, const std::string& value) const {
+    for (const KeyedRecord& record : m_seen) {
+      if (record.m_key == key && record.m_value == value) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  Store* m_store;
+  std::string m_name;
+  bool m_cut = false;
+  bool m_reachable = true;
+  int m_calls = 0;
+  std::vector<std::string> m_live_peers;
+  std::vector<KeyedRecord> m_seen;
+  std::deque<std::unique_ptr<Timer>> m_timers;
+  std::unique_ptr<SharedStream> m_stream;
+};
+
+// Several instances that tell each other what they know.
+struct Cluster {
+  explicit Cluster(int size) : m_store(&m_clock) {
+    for (int i = 0; i < size; ++i) {
+      m_readers.push_back(
+          std::make_unique<Reader>(&m_store, std::string(1, 'a' + i)));
+    }
+    for (const auto& reader : m_readers) {
+      for (const auto& peer : m_readers) {
+        if (peer != reader) {
+          reader->m_live_peers.push_back(peer->m_name);
+        }
+      }
+      reader->m_stream->Start();
+    }
+  }
+
+  void Run(Duration duration) {
+    for (Duration passed{}; passed < duration; passed += milliseconds(50)) {
+      m_clock.Advance(milliseconds(50));
+      if (++m_steps % 5 == 0) {
+        Tell();
+      }
+    }
+  }
+
+  // Every instance tells every other, as heartbeats do. On its way an age seems
+  // less than it is.
+  void Tell() {
+    constexpr Duration kTransit = milliseconds(20);
+    for (const auto& from : m_readers) {
+      StreamState state = from->m_stream->state();
+      if (state.m_read_at.has_value()) {
+        state.m_read_at = std::min(m_clock.now(), *state.m_read_at + kTransit);
+      }
+      for (const auto& to : m_readers) {
+        if (to == from) {
+          continue;
+        }
+        to->m_stream->Hear(from->m_name, state);
+        const std::uint64_t known = to->m_stream->state().m_changed_to;
+        if (state.m_changed_to > known) {
+          to->m_stream->TakeFromPeer(from->m_stream->Since(known, 1 << 20));
+        }
+        to->m_stream->Tick();
+      }
+    }
+  }
+
+  int CallsDuring(Duration duration) {
+    const int before = m_store.m_calls;
+    Run(duration);
+    return m_store.m_calls - before;
+  }
+
+  Reader& operator[](std::size_t index) { return *m_readers[index]; }
+
+  util::ManualClock m_clock;
+  Store m_store;
+  std::vector<std::unique_ptr<Reader>> m_readers;
+  int m_steps = 0;
+};
+
+}  // namespace
+
+GUAVACROSS_STORY(SharedRecordsByOffset) {
+  SharedRecords records(AnyChange);
+
+  Section("of two records for a key the later counts, whichever came first",
+          [&] {
+            CPPUNIT_ASSERT_EQUAL(
+                std::size_t{1},
+                records.TakeFromPeer({Record("a", "new", 7)}).size());
+            CPPUNIT_ASSERT(records.Take({Record("a", "old", 3)}).empty());
+          });
+
+  Section("what changes nothing is taken but not passed on", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         records.Take({Record("a", "new", 9)}).size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, records.changed_to());
+    CPPUNIT_ASSERT(records.Since(8, 1000).empty());
+  });
+
+  Section("a listing drops the keys that it lacks", [&] {
+    const auto newer = records.TakeListing({Record("b", "x", 11)}, 12);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, newer.size());
+    CPPUNIT_ASSERT(!newer[1].m_value.has_value());
+    Section("but not one that was written after it", [&] {
+      records.Take({Record("c", "later", 20)});
+      for (const auto& record : records.TakeListing({}, 15)) {
+        CPPUNIT_ASSERT(record.m_key != "c");
+      }
+    });
+  });
+
+  Section("a peer that is asked gives the rest page by page", [&] {
+    const auto page = records.Since(0, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.size());
+    CPPUNIT_ASSERT(!records.Since(page[0].m_offset + 1, 1).empty());
+  });
+}
+
+GUAVACROSS_STORY(SharedStreamHasOneReader) {
+  Cluster cluster(6);
+  cluster.m_store.Append("t1", "ready");
+  cluster.Run(seconds(2));
+
+  Section("all know what the store holds", [&] {
+    for (const auto& reader : cluster.m_readers) {
+      CPPUNIT_ASSERT(reader->Knows("t1", "ready"));
+    }
+  });
+
+  Section("its calls don't grow with the instances", [&] {
+    const int calls = cluster.CallsDuring(seconds(10));
+    CPPUNIT_ASSERT(calls <= 10 * 1000 / 400 + 2);
+  });
+
+  Section("news are everywhere within the time that a leaving may take", [&] {
+    cluster.m_store.Append("t1", "draining");
+    cluster.Run(milliseconds(800));
+    for (const auto& reader : cluster.m_readers) {
+      CPPUNIT_ASSERT(reader->Knows("t1", "draining"));
+    }
+  });
+}
+
+// Seen on scale-2: four of ten instances lost the store, the reader among them,
+// and its last read seemed to stay young as they told each other of it, so that
+// nobody stepped in.
+GUAVACROSS_STORY(SharedStreamReplacesItsReader) {
+  Cluster cluster(10);
+  cluster.m_store.Append("t1", "ready");
+  cluster.Run(seconds(2));
+  for (const std::size_t cut : {0, 2, 4, 6}) {
+    cluster[cut].m_cut = true;
+  }
+
+  Section("news still come everywhere within two seconds", [&] {
+    cluster.m_store.Append("t1", "draining");
+    cluster.Run(milliseconds(1950));
+    for (const auto& reader : cluster.m_readers) {
+      CPPUNIT_ASSERT_MESSAGE(reader->m_name, reader->Knows("t1", "draining"));
+    }
+  });
+
+  Section("an instance that is cut off takes the store for reachable", [&] {
+    cluster.Run(seconds(3));
+    CPPUNIT_ASSERT(cluster[0].m_reachable);
+  });
+
+  Section("the store is lost once nobody reads it", [&] {
+    for (const auto& reader : cluster.m_readers) {
+      reader->m_cut = true;
+    }
+    cluster.Run(seconds(4));
+    CPPUNIT_ASSERT(!cluster[1].m_reachable);
+    Section("and is back with the first read", [&] {
+      cluster[5].m_cut = false;
+      cluster.Run(seconds(2));
+      CPPUNIT_ASSERT(cluster[0].m_reachable && cluster[1].m_reachable);
+    });
+  });
+}
+
+GUAVACROSS_STORY(SharedStreamAfterLostHistory) {
+  Cluster cluster(2);
+  cluster.m_store.Append("t1", "ready");
+  cluster.m_store.Append("t2", "ready");
+  cluster.Run(seconds(2));
+  // The history goes while t2 leaves and t3 comes.
+  cluster.m_store.Append("t2", std::nullopt);
+  cluster.m_store.Append("t3", "ready");
+  cluster.m_store.m_first = cluster.m_store.m_log.size();
+  cluster.Run(seconds(2));
+  for (const auto& reader : cluster.m_readers) {
+    CPPUNIT_ASSERT(reader->Knows("t3", "ready"));
+    const auto& seen = reader->m_seen;
+    CPPUNIT_ASSERT(std::any_of(seen.begin(), seen.end(), [](const auto& each) {
+      return each.m_key == "t2" && !each.m_value.has_value();
+    }));
+  }
+}
+
+}  // namespace guavacross::feed
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -102,9 +102,10 @@
     told->set_changed_to(stream.m_changed_to);
     told->set_read_to(stream.m_read_to);
     told->set_reads(stream.m_reads);
-    if (stream.m_read_age.has_value()) {
-      told->set_read_age_ms(
-          static_cast<std::uint32_t>(Milliseconds(*stream.m_read_age)));
+    if (stream.m_read_at.has_value()) {
+      // Told as of now: the local state may have been gathered a while ago.
+      told->set_read_age_ms(static_cast<std::uint32_t>(
+          Milliseconds(m_options.m_clock.m_now() - *stream.m_read_at)));
     }
   }
   WriteRumors(out);
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -119,6 +119,29 @@
       m_handed = part;
       return true;
     };
+    hooks.m_records = [this](const std::string&, std::uint64_t from,
+                             std::size_t) {
+      std::vector<feed::KeyedRecord> records;
+      for (const feed::KeyedRecord& record : m_records) {
+        if (record.m_offset >= from) {
+          records.push_back(record);
+        }
+      }
+      return records;
+    };
+    hooks.m_on_records = [this](const std::string& stream,
+                                const std::vector<feed::KeyedRecord>& records) {
+      m_taken.insert(m_taken.end(), records.begin(), records.end());
+      m_local.m_streams = {
+          {.m_stream = stream,
+           .m_changed_to = records.empty() ? 0 : records.back().m_offset + 1}};
+    };
+    hooks.m_on_stream = [this](const std::string&,
+                               const feed::StreamState& told) {
+      if (told.m_read_at.has_value()) {
+        m_told_reads.push_back(*told.m_read_at);
+      }
+    };
     m_network = std::make_unique<PeerNetwork>(options, hooks);
     CPPUNIT_ASSERT(m_network->Start());
   }
@@ -171,6 +194,11 @@
   std::vector<DrainNotice> m_drains;
   std::string m_in_flight;
   ledger::LedgerHandover m_handed;
+  // The store's records that this node tells, those that it was told, and when
+  // peers say that the store was read.
+  std::vector<feed::KeyedRecord> m_records;
+  std::vector<feed::KeyedRecord> m_taken;
+  std::vector<TimePoint> m_told_reads;
   std::unique_ptr<PeerNetwork> m_network;
 };
 
@@ -411,4 +439,30 @@
   });
 }
 
+GUAVACROSS_STORY(PeersTellOfTheStore) {
+  ControlLoop loop;
+  Node a(&loop, "a", 1);
+  Node b(&loop, "b", 1);
+  const Clock clock = loop.clock();
+  const TimePoint read_at = clock.m_now();
+  a.m_local.m_streams = {
+      {.m_stream = "targets", .m_changed_to = 2, .m_read_at = read_at}};
+  a.m_records = {{.m_key = "t1", .m_value = "ready", .m_offset = 0},
+                 {.m_key = "t2", .m_offset = 1}};
+  b.Knows(a, "a");
+
+  Section("what a peer lacks is fetched", [&] {
+    loop.RunUntil("the records came", [&] { return b.m_taken == a.m_records; });
+  });
+
+  Section("a read ages from heartbeat to heartbeat", [&] {
+    const TimePoint until = clock.m_now() + seconds(3);
+    loop.RunUntil("time passed", [&] { return clock.m_now() >= until; });
+    CPPUNIT_ASSERT(b.m_told_reads.size() > 4);
+    for (const TimePoint told : b.m_told_reads) {
+      CPPUNIT_ASSERT(told <= read_at);
+    }
+  });
+}
+
 }  // namespace guavacross::peers
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -21,13 +21,13 @@
   return found == streams.end() ? 0 : found->m_changed_to;
 }
 
-feed::StreamState ToStream(const proto::StreamState& told) {
+feed::StreamState ToStream(const proto::StreamState& told, TimePoint now) {
   feed::StreamState stream{.m_stream = told.stream(),
                            .m_changed_to = told.changed_to(),
                            .m_read_to = told.read_to(),
                            .m_reads = told.reads()};
   if (told.has_read_age_ms()) {
-    stream.m_read_age = std::chrono::milliseconds(told.read_age_ms());
+    stream.m_read_at = now - std::chrono::milliseconds(told.read_age_ms());
   }
   return stream;
 }
@@ -42,7 +42,8 @@
   // What was asked for since the last heartbeat may have come by now.
   m_local.reset();
   for (const proto::StreamState& stream : heartbeat.streams()) {
-    m_hooks.m_on_stream(from.m_name, ToStream(stream));
+    m_hooks.m_on_stream(from.m_name,
+                        ToStream(stream, m_options.m_clock.m_now()));
     const std::uint64_t known = ChangedTo(Local().m_streams, stream.stream());
     if (stream.changed_to() > known) {
       FetchRecords(from, stream.stream(), known);
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -25,7 +25,7 @@
 
 // Callers must learn within about a second that an instance is gone, which
 // takes some lost heartbeats.
-constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(300);
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(250);
 constexpr Duration kSuspectAfter = std::chrono::milliseconds(900);
 constexpr Duration kDeadAfter = std::chrono::milliseconds(2000);
 
