A target that hasn't answered its probe isn't chosen

Cause: found by the test that replays dark targets: after 20 ms a request took whatever seemed best, also a target that had been asked and hadn't answered, and after a start there was no budget for probes, so that the first requests went to targets that nobody had asked. A setting without an address (store = "") was taken for a good one, found by the settings' test.

Change: a target with a probe out isn't chosen; for 20 ms only a good target is, for 60 ms only one that has just answered; the budget of probes grants its burst at the start; an empty address is an error.

--- a/src/policy/probe_budget.cc
+++ b/src/policy/probe_budget.cc
@@ -1,6 +1,7 @@
 #include "policy/probe_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavacross::policy {
 
@@ -37,6 +38,13 @@
   return 1;
 }
 
+void ProbeBudget::SetBurst(double probes) {
+  m_burst = probes;
+  if (!std::exchange(m_granted_start, true)) {
+    m_tokens = probes;
+  }
+}
+
 void ProbeBudget::SetRate(double probes_per_second, TimePoint now) {
   Refill(now);
   m_rate = probes_per_second;
--- a/src/policy/probe_budget.h
+++ b/src/policy/probe_budget.h
@@ -50,8 +50,9 @@
   /// Sets the rate from `now` on, in probes per second of this instance.
   void SetRate(double probes_per_second, TimePoint now);
 
-  /// Sets the most probes that may be sent at once after a quiet time.
-  void SetBurst(double probes) { m_burst = probes; }
+  /// Sets the most probes that may be sent at once after a quiet time, and
+  /// grants as many for the start, when nothing is known of any target.
+  void SetBurst(double probes);
 
   /// Charges one probe. Returns false, charging nothing, if the bucket is
   /// empty.
@@ -68,6 +69,7 @@
 
   double m_rate = 0;
   double m_burst = kBurst;
+  bool m_granted_start = false;
   double m_tokens = 0;
   double m_allowed = 0;
   TimePoint m_refilled_at{};
--- /dev/null
+++ b/src/policy/split_picker_test.cc
@@ -0,0 +1,55 @@
+#include "policy/split_picker.h"
+
+#include <array>
+#include <vector>
+
+#include "policy/read_duty.h"
+#include "util/story_test.h"
+
+namespace guavacross::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+using util::Section;
+
+}  // namespace
+
+GUAVACROSS_STORY(SplitsFollowTheirWeights) {
+  SplitPicker picker;
+  const std::vector<int> weights = {90, 10};
+  std::array<int, 2> counts{};
+  for (int i = 0; i < 100; ++i) {
+    ++counts[picker.Pick(weights)];
+  }
+  CPPUNIT_ASSERT_EQUAL(90, counts[0]);
+  CPPUNIT_ASSERT_EQUAL(10, counts[1]);
+
+  Section("a part without weight gets nothing", [&] {
+    const std::vector<int> one = {0, 5, 0};
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, picker.Pick(one));
+    }
+  });
+}
+
+GUAVACROSS_STORY(ReadDutyPassesOn) {
+  const TimePoint read_at{};
+  const TimePoint now = read_at + milliseconds(100);
+  ReadDuty duty{.m_missed_after = milliseconds(780),
+                .m_step = milliseconds(150)};
+  CPPUNIT_ASSERT(NextRead(duty, read_at, now) == now);
+
+  Section("the others wait for the ones before them", [&] {
+    duty.m_rank = 1;
+    CPPUNIT_ASSERT(NextRead(duty, read_at, now) == read_at + milliseconds(780));
+    duty.m_rank = 4;
+    CPPUNIT_ASSERT(NextRead(duty, read_at, now) ==
+                   read_at + milliseconds(780 + 3 * 150));
+  });
+
+  Section("without word of any read all read",
+          [&] { CPPUNIT_ASSERT(NextRead(duty, std::nullopt, now) == now); });
+}
+
+}  // namespace guavacross::policy
--- /dev/null
+++ b/src/routing/measured_placing_test.cc
@@ -0,0 +1,275 @@
+// Placing on targets that are asked before one is chosen.
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "guavacross/routing.h"
+#include "policy/random.h"
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using util::Section;
+
+// Neighbours on a target's machine come and go this often, and slow it down by
+// this much: what the recorded days of both deployments show.
+constexpr Duration kNoiseTime = milliseconds(150);
+constexpr double kNoiseShare = 0.25;
+constexpr double kNoiseSlowdown = 5;
+constexpr Duration kWork = milliseconds(220);
+constexpr Duration kObjective = milliseconds(600);
+constexpr std::uint64_t kSeed = 1;
+// The instances that share the budget of probes.
+constexpr int kInstances = 6;
+constexpr Duration kProbeTime = milliseconds(7);
+
+// Targets whose machines are slow by turns. Work takes what its machine is like
+// at the start; the machines know their load and speed when they are asked.
+class NoisyPool {
+ public:
+  NoisyPool(int targets, bool measures, ChoicePolicy policy)
+      : m_random(kSeed),
+        m_router({.m_zone = "z",
+                  .m_policy = policy,
+                  .m_seed = kSeed,
+                  .m_clock = m_clock.clock()},
+                 Hooks()) {
+    ServiceConfig service;
+    service.m_name = "shop";
+    for (int i = 0; i < targets; ++i) {
+      const std::string name = "t" + std::to_string(i);
+      service.m_targets.push_back(
+          {.m_name = name, .m_zone = "z", .m_slots = 4, .m_incarnation = 1});
+      m_machines[name] = {};
+    }
+    service.m_classes = {{.m_name = "read", .m_claims = false}};
+    service.m_probe.m_probes_per_second = 50 * targets;
+    service.m_probe.m_probe_cost = Duration::zero();
+    service.m_probe.m_path = "/health";
+    service.m_probe.m_before_placing = measures;
+    m_router.Configure(service);
+    m_router.SetInstanceCount(kInstances);
+    Stir();
+  }
+
+  // Requests come evenly for `duration`.
+  void Run(double per_second, Duration duration) {
+    const TimePoint end = m_clock.now() + duration;
+    const Duration gap = FromSeconds(1 / per_second);
+    TimePoint next = m_clock.now();
+    while (m_clock.now() < end) {
+      if (m_clock.now() >= next) {
+        next += gap;
+        Request();
+      }
+      m_clock.Advance(milliseconds(1));
+      m_router.ExpireWaiters();
+    }
+  }
+
+  void Silence(const std::string& target) { m_machines[target].m_dark = true; }
+
+  double ShareInObjective() const {
+    return static_cast<double>(m_in_objective) / std::max(1, m_requests);
+  }
+  int probes() const { return m_probes; }
+  int requests() const { return m_requests; }
+  int SentTo(const std::string& target) const {
+    return m_machines.at(target).m_sent;
+  }
+  Router& router() { return m_router; }
+
+ private:
+  struct Machine {
+    bool m_slow = false;
+    bool m_dark = false;
+    int m_running = 0;
+    int m_sent = 0;
+  };
+
+  RouterHooks Hooks() {
+    RouterHooks hooks;
+    hooks.m_on_probes = [this](std::vector<ProbeOrder> orders) {
+      for (ProbeOrder& order : orders) {
+        ++m_probes;
+        Probe(std::move(order));
+      }
+    };
+    return hooks;
+  }
+
+  void After(Duration delay, std::function<void()> call) {
+    m_timers.push_back(m_clock.clock().m_call_after(delay, std::move(call)));
+  }
+
+  void Stir() {
+    for (auto& [name, machine] : m_machines) {
+      machine.m_slow = m_random.Uniform() < kNoiseShare;
+    }
+    After(kNoiseTime, [this] { Stir(); });
+  }
+
+  LoadReport Load(const Machine& machine) const {
+    return {.m_in_flight = machine.m_running,
+            .m_slowdown = machine.m_slow ? kNoiseSlowdown : 1};
+  }
+
+  void Probe(ProbeOrder order) {
+    const bool dark = m_machines[order.m_target].m_dark;
+    After(dark ? order.m_timeout : kProbeTime,
+          [this, dark, order = std::move(order)] {
+            ProbeReport report{.m_service = order.m_service,
+                               .m_target = order.m_target,
+                               .m_answered = !dark};
+            if (!dark) {
+              report.m_load = Load(m_machines[order.m_target]);
+            }
+            m_router.ReportProbe(report);
+          });
+  }
+
+  void Request() {
+    ++m_requests;
+    const TimePoint arrived = m_clock.now();
+    RequestTraits traits{.m_service = "shop",
+                         .m_class_name = "read",
+                         .m_deadline = arrived + seconds(2)};
+    m_router.Acquire(
+        traits, {},
+        [this, arrived, traits](const util::Expected<Grant>& grant) {
+          if (grant) {
+            Send(*grant.m_value, traits, arrived);
+          }
+        });
+  }
+
+  void Send(const Grant& grant,
+            const RequestTraits& traits,
+            TimePoint arrived) {
+    Machine& machine = m_machines[grant.m_target];
+    ++machine.m_sent;
+    if (machine.m_dark) {
+      After(seconds(2), [this, grant, traits] {
+        m_router.Release(grant, traits, {.m_end = AttemptEnd::kTimeout});
+      });
+      return;
+    }
+    ++machine.m_running;
+    const Duration takes =
+        kWork * static_cast<int>(machine.m_slow ? kNoiseSlowdown : 1);
+    After(takes, [this, grant, traits, arrived, takes, &machine] {
+      --machine.m_running;
+      m_in_objective += m_clock.now() - arrived <= kObjective ? 1 : 0;
+      m_router.Release(grant, traits,
+                       {.m_latency = takes,
+                        .m_answer_begun = true,
+                        .m_load = Load(machine)});
+    });
+  }
+
+  util::ManualClock m_clock;
+  policy::Random m_random;
+  std::map<std::string, Machine> m_machines;
+  std::vector<std::unique_ptr<Timer>> m_timers;
+  int m_requests = 0;
+  int m_in_objective = 0;
+  int m_probes = 0;
+  Router m_router;
+};
+
+}  // namespace
+
+GUAVACROSS_STORY(PlacingAsksTargetsFirst) {
+  Section("a quarter of the machines is five times slower by turns", [&] {
+    NoisyPool measured(28, true, ChoicePolicy::kGuavacross);
+    measured.Run(22, seconds(20));
+    CPPUNIT_ASSERT(measured.ShareInObjective() > 0.97);
+    // Against the placing before, which probes the targets in turn, and the
+    // usual ones, at most half as many requests miss the objective.
+    for (const ChoicePolicy policy :
+         {ChoicePolicy::kGuavacross, ChoicePolicy::kLeastInFlight,
+          ChoicePolicy::kRoundRobin, ChoicePolicy::kRandom}) {
+      NoisyPool other(28, false, policy);
+      other.Run(22, seconds(20));
+      CPPUNIT_ASSERT(1 - measured.ShareInObjective() <
+                     0.5 * (1 - other.ShareInObjective()));
+    }
+    Section("within the budget of probes", [&] {
+      CPPUNIT_ASSERT(measured.probes() <= 5 * measured.requests());
+    });
+  });
+
+  Section(
+      "with half of the targets dark, none of them is sent a request "
+      "before it answers a probe",
+      [&] {
+        NoisyPool pool(8, true, ChoicePolicy::kGuavacross);
+        for (const char* const dark : {"t0", "t2", "t4", "t6"}) {
+          pool.Silence(dark);
+        }
+        // Six instances with this rate leave the live targets half idle.
+        pool.Run(6, seconds(15));
+        for (const char* const dark : {"t0", "t2", "t4", "t6"}) {
+          CPPUNIT_ASSERT_EQUAL(0, pool.SentTo(dark));
+        }
+        CPPUNIT_ASSERT(pool.ShareInObjective() > 0.95);
+      });
+}
+
+GUAVACROSS_STORY(PlacingLeavesOutReplacedTargets) {
+  util::ManualClock clock;
+  Router router({.m_clock = clock.clock()}, {});
+  ServiceConfig service;
+  service.m_name = "shop";
+  service.m_targets = {{.m_name = "t0", .m_incarnation = 1},
+                       {.m_name = "t1", .m_incarnation = 1}};
+  service.m_classes = {{.m_name = "read"}};
+  router.Configure(service);
+  const RequestTraits traits{.m_service = "shop", .m_class_name = "read"};
+  std::optional<Grant> granted;
+  const auto acquire = [&] {
+    granted.reset();
+    router.Acquire(traits, {}, [&](const util::Expected<Grant>& grant) {
+      granted = grant.m_value;
+    });
+    CPPUNIT_ASSERT(granted.has_value());
+  };
+  acquire();
+  const std::string replaced = granted->m_target;
+  router.Release(*granted, traits, {.m_end = AttemptEnd::kWrongTarget});
+
+  Section("another server at its address gets no further request", [&] {
+    for (int i = 0; i < 10; ++i) {
+      acquire();
+      CPPUNIT_ASSERT(granted->m_target != replaced);
+      router.Release(*granted, traits, {.m_answer_begun = true});
+    }
+  });
+
+  Section("until it registers as another run", [&] {
+    for (TargetConfig& target : service.m_targets) {
+      target.m_incarnation = target.m_name == replaced ? 2 : 1;
+    }
+    router.Configure(service);
+    bool used = false;
+    for (int i = 0; i < 50 && !used; ++i) {
+      acquire();
+      used = granted->m_target == replaced;
+      router.Release(*granted, traits, {.m_answer_begun = true});
+      clock.Advance(milliseconds(10));
+    }
+    CPPUNIT_ASSERT(used);
+  });
+}
+
+}  // namespace guavacross::routing
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -14,9 +14,10 @@
 // age can open a target without any event.
 constexpr Duration kQueueTick = std::chrono::milliseconds(5);
 
-// How long a request may wait for a target that is known to be good: some round
-// trips between availability zones.
-constexpr Duration kMeasureTime = std::chrono::milliseconds(20);
+// How long a request waits for a target that is known to be good, and for one
+// that is known to answer: some rounds of probes between availability zones.
+constexpr Duration kGoodOnlyFor = std::chrono::milliseconds(20);
+constexpr Duration kMeasuredOnlyFor = std::chrono::milliseconds(60);
 
 // A class that has had no request for this long leaves its slots to others.
 constexpr Duration kClassIdleAfter = std::chrono::seconds(5);
@@ -108,7 +109,7 @@
                 .m_deadline = traits.m_deadline,
                 .m_avoid = targets_to_avoid,
                 .m_on_grant = std::move(on_grant),
-                .m_measure_until = now + kMeasureTime};
+                .m_arrived = now};
   if (!TryGrantAtOnce(ticket, &waiter, now, effects)) {
     Enqueue(ticket, std::move(waiter), now, effects);
   }
@@ -424,10 +425,15 @@
 }
 
 Choice ServiceRouter::Choose(const Waiter& waiter, TimePoint now) {
-  return MeasuresFirst()
-             ? m_pool.ChooseMeasured(waiter.m_avoid,
-                                     now < waiter.m_measure_until, now)
-             : m_pool.Choose(waiter.m_avoid, now);
+  if (!MeasuresFirst()) {
+    return m_pool.Choose(waiter.m_avoid, now);
+  }
+  const Duration waited = now - waiter.m_arrived;
+  const TargetPool::Demand demand =
+      waited < kGoodOnlyFor       ? TargetPool::Demand::kGood
+      : waited < kMeasuredOnlyFor ? TargetPool::Demand::kMeasured
+                                  : TargetPool::Demand::kAny;
+  return m_pool.ChooseMeasured(waiter.m_avoid, demand, now);
 }
 
 void ServiceRouter::WakeForWaiters(TimePoint now, Effects* effects) {
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -90,8 +90,7 @@
     TimePoint m_deadline;
     std::vector<std::string> m_avoid;
     GrantCallback m_on_grant;
-    /// Until then only a target that is known to be good is taken.
-    TimePoint m_measure_until;
+    TimePoint m_arrived;
   };
   struct PeerCounts {
     std::vector<std::pair<std::string, int>> m_counts;
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -101,7 +101,7 @@
 }
 
 Choice TargetPool::ChooseMeasured(const std::vector<std::string>& avoid,
-                                  bool must_be_good,
+                                  Demand demand,
                                   TimePoint now) {
   RefreshExceptions(now);
   Offer best;
@@ -114,7 +114,7 @@
       continue;
     }
     any_eligible = true;
-    if (must_be_good && !IsMeasured(*target, now)) {
+    if (demand != Demand::kAny && !IsMeasured(*target, now)) {
       continue;
     }
     const double cost = MeasuredCostOf(*target, now);
@@ -122,12 +122,13 @@
       best = {.m_target = target, .m_cost = cost};
     }
   }
-  const double limit = must_be_good ? policy::kGoodCost : policy::kWaitCost;
+  const double limit =
+      demand == Demand::kGood ? policy::kGoodCost : policy::kWaitCost;
   if (best.m_target != nullptr && best.m_cost <= limit) {
     return {.m_target = best.m_target};
   }
-  if (!any_eligible && !avoid.empty() && !must_be_good) {
-    return ChooseMeasured({}, must_be_good, now);
+  if (!any_eligible && !avoid.empty() && demand == Demand::kAny) {
+    return ChooseMeasured({}, demand, now);
   }
   return {.m_worth_waiting = any_eligible || !avoid.empty()};
 }
@@ -167,7 +168,9 @@
   const double in_flight =
       load.own() + load.Others(m_parameters.m_aging, m_usual_others, now);
   const double full = target.m_config.m_slots + kMeasuredOverflow;
-  if (in_flight >= full) {
+  // A target that hasn't answered its probe yet may be dark.
+  const bool unanswered = target.m_probe_in_flight && !m_all_silent;
+  if (in_flight >= full || unanswered) {
     return std::numeric_limits<double>::max();
   }
   return policy::MeasuredCost(
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -39,11 +39,19 @@
   /// others are out of question.
   Choice Choose(const std::vector<std::string>& avoid, TimePoint now);
 
-  /// Chooses by what the targets have just told. With `must_be_good` only a
-  /// target that has told of room and usual speed within some milliseconds
-  /// comes into question, so that it may be worth asking more of them first.
+  /// What is asked of a target that is chosen by what the targets tell.
+  enum class Demand {
+    /// It has told of room and usual speed within some milliseconds.
+    kGood,
+    /// It has told of room within some milliseconds: it isn't dark.
+    kMeasured,
+    kAny,
+  };
+
+  /// Chooses by what the targets have just told. Without a target that meets
+  /// the demand it may be worth asking more of them first.
   Choice ChooseMeasured(const std::vector<std::string>& avoid,
-                        bool must_be_good,
+                        Demand demand,
                         TimePoint now);
 
   /// Up to `count` targets that are worth a probe before one is chosen: those
--- a/src/util/toml_reader.cc
+++ b/src/util/toml_reader.cc
@@ -208,7 +208,9 @@
                               Endpoint* out) {
   std::string text;
   ReadString(key, presence, &text);
-  if (!text.empty() && !ParseEndpoint(text, out)) {
+  // An empty text is as wrong as any other; a key of another type has been
+  // noted already.
+  if (Has(key) && !ParseEndpoint(text, out)) {
     FailAt(key, "must be an IP number and a port, like 10.0.0.1:8080");
   }
 }
