Lines for requests, explain, and settings that change

Cause: after the fact nobody could tell from logs what became of a request, and a changed settings file was not read.

Change: one line for each refusal, attempt that didn't end well and end of a request, with what decided it; trouble up to 100 lines a second, one success in 50, what is left out is counted and told. Standard output is written behind a bounded queue. guavacross explain prints a request's story out of log files. Seeds and budgets are taken from the settings file when it changes, with SIGHUP or without.

--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -233,6 +233,7 @@
                              : Classify(*server.m_router, head, now());
   });
   if (!request) {
+    TellOfRefusal(head, request.m_error);
     SendError(request.m_error, RefusalOutcome(head, request.m_error.m_kind));
     return;
   }
@@ -247,6 +248,22 @@
   }
 }
 
+void CallerConnection::TellOfRefusal(const http::RequestHead& head,
+                                     const Error& error) {
+  if (!m_worker->m_log.TellsTrouble()) {
+    return;
+  }
+  const std::string& id_name =
+      m_worker->m_hooks->m_target_dialect->m_request_id_header;
+  forwarding::RequestLog::Tell(
+      "request refused", std::string(head.m_fields.Find(id_name).value_or("")),
+      {{"method", head.m_method},
+       {"host", std::string(head.m_fields.Find("Host").value_or(""))},
+       {"path", std::string(http::PathOf(head.m_target))},
+       {"why",
+        std::string(AnswerFor(error.m_kind).m_name) + ": " + error.m_text}});
+}
+
 forwarding::AnswerHooks CallerConnection::MakeAnswerHooks() {
   forwarding::AnswerHooks hooks;
   hooks.m_on_answer = [this](const forwarding::WholeAnswer& answer) {
--- a/src/callers/caller_connection.h
+++ b/src/callers/caller_connection.h
@@ -56,6 +56,7 @@
   bool AnswerLocally(const http::RequestHead& head);
   bool AnswerByHook(const http::RequestHead& head);
   void Forward(const http::RequestHead& head);
+  void TellOfRefusal(const http::RequestHead& head, const Error& error);
   void OnBody(std::string_view bytes);
   void OnReadError(const Error& error);
   bool PrepareNext();
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -60,6 +60,8 @@
   bool m_half_close_is_leaving = false;
   /// Whether answers close their connections once the server is leaving.
   bool m_close_while_leaving = false;
+  /// Whether requests are told of in the log.
+  bool m_log_requests = false;
 
   bool operator==(const CallerServerOptions&) const = default;
 };
--- a/src/callers/caller_worker.cc
+++ b/src/callers/caller_worker.cc
@@ -33,6 +33,7 @@
       m_state(state),
       m_pool(&m_sockets, hooks->m_clock, PoolOptions(options)),
       m_metrics(hooks->m_metrics),
+      m_log(hooks->m_clock, options.m_log_requests),
       m_forwarder(forwarding::ForwardContext{
           .m_set = &m_sockets,
           .m_pool = &m_pool,
@@ -42,7 +43,8 @@
           .m_clock = hooks->m_clock,
           .m_post = m_post,
           .m_target_dialect = hooks->m_target_dialect,
-          .m_caller_dialect = hooks->m_caller_dialect}) {
+          .m_caller_dialect = hooks->m_caller_dialect,
+          .m_log = &m_log}) {
   m_forwarder.SetOnEnded([this] {
     UpdateRequestCount();
     CheckDone();
--- a/src/callers/caller_worker.h
+++ b/src/callers/caller_worker.h
@@ -78,6 +78,7 @@
   net::SocketSet m_sockets;
   backends::BackendPool m_pool;
   forwarding::ForwardMetrics m_metrics;
+  forwarding::RequestLog m_log;
   forwarding::RequestForwarder m_forwarder;
   std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>>
       m_connections;
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -185,6 +185,7 @@
 
 void Exchange::Acquire() {
   m_acquiring = true;
+  m_acquired_at = now();
   ++m_acquire_generation;
   m_ticket =
       m_owner->Acquire(m_id, m_acquire_generation, m_traits, m_targets_tried);
@@ -203,6 +204,7 @@
 
 void Exchange::OnGrant(util::Expected<Grant> grant) {
   m_acquiring = false;
+  m_waited += now() - m_acquired_at;
   if (grant) {
     StartTry(std::move(*grant.m_value));
   } else if (m_tries.empty()) {
@@ -317,6 +319,7 @@
   if (ended->m_answer_status == 0) {
     ended->m_report.m_latency = now() - ended->m_sent_at;
   }
+  TellOfTry(*ended, end);
   context().m_router->Release(ended->m_grant, *m_traits, ended->m_report);
 }
 
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -123,6 +123,11 @@
   void Count(Outcome outcome);
   void End();
 
+  // The log.
+  void TellOfTry(const Try& ended, AttemptEnd end);
+  void TellOfEnd(int status, const std::string& why);
+  std::string RequestId() const;
+
   const ForwardContext& context() const { return m_owner->m_context; }
   bool repeatable() const { return m_request.m_class->m_repeatable; }
   bool claims() const { return !repeatable() && m_request.m_class->m_claims; }
@@ -150,6 +155,9 @@
   std::uint64_t m_ticket = 0;
   bool m_acquiring = false;
 
+  // When the last wait for a target began.
+  TimePoint m_acquired_at;
+  Duration m_waited{};
   ClassSeries* m_series = nullptr;
   RecordedAnswer m_record;
   bool m_record_too_large = false;
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -128,6 +128,7 @@
   EndTry(from, server_error ? AttemptEnd::kServerError : AttemptEnd::kAnswered);
   FinishClaim(Outcome::kDone);
   Count(Outcome::kDone);
+  TellOfEnd(from->m_answer_status, {});
   const Duration added = now() - m_request.m_arrived - backend_time;
   m_series->m_added_seconds->Observe(Seconds(added));
   if (m_caller_present) {
@@ -167,6 +168,7 @@
 void Exchange::CutShort() {
   FinishClaim(Outcome::kUnknown);
   Count(Outcome::kUnknown);
+  TellOfEnd(0, "the answer broke off");
   if (m_caller_present) {
     m_hooks.m_on_abort();
   }
@@ -306,8 +308,11 @@
 void Exchange::AnswerError(const Error& error, Outcome outcome) {
   Count(outcome);
   context().m_metrics->CountOwnAnswer(error.m_kind);
-  m_hooks.m_on_answer(context().m_caller_dialect->m_error_answer(
-      error, outcome, Duration::zero()));
+  const WholeAnswer answer = context().m_caller_dialect->m_error_answer(
+      error, outcome, Duration::zero());
+  TellOfEnd(answer.m_head.m_status,
+            std::string(AnswerFor(error.m_kind).m_name) + ": " + error.m_text);
+  m_hooks.m_on_answer(answer);
 }
 
 void Exchange::FinishClaim(Outcome outcome) {
--- /dev/null
+++ b/src/forwarding/exchange_log.cc
@@ -0,0 +1,92 @@
+// The log lines of a request.
+
+#include <cstdio>
+#include <string>
+
+#include "forwarding/exchange.h"
+
+namespace guavacross::forwarding {
+
+namespace {
+
+constexpr int kFirstServerError = 500;
+
+std::string InMilliseconds(Duration duration) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.1f", Milliseconds(duration));
+  return text;
+}
+
+std::string_view EndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kServerError:
+      return "server-error";
+    case AttemptEnd::kRefusedNotRun:
+      return "refused-not-run";
+    case AttemptEnd::kWrongTarget:
+      return "wrong-target";
+    case AttemptEnd::kConnectFailed:
+      return "connect-failed";
+    case AttemptEnd::kReset:
+      return "reset";
+    case AttemptEnd::kTimeout:
+      return "timeout";
+    case AttemptEnd::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+}  // namespace
+
+std::string Exchange::RequestId() const {
+  const std::string& name = context().m_target_dialect->m_request_id_header;
+  return std::string(m_request.m_head.m_fields.Find(name).value_or(""));
+}
+
+void Exchange::TellOfTry(const Try& ended, AttemptEnd end) {
+  if (end == AttemptEnd::kAnswered || context().m_log == nullptr ||
+      !context().m_log->TellsTrouble()) {
+    return;
+  }
+  RequestLog::Tell("attempt ended", RequestId(),
+                   {{"end", std::string(EndName(end))},
+                    {"target", ended.m_grant.m_target},
+                    {"address", ToString(ended.m_grant.m_address)},
+                    {"service", ended.m_grant.m_service},
+                    {"status", std::to_string(ended.m_answer_status)},
+                    {"sent_ms_ago", InMilliseconds(now() - ended.m_sent_at)},
+                    {"attempt", std::to_string(m_targets_tried.size())}});
+}
+
+void Exchange::TellOfEnd(int status, const std::string& why) {
+  RequestLog* const log = context().m_log;
+  if (log == nullptr) {
+    return;
+  }
+  const bool trouble = status == 0 || status >= kFirstServerError ||
+                       !why.empty() || m_targets_tried.size() > 1;
+  if (!(trouble ? log->TellsTrouble() : log->TellsSuccess())) {
+    return;
+  }
+  const bool bounded = m_request.m_deadline != TimePoint::max();
+  RequestLog::Fields fields = {
+      {"status", std::to_string(status)},
+      {"route", m_request.m_class->m_name},
+      {"service", m_request.m_service->m_name},
+      {"attempts", std::to_string(m_targets_tried.size())},
+      {"last_target", m_targets_tried.empty() ? "" : m_targets_tried.back()},
+      {"waited_ms", InMilliseconds(m_waited)},
+      {"total_ms", InMilliseconds(now() - m_request.m_arrived)},
+      {"left_ms", bounded ? InMilliseconds(m_request.m_deadline - now())
+                          : std::string("unbounded")},
+      {"caller", m_caller_present ? "present" : "gone"}};
+  if (!why.empty()) {
+    fields.emplace_back("why", why);
+  }
+  RequestLog::Tell("request ended", RequestId(), fields);
+}
+
+}  // namespace guavacross::forwarding
--- a/src/forwarding/request_forwarder.h
+++ b/src/forwarding/request_forwarder.h
@@ -12,6 +12,7 @@
 #include "forwarding/caller_dialect.h"
 #include "forwarding/forward_metrics.h"
 #include "forwarding/own_answer.h"
+#include "forwarding/request_log.h"
 #include "forwarding/worker_post.h"
 #include "guavacross/document.h"
 #include "guavacross/ledger.h"
@@ -73,6 +74,8 @@
   const backends::TargetDialect* m_target_dialect =
       &backends::OwnTargetDialect();
   const CallerDialect* m_caller_dialect = &OwnCallerDialect();
+  /// May be null.
+  RequestLog* m_log = nullptr;
 };
 
 class Exchange;
--- /dev/null
+++ b/src/forwarding/request_log.cc
@@ -0,0 +1,65 @@
+#include "forwarding/request_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "util/log.h"
+
+namespace guavacross::forwarding {
+
+namespace {
+
+// Lines about trouble in a second, and at once: a line costs about 20 µs, so
+// that they take less than a hundredth of a core.
+constexpr double kTroublePerSecond = 100;
+constexpr double kTroubleBurst = 300;
+
+// Of the requests that went well, one in this many is told.
+constexpr std::uint64_t kSuccessesPerLine = 50;
+
+}  // namespace
+
+RequestLog::RequestLog(Clock clock, bool enabled)
+    : m_clock(std::move(clock)),
+      m_enabled(enabled),
+      m_tokens(kTroubleBurst),
+      m_refilled_at(m_clock.m_now()) {}
+
+void RequestLog::Refill() {
+  const TimePoint now = m_clock.m_now();
+  m_tokens =
+      std::min(kTroubleBurst,
+               m_tokens + kTroublePerSecond * Seconds(now - m_refilled_at));
+  m_refilled_at = now;
+}
+
+bool RequestLog::TellsTrouble() {
+  if (!m_enabled) {
+    return false;
+  }
+  Refill();
+  if (m_tokens < 1) {
+    ++m_left_out;
+    return false;
+  }
+  m_tokens -= 1;
+  if (m_left_out > 0) {
+    util::LogWarning("requests", "lines about requests were left out",
+                     {{"count", std::to_string(std::exchange(m_left_out, 0))}});
+  }
+  return true;
+}
+
+bool RequestLog::TellsSuccess() {
+  return m_enabled && m_successes++ % kSuccessesPerLine == 0;
+}
+
+void RequestLog::Tell(std::string_view event,
+                      const std::string& id,
+                      const Fields& fields) {
+  Fields all = {{"request", id}};
+  all.insert(all.end(), fields.begin(), fields.end());
+  util::LogFields("requests", event, all);
+}
+
+}  // namespace guavacross::forwarding
--- a/src/guavacross/commands.h
+++ b/src/guavacross/commands.h
@@ -14,6 +14,8 @@
 int Serve(int argc, char** argv);
 /// Runs an entry instance on the Darkframe platform.
 int Platform(int argc, char** argv);
+/// Prints the story of one request out of log files.
+int Explain(int argc, char** argv);
 /// Checks documents.
 int Check(int argc, char** argv);
 /// Publishes sections of a document.
--- /dev/null
+++ b/src/guavacross/explain_command.cc
@@ -0,0 +1,123 @@
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "guavacross/command_line.h"
+#include "guavacross/commands.h"
+
+namespace guavacross::commands {
+
+namespace {
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options(
+      "guavacross explain",
+      "Prints the log lines of one request in the order of their time, out of "
+      "the instances' log files or of standard input, and with each target "
+      "that it was sent to what became of that target.");
+  auto add = options.add_options();
+  add("request", "the request's id", cxxopts::value<std::string>());
+  add("files", "log files; standard input if there are none",
+      cxxopts::value<std::vector<std::string>>());
+  add("help", "this text");
+  options.parse_positional({"request", "files"});
+  options.positional_help("REQUEST-ID [FILE...]");
+  return options;
+}
+
+// The value of a field in a line, or nothing.
+std::optional<std::string> FieldOf(const std::string& line,
+                                   const std::string& name) {
+  const std::string start = " " + name + "=\"";
+  const std::size_t at = line.find(start);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::size_t from = at + start.size();
+  return line.substr(from, line.find('"', from) - from);
+}
+
+// Lines begin with their time, so that the whole line orders them. What stands
+// before it, such as the name of a file, is left out.
+std::string FromItsTime(const std::string& line) {
+  const std::size_t level = line.find(" level=");
+  const std::size_t before =
+      level == std::string::npos ? 0 : line.rfind(' ', level - 1);
+  return before == std::string::npos || level == std::string::npos
+             ? line
+             : line.substr(before + 1);
+}
+
+void ReadLines(std::istream& in, std::vector<std::string>* lines) {
+  std::string line;
+  while (std::getline(in, line)) {
+    lines->push_back(FromItsTime(line));
+  }
+}
+
+Result<std::vector<std::string>> ReadAll(
+    const std::vector<std::string>& files) {
+  std::vector<std::string> lines;
+  if (files.empty()) {
+    ReadLines(std::cin, &lines);
+  }
+  for (const std::string& name : files) {
+    std::ifstream file(name);
+    if (!file) {
+      return Fail(ErrorKind::kBadSettings, "cannot read " + name);
+    }
+    ReadLines(file, &lines);
+  }
+  std::stable_sort(lines.begin(), lines.end());
+  return lines;
+}
+
+Result<int> Run(const cxxopts::ParseResult& flags) {
+  if (flags.count("request") == 0) {
+    return Fail(ErrorKind::kBadSettings, "which request? name its id");
+  }
+  const std::string id = flags["request"].as<std::string>();
+  BOOST_LEAF_AUTO(lines, ReadAll(ListFlag(flags, "files")));
+  std::vector<std::string> targets;
+  bool found = false;
+  for (const std::string& line : lines) {
+    if (FieldOf(line, "request") == id) {
+      found = true;
+      std::cout << line << "\n";
+      for (const char* const field : {"target", "last_target"}) {
+        const auto target = FieldOf(line, field);
+        if (target.has_value() && !target->empty() &&
+            std::find(targets.begin(), targets.end(), *target) ==
+                targets.end()) {
+          targets.push_back(*target);
+        }
+      }
+    }
+  }
+  if (!found) {
+    std::cout << "no line tells of request " << id
+              << "; of requests that went well only some are told\n";
+    return kExitFailed;
+  }
+  for (const std::string& target : targets) {
+    std::cout << "\ntarget " << target << ":\n";
+    for (const std::string& line : lines) {
+      if (FieldOf(line, "target") == target && !FieldOf(line, "request")) {
+        std::cout << line << "\n";
+      }
+    }
+  }
+  return kExitOk;
+}
+
+}  // namespace
+
+int Explain(int argc, char** argv) {
+  return RunWithFlags(MakeOptions(), argc, argv, Run);
+}
+
+}  // namespace guavacross::commands
--- a/src/guavacross/guavacross_main.cc
+++ b/src/guavacross/guavacross_main.cc
@@ -18,6 +18,8 @@
     Command{"serve", commands::Serve, "run an entry instance"},
     Command{"platform", commands::Platform,
             "run an entry instance on the Darkframe platform"},
+    Command{"explain", commands::Explain,
+            "print a request's story out of log files"},
     Command{"check", commands::Check, "check a configuration document"},
     Command{"publish", commands::Publish, "publish sections of a document"},
     Command{"status", commands::Status,
--- a/src/guavacross/platform_command.cc
+++ b/src/guavacross/platform_command.cc
@@ -1,9 +1,9 @@
 #include <QCoreApplication>
-#include <QFileInfo>
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -26,6 +26,10 @@
 // Names the settings file unless --settings does.
 constexpr char kSettingsVariable[] = "GUAVACROSS_SETTINGS";
 
+// How often the settings file is looked at without a signal. Reading it takes
+// about 0.1 ms.
+constexpr Duration kSettingsInterval = std::chrono::seconds(2);
+
 cxxopts::Options MakeOptions() {
   cxxopts::Options options(
       "guavacross platform",
@@ -59,21 +63,83 @@
   return named == nullptr ? std::string() : named;
 }
 
+// Re-reads the settings file when a signal says that it has changed, and looks
+// at it from time to time, since it may change without one.
+class SettingsWatcher {
+ public:
+  SettingsWatcher(std::string path,
+                  platform::Settings settings,
+                  Clock clock,
+                  std::function<void(const platform::Settings&)> on_change)
+      : m_path(std::move(path)),
+        m_settings(std::move(settings)),
+        m_clock(std::move(clock)),
+        m_on_change(std::move(on_change)) {
+    Schedule();
+  }
+
+  void Look() {
+    const util::Expected<platform::Settings> read =
+        util::Catch([&] { return ReadSettings(m_path); });
+    if (!read) {
+      if (m_last_error != read.m_error.m_text) {
+        m_last_error = read.m_error.m_text;
+        util::LogWarning("settings",
+                         "the file can't be read; the last settings stay in "
+                         "force",
+                         {{"why", m_last_error}});
+      }
+      return;
+    }
+    m_last_error.clear();
+    if (*read.m_value != m_settings) {
+      m_settings = *read.m_value;
+      util::LogChange(
+          "settings", "changed settings in force",
+          {{"seeds", std::to_string(m_settings.m_instance.m_seeds.size())}});
+      m_on_change(m_settings);
+    }
+  }
+
+ private:
+  void Schedule() {
+    m_timer = m_clock.m_call_after(kSettingsInterval, [this] {
+      Look();
+      Schedule();
+    });
+  }
+
+  std::string m_path;
+  platform::Settings m_settings;
+  Clock m_clock;
+  std::function<void(const platform::Settings&)> m_on_change;
+  std::string m_last_error;
+  std::unique_ptr<Timer> m_timer;
+};
+
 // Runs the instance on this thread's event loop until it has shut down.
-int RunInstance(const platform::Settings& settings, int argc, char** argv) {
+int RunInstance(const std::string& path,
+                const platform::Settings& settings,
+                int argc,
+                char** argv) {
   QCoreApplication application(argc, argv);
   util::StartLogging(settings.m_instance.m_name, settings.m_log_level,
                      util::LogOutput::kStandardOutput);
+  const Clock clock = util::QtClock();
   std::unique_ptr<platform::Program> program;
+  SettingsWatcher settings_watcher(
+      path, settings, clock,
+      [&](const platform::Settings& changed) { program->Reload(changed); });
   bool shutting_down = false;
   const util::SignalWatcher watcher([&](int signal) {
     if (signal == SIGHUP) {
-      util::LogChange("serve", "settings file changed");
+      util::LogChange("settings", "SIGHUP: the file may have changed");
+      settings_watcher.Look();
     } else if (!std::exchange(shutting_down, true)) {
       program->Shutdown([] { QCoreApplication::exit(kExitOk); });
     }
   });
-  program = std::make_unique<platform::Program>(settings, util::QtClock());
+  program = std::make_unique<platform::Program>(settings, clock);
   const util::Expected<bool> started =
       util::Catch([&] { return program->Start(); });
   if (!started) {
@@ -98,8 +164,9 @@
     std::cout << options.help();
     return kExitOk;
   }
+  const std::string path = SettingsPath(*flags);
   const util::Expected<platform::Settings> settings =
-      util::Catch([&] { return ReadSettings(SettingsPath(*flags)); });
+      util::Catch([&] { return ReadSettings(path); });
   if (!settings) {
     std::cerr << "guavacross platform: " << settings.m_error.m_text
               << std::endl;
@@ -109,7 +176,7 @@
     std::cout << "the settings are good" << std::endl;
     return kExitOk;
   }
-  return RunInstance(*settings.m_value, argc, argv);
+  return RunInstance(path, *settings.m_value, argc, argv);
 }
 
 }  // namespace guavacross::commands
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -148,6 +148,16 @@
     ScheduleExpiry();
   }
 
+  void Reload(const RouteInstanceOptions& options) {
+    m_options.m_seeds = options.m_seeds;
+    m_options.m_budgets = options.m_budgets;
+    m_options.m_grace = options.m_grace;
+    m_peers->SetListed(Seeds());
+    if (m_table != nullptr) {
+      ApplyPlans();
+    }
+  }
+
   void Shutdown(std::function<void()> on_done) {
     if (m_leaving.exchange(true)) {
       return;
@@ -240,6 +250,7 @@
     options.m_shutdown_limit = kFinishBefore - kCutOffBefore;
     options.m_half_close_is_leaving = true;
     options.m_close_while_leaving = true;
+    options.m_log_requests = true;
 
     callers::CallerServerHooks hooks;
     hooks.m_router = m_router.get();
@@ -276,7 +287,9 @@
     std::vector<ListedInstance> listed;
     for (const Endpoint& seed : m_options.m_seeds) {
       if (seed != m_options.m_peers) {
-        listed.push_back({.m_name = ToString(seed), .m_peers = seed});
+        ListedInstance& instance = listed.emplace_back();
+        instance.m_name = ToString(seed);
+        instance.m_peers = seed;
       }
     }
     return listed;
@@ -465,6 +478,10 @@
   m_impl->SetStoreReachable(reachable, why);
 }
 
+void RouteInstance::Reload(const RouteInstanceOptions& options) {
+  m_impl->Reload(options);
+}
+
 void RouteInstance::Shutdown(std::function<void()> on_done) {
   m_impl->Shutdown(std::move(on_done));
 }
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -104,6 +104,10 @@
   /// The source of table and targets has been lost, or answers again.
   void SetStoreReachable(bool reachable, const std::string& why);
 
+  /// Puts changed settings in force: seeds and budgets. Addresses, the name and
+  /// the place are those of the start.
+  void Reload(const RouteInstanceOptions& options);
+
   /// Leaves the address answers, goes on accepting, refuses what can't be
   /// finished in time, and calls `on_done` once before the grace time ends.
   void Shutdown(std::function<void()> on_done);
--- /dev/null
+++ b/src/util/bounded_appender.cc
@@ -0,0 +1,66 @@
+#include "util/bounded_appender.h"
+
+#include <utility>
+
+namespace guavacross::util {
+
+BoundedAppender::BoundedAppender(std::size_t max_lines, Write write)
+    : m_max_lines(max_lines),
+      m_write(std::move(write)),
+      m_thread([this] { Run(); }) {}
+
+BoundedAppender::~BoundedAppender() {
+  // log4cplus asks each appender to end itself in its own destructor.
+  destructorImpl();
+}
+
+void BoundedAppender::close() {
+  {
+    const std::lock_guard lock(m_mutex);
+    if (std::exchange(m_stopping, true)) {
+      return;
+    }
+    m_changed.notify_one();
+  }
+  m_thread.join();
+  closed = true;
+}
+
+void BoundedAppender::append(
+    const log4cplus::spi::InternalLoggingEvent& event) {
+  const std::string& line = formatEvent(event);
+  const std::lock_guard lock(m_mutex);
+  if (m_lines.size() >= m_max_lines) {
+    ++m_left_out;
+    return;
+  }
+  m_lines.push_back(line);
+  m_changed.notify_one();
+}
+
+void BoundedAppender::Run() {
+  std::unique_lock lock(m_mutex);
+  while (true) {
+    m_changed.wait(lock, [this] { return m_stopping || !m_lines.empty(); });
+    if (m_lines.empty()) {
+      return;
+    }
+    std::deque<std::string> lines = std::exchange(m_lines, {});
+    const std::uint64_t left_out = std::exchange(m_left_out, 0);
+    if (left_out > 0) {
+      lines.push_back(
+          "level=WARN package=log event=\"lines were left out\" "
+          "count=\"" +
+          std::to_string(left_out) + "\"\n");
+    }
+    lock.unlock();
+    std::string text;
+    for (const std::string& line : lines) {
+      text += line;
+    }
+    m_write(text);
+    lock.lock();
+  }
+}
+
+}  // namespace guavacross::util
--- a/src/util/log.cc
+++ b/src/util/log.cc
@@ -9,10 +9,15 @@
 #include <cstdio>
 #include <memory>
 
+#include "util/bounded_appender.h"
+
 namespace guavacross::util {
 
 namespace {
 
+// Lines that wait to be written: some seconds' worth at the highest rate.
+constexpr std::size_t kMaxQueuedLines = 2000;
+
 // The library needs an initializer object that lives as long as the process.
 log4cplus::Initializer& Library() {
   static log4cplus::Initializer initializer;
@@ -53,10 +58,18 @@
                   const std::string& level,
                   LogOutput output) {
   Library();
-  const bool to_standard_error = output == LogOutput::kStandardError;
-  const bool flush_each_line = true;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(to_standard_error, flush_each_line));
+  log4cplus::SharedAppenderPtr appender;
+  if (output == LogOutput::kStandardError) {
+    const bool flush_each_line = true;
+    appender =
+        new log4cplus::ConsoleAppender(/*logToStdErr=*/true, flush_each_line);
+  } else {
+    appender =
+        new BoundedAppender(kMaxQueuedLines, [](const std::string& text) {
+          std::fwrite(text.data(), 1, text.size(), stdout);
+          std::fflush(stdout);
+        });
+  }
   const std::string pattern =
       "%D{%Y-%m-%dT%H:%M:%S.%q} level=%p instance=" + instance +
       " package=%c %m%n";
@@ -68,7 +81,7 @@
 }
 
 std::string FormatLogLine(std::string_view event,
-                          std::initializer_list<LogField> fields) {
+                          const std::vector<LogField>& fields) {
   std::string line = "event=\"";
   AppendEscaped(event, &line);
   line.push_back('"');
@@ -82,14 +95,20 @@
   return line;
 }
 
-void LogChange(std::string_view package,
+void LogFields(std::string_view package,
                std::string_view event,
-               std::initializer_list<LogField> fields) {
+               const std::vector<LogField>& fields) {
   Library();
   const auto logger = log4cplus::Logger::getInstance(std::string(package));
   LOG4CPLUS_INFO(logger, FormatLogLine(event, fields));
 }
 
+void LogChange(std::string_view package,
+               std::string_view event,
+               std::initializer_list<LogField> fields) {
+  LogFields(package, event, fields);
+}
+
 void LogWarning(std::string_view package,
                 std::string_view event,
                 std::initializer_list<LogField> fields) {
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 /// Structured log lines through log4cplus.
 ///
@@ -18,8 +19,10 @@
 /// Where log lines go.
 enum class LogOutput { kStandardError, kStandardOutput };
 
-/// Sends log lines to `output`. `level` is debug, info, warn or error.
-/// `instance` is added to each line. Call once, before threads start.
+/// Sends log lines to `output`. Standard output is written by a thread of its
+/// own, behind a queue of bounded length, so that logging never waits. `level`
+/// is debug, info, warn or error. `instance` is added to each line. Call once,
+/// before threads start.
 void StartLogging(const std::string& instance,
                   const std::string& level,
                   LogOutput output = LogOutput::kStandardError);
@@ -34,10 +37,15 @@
                 std::string_view event,
                 std::initializer_list<LogField> fields = {});
 
+/// As `LogChange`, for fields that are gathered.
+void LogFields(std::string_view package,
+               std::string_view event,
+               const std::vector<LogField>& fields);
+
 /// The line's text: `event="..." key="value"`, with quotes and control
 /// characters escaped.
 std::string FormatLogLine(std::string_view event,
-                          std::initializer_list<LogField> fields);
+                          const std::vector<LogField>& fields);
 
 }  // namespace guavacross::util
 
