Signals reach the instance, not its log; a case with real processes

Cause: the first run of the case platform-whole-path: the log's thread started before the signals were blocked, took SIGHUP and SIGTERM, and ended the process.

Change: signals are blocked before the log's thread starts. Stand-ins of the store and of registered targets; the case covers the first configuration, routes, limits, changed settings, unreadable configurations and entries, drains, a silent store, lost history, and SIGTERM.

--- a/src/guavacross/explain_command.cc
+++ b/src/guavacross/explain_command.cc
@@ -23,7 +23,6 @@
   add("request", "the request's id", cxxopts::value<std::string>());
   add("files", "log files; standard input if there are none",
       cxxopts::value<std::vector<std::string>>());
-  add("help", "this text");
   options.parse_positional({"request", "files"});
   options.positional_help("REQUEST-ID [FILE...]");
   return options;
--- a/src/guavacross/platform_command.cc
+++ b/src/guavacross/platform_command.cc
@@ -123,22 +123,24 @@
                 int argc,
                 char** argv) {
   QCoreApplication application(argc, argv);
-  util::StartLogging(settings.m_instance.m_name, settings.m_log_level,
-                     util::LogOutput::kStandardOutput);
-  const Clock clock = util::QtClock();
   std::unique_ptr<platform::Program> program;
-  SettingsWatcher settings_watcher(
-      path, settings, clock,
-      [&](const platform::Settings& changed) { program->Reload(changed); });
+  std::unique_ptr<SettingsWatcher> settings_watcher;
   bool shutting_down = false;
+  // Before the log's thread, which would take the signals otherwise.
   const util::SignalWatcher watcher([&](int signal) {
     if (signal == SIGHUP) {
       util::LogChange("settings", "SIGHUP: the file may have changed");
-      settings_watcher.Look();
+      settings_watcher->Look();
     } else if (!std::exchange(shutting_down, true)) {
       program->Shutdown([] { QCoreApplication::exit(kExitOk); });
     }
   });
+  util::StartLogging(settings.m_instance.m_name, settings.m_log_level,
+                     util::LogOutput::kStandardOutput);
+  const Clock clock = util::QtClock();
+  settings_watcher = std::make_unique<SettingsWatcher>(
+      path, settings, clock,
+      [&](const platform::Settings& changed) { program->Reload(changed); });
   program = std::make_unique<platform::Program>(settings, clock);
   const util::Expected<bool> started =
       util::Catch([&] { return program->Start(); });
--- /dev/null
+++ b/testsuite/platform_standin.py
@@ -0,0 +1,195 @@
+"""Stand-ins of the platform for cases with real processes: its store, with the
+keyed topics that operators and backend servers write, and backend servers that
+register themselves. Written from the platform's protocol; they know the faults
+that the cases need, not all of its rules."""
+
+import base64
+import http.server
+import json
+import struct
+import threading
+import time
+import urllib.parse
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 64
+
+    def handle_error(self, *_):
+        """Connections that the instance resets are no news."""
+
+
+def _serve(address, handler):
+    ip, port = address.rsplit(":", 1)
+    server = _Server((ip, int(port)), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Store:
+    """The store: `append` writes as operators and backend servers do.
+
+    `refused` holds ports of instances' calls that are answered 503 (by the
+    instance's peer address, which the store can't know, all or none), `down`
+    makes it silent, `forget` drops the history."""
+
+    def __init__(self, address):
+        self._topics = {}
+        self._first = {}
+        self._changed = threading.Condition()
+        self.down = False
+        self.refusing = False
+        self.calls = 0
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                store._answer(self)
+
+        self._server = _serve(address, Handler)
+
+    def append(self, topic, key, value):
+        """Appends a record; without a value the key is dropped."""
+        text = json.dumps(value) if isinstance(value, (dict, list)) else value
+        with self._changed:
+            self._topics.setdefault(topic, []).append((key, text))
+            self._changed.notify_all()
+
+    def forget(self, topic):
+        with self._changed:
+            self._first[topic] = len(self._topics.get(topic, []))
+
+    def _answer(self, handler):
+        self.calls += 1
+        if self.down:
+            # Long enough for any caller to give up.
+            time.sleep(5)
+            handler.close_connection = True
+            return
+        if self.refusing:
+            handler.answer(503)
+            return
+        url = urllib.parse.urlsplit(handler.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if url.path == "/log-newest":
+            handler.answer(200, self._newest(query["Topic"]))
+        elif url.path == "/log-read":
+            handler.answer(*self._read(query["Topic"], int(query["From"]),
+                                       int(query.get("WaitMs", 0))))
+        else:
+            handler.answer(404)
+
+    def _newest(self, topic):
+        with self._changed:
+            log = list(self._topics.get(topic, []))
+        newest = {key: (offset, value)
+                  for offset, (key, value) in enumerate(log)}
+        items = [{"Key": key, "Offset": offset,
+                  "Value": base64.b64encode(value.encode()).decode()}
+                 for key, (offset, value) in newest.items()
+                 if value is not None]
+        return json.dumps({"items": items, "HasMore": False,
+                           "End": len(log)}).encode()
+
+    def _read(self, topic, first, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        with self._changed:
+            while (len(self._topics.get(topic, [])) <= first
+                   and time.monotonic() < end):
+                self._changed.wait(end - time.monotonic())
+            log = self._topics.get(topic, [])
+            retained = self._first.get(topic, 0)
+            if first < retained:
+                return 410, json.dumps({"First": retained}).encode()
+            body = struct.pack(">QQ", len(log), retained)
+            for key, value in log[first:]:
+                content = bytes([len(key)]) + key.encode()
+                content += (value or "").encode()
+                body += struct.pack(">I", len(content)) + content
+            return 200, body
+
+
+class Target:
+    """A backend server that registers itself and counts what it runs."""
+
+    def __init__(self, store, address, name, service, work_s=0.0):
+        self.store, self.address = store, address
+        self.name, self.service = name, service
+        self.work_s = work_s
+        self.runs = []
+        self.misdirected = 0
+        self._born = int(time.time() * 1000)
+        self._heartbeat = 0
+        self._lock = threading.Lock()
+        target = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                target._answer(self)
+
+            do_POST = do_GET
+
+        self._server = _serve(address, Handler)
+        self.register()
+
+    def register(self, state="ready", **fields):
+        self._heartbeat += 1
+        entry = {"Service": self.service, "Address": self.address,
+                 "Zone": "zone-a", "Version": "v1", "Slots": 4, "State": state,
+                 "WarmupLeftMs": 0, "Seq": self._heartbeat, "born": self._born}
+        self.store.append("keyed.servers", self.name, {**entry, **fields})
+
+    def leave(self):
+        self.store.append("keyed.servers", self.name, None)
+
+    def _answer(self, handler):
+        length = int(handler.headers.get("Content-Length") or 0)
+        handler.rfile.read(length)
+        load = [("X-Server-Load", "1,0,4,100"), ("X-Instance-Id", self.name)]
+        if handler.path == "/health":
+            handler.answer(200, b"", load)
+            return
+        if handler.headers.get("X-Expected-Instance") != self.name:
+            self.misdirected += 1
+            handler.answer(421, b"", load)
+            return
+        request = handler.headers["X-Request-Id"]
+        with self._lock:
+            self.runs.append(request)
+        time.sleep(self.work_s)
+        handler.answer(200, f"{self.name} ran {request}".encode(),
+                       [("X-Request-Id", request),
+                        ("X-Response-Signature", f"s.{self.name}")])
+
+
+def config(version, routes, services):
+    """A configuration: `routes` are (name, prefix, kind, service)."""
+    return {
+        "Version": version,
+        "Routes": {
+            "Columns": ["Name", "Host", "PathPrefix", "Kind", "TimeoutMs",
+                        "SloMs", "Priority", "Split", "Attempts", "Service"],
+            "Rows": [[name, "shop.example", prefix, kind, 2000, 600, 1, None,
+                      2, service] for name, prefix, kind, service in routes]},
+        "Services": {
+            "Columns": ["Name", "HealthPath", "MaxConns", "Protocol", "Tls"],
+            "Rows": [[name, "/health", 260, "h1", False]
+                     for name in services]},
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1000,
+                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
