--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -28,14 +28,15 @@
   return status >= 100 && status < 200;
 }
 
+constexpr std::string_view kIdleTimeName = "timeout=";
+
 // The time that a `Keep-Alive: timeout=N` field tells, or nothing.
 std::optional<Duration> ToldIdleTime(const http::Fields& fields) {
-  constexpr std::string_view kName = "timeout=";
   const std::string_view text = fields.Find("Keep-Alive").value_or("");
-  const std::size_t at = text.find(kName);
+  const std::size_t at = text.find(kIdleTimeName);
   int seconds = 0;
   if (at == std::string_view::npos ||
-      std::from_chars(text.data() + at + kName.size(),
+      std::from_chars(text.data() + at + kIdleTimeName.size(),
                       text.data() + text.size(), seconds)
               .ec != std::errc() ||
       seconds <= 0) {
--- a/src/backends/target_dialect.cc
+++ b/src/backends/target_dialect.cc
@@ -6,7 +6,7 @@
 namespace guavacross::backends {
 
 const TargetDialect& OwnTargetDialect() {
-  static const TargetDialect dialect{
+  static const TargetDialect kDialect{
       .m_deadline_header = kDeadlineHeader,
       .m_hops_header = kHopsHeader,
       .m_read_load = ReadLoad,
@@ -16,7 +16,7 @@
           },
       .m_is_genuine = [](const http::ResponseHead&) { return true; },
       .m_read_target = [](const http::Fields&) { return std::string(); }};
-  return dialect;
+  return kDialect;
 }
 
 }  // namespace guavacross::backends
--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -132,6 +132,8 @@
   std::unique_ptr<SharedStream> m_stream;
 };
 
+constexpr Duration kTransit = milliseconds(20);
+
 // Several instances that tell each other what they know.
 struct Cluster {
   explicit Cluster(int size) : m_store(&m_clock) {
@@ -161,7 +163,6 @@
   // Every instance tells every other, as heartbeats do. On its way an age seems
   // less than it is.
   void Tell() {
-    constexpr Duration kTransit = milliseconds(20);
     for (const auto& from : m_readers) {
       StreamState state = from->m_stream->state();
       if (state.m_read_at.has_value()) {
--- a/src/forwarding/caller_dialect.cc
+++ b/src/forwarding/caller_dialect.cc
@@ -5,11 +5,11 @@
 namespace guavacross::forwarding {
 
 const CallerDialect& OwnCallerDialect() {
-  static const CallerDialect dialect{
+  static const CallerDialect kDialect{
       .m_error_answer = [](const Error& error, Outcome outcome,
                            Duration) { return ErrorToAnswer(error, outcome); },
       .m_answer_head = HeadForCaller};
-  return dialect;
+  return kDialect;
 }
 
 }  // namespace guavacross::forwarding
--- a/src/include/guavacross/document.h
+++ b/src/include/guavacross/document.h
@@ -156,8 +156,6 @@
   HedgeConfig m_hedge;
   EjectionConfig m_ejection;
   SlowStartConfig m_slow_start;
-  /// Connections that one target accepts from all instances; 0 if not told.
-  int m_max_target_connections = 0;
 
   bool operator==(const ServiceConfig&) const = default;
 };
--- a/src/routes/service_plan.cc
+++ b/src/routes/service_plan.cc
@@ -84,7 +84,6 @@
   plan.m_probe.m_probe_cost = Duration::zero();
   plan.m_probe.m_timeout = kProbeTimeout;
   plan.m_probe.m_before_placing = true;
-  plan.m_max_target_connections = service.m_max_connections;
   return plan;
 }
 
