--- a/src/backends/probe_runner.cc
+++ b/src/backends/probe_runner.cc
@@ -182,11 +182,11 @@
 
   Router* m_router;
   Clock m_clock;
-  prometheus::Counter& m_answered;
-  prometheus::Counter& m_failed;
   const TargetDialect* m_dialect;
   net::SocketSet m_sockets;
   BackendPool m_pool;
+  prometheus::Counter& m_answered;
+  prometheus::Counter& m_failed;
   std::vector<std::unique_ptr<Probe>> m_probes;
   TimePoint m_first_probe_at;
   TimePoint m_swept_at;
--- a/src/callers/route_classifier.cc
+++ b/src/callers/route_classifier.cc
@@ -30,6 +30,7 @@
 void RouteClassifier::SetTable(std::shared_ptr<const RouteTable> table) {
   const std::lock_guard lock(m_mutex);
   m_table = std::move(table);
+  m_index.emplace(*m_table);
   std::erase_if(m_splits, [this](const auto& entry) {
     return std::none_of(
         m_table->m_routes.begin(), m_table->m_routes.end(),
@@ -65,8 +66,7 @@
     return Fail(ErrorKind::kBadRequest, "the request target must be a path");
   }
   const std::string_view host = head.m_fields.Find("Host").value_or("");
-  const Route* const route =
-      FindRoute(*m_table, host, http::PathOf(head.m_target));
+  const Route* const route = m_index->Find(host, http::PathOf(head.m_target));
   if (route == nullptr) {
     return Fail(ErrorKind::kNoMatchingClass,
                 "no route of " + std::string(host) + " takes this path");
--- a/src/callers/route_classifier.h
+++ b/src/callers/route_classifier.h
@@ -46,6 +46,8 @@
   std::string m_deadline_header;
   std::mutex m_mutex;
   std::shared_ptr<const RouteTable> m_table;
+  // Refers to the table.
+  std::optional<RouteIndex> m_index;
   // By route name.
   std::map<std::string, policy::SplitPicker> m_splits;
   std::optional<TimePoint> m_end;
--- a/src/include/guavacross/route_table.h
+++ b/src/include/guavacross/route_table.h
@@ -2,6 +2,7 @@
 #define GUAVACROSS_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -93,11 +94,20 @@
   bool operator==(const RouteTable&) const = default;
 };
 
-/// The route of the host with the longest prefix that begins `path`, or null.
-/// A port in `host` is left aside. Pure.
-const Route* FindRoute(const RouteTable& table,
-                       std::string_view host,
-                       std::string_view path);
+/// The routes of a table by host, so that a request looks only at those of its
+/// own. Refers to the table, which must outlive it. Thread safe once made.
+class RouteIndex {
+ public:
+  explicit RouteIndex(const RouteTable& table);
+
+  /// The route of the host with the longest prefix that begins `path`, or null.
+  /// A port in `host` is left aside.
+  const Route* Find(std::string_view host, std::string_view path) const;
+
+ private:
+  // Longest prefix first.
+  std::map<std::string, std::vector<const Route*>, std::less<>> m_by_host;
+};
 
 /// One run of a backend server that has registered itself.
 struct RegisteredTarget {
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -1,5 +1,7 @@
 #include "guavacross/route_table.h"
 
+#include <algorithm>
+
 namespace guavacross {
 
 std::string_view RouteKindName(RouteKind kind) {
@@ -14,20 +16,29 @@
   return "download";
 }
 
-const Route* FindRoute(const RouteTable& table,
-                       std::string_view host,
-                       std::string_view path) {
-  const std::string_view name = host.substr(0, host.find(':'));
-  const Route* best = nullptr;
+RouteIndex::RouteIndex(const RouteTable& table) {
   for (const Route& route : table.m_routes) {
-    const bool longer = best == nullptr ||
-                        route.m_path_prefix.size() > best->m_path_prefix.size();
-    if (longer && route.m_host == name &&
-        path.starts_with(route.m_path_prefix)) {
-      best = &route;
-    }
+    m_by_host[route.m_host].push_back(&route);
+  }
+  for (auto& [host, routes] : m_by_host) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->m_path_prefix.size() > b->m_path_prefix.size();
+                     });
+  }
+}
+
+const Route* RouteIndex::Find(std::string_view host,
+                              std::string_view path) const {
+  const auto routes = m_by_host.find(host.substr(0, host.find(':')));
+  if (routes == m_by_host.end()) {
+    return nullptr;
   }
-  return best;
+  const auto found = std::find_if(
+      routes->second.begin(), routes->second.end(), [path](const Route* route) {
+        return path.starts_with(route->m_path_prefix);
+      });
+  return found == routes->second.end() ? nullptr : *found;
 }
 
 }  // namespace guavacross
