--- a/src/forwarding/request_log.cc
+++ b/src/forwarding/request_log.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Lines about trouble in a second, and at once: a line costs about 20 µs, so
-// that they take less than a hundredth of a core.
+// Lines about trouble in a second, and at once: enough to tell of every failed
+// request of a bad second at today's load, and a bound on what logging costs.
 constexpr double kTroublePerSecond = 100;
 constexpr double kTroubleBurst = 300;
 
--- a/src/guavacross/platform_command.cc
+++ b/src/guavacross/platform_command.cc
@@ -26,8 +26,8 @@
 // Names the settings file unless --settings does.
 constexpr char kSettingsVariable[] = "GUAVACROSS_SETTINGS";
 
-// How often the settings file is looked at without a signal. Reading it takes
-// about 0.1 ms.
+// How often the settings file is looked at without a signal. Changes that have
+// to be in force sooner come with one.
 constexpr Duration kSettingsInterval = std::chrono::seconds(2);
 
 cxxopts::Options MakeOptions() {
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -77,9 +77,9 @@
   /// what isn't known: the average over the service's targets.
   double Others(const LoadAging& aging, double usual, TimePoint now) const;
 
-  /// How many times longer work takes there: by the target's own last word,
-  /// which neighbours on its machine change many times a second, and with the
-  /// word's age more and more what is `usual` among the service's targets.
+  /// How many times longer work takes there. A target's last word, which
+  /// neighbours on its machine make outdated many times a second, fades towards
+  /// what is `usual` among the service's targets.
   double Slowdown(double usual, TimePoint now) const;
 
   /// How many times slower than usual the target answers; faded towards 1.
