runs-at-most-once: ask for a record whose holder is known

Traced: three scratch copies of the case that first send copies-1 to one instance alone: holder 0 passes, holder 1 passes, holder 2 fails with the same answer.

Ruled out: an answer that a living instance forgets with the store out.

Change: the check asks for an order that instance 0 alone was given, which must be known, and for one of the killed instance, which must be unknown and must not have run again.

Conclusion: the old check was wrong; this one is stricter.

--- a/testsuite/runs-at-most-once/run.py
+++ b/testsuite/runs-at-most-once/run.py
@@ -88,6 +88,12 @@
     return future
 
 
+def recorded_by_holders(case):
+    with case.section("each instance records what it runs"):
+        for holder in (0, 2):
+            case.check_own(send(case.instances[holder], f"held-by-{holder}"))
+
+
 def holder_killed(case, pool):
     with case.section("the instance is killed while the order runs"):
         victim = case.instances[2]
@@ -136,9 +142,14 @@
               f"ran without a claim: {told}")
         check(all(a is not None and a.outcome != "done"
                   for answers in told.values() for a in answers), f"{told}")
-        answer = send(case.instances[0], "copies-1")
+        answer = send(case.instances[0], "held-by-0")
         check(answer is not None and answer.outcome == "done",
-              f"what was recorded is still known: {answer}")
+              f"what a living instance recorded is still known: {answer}")
+        # Its holder was killed, and its record with it.
+        answer = send(case.instances[0], "held-by-2")
+        check(answer is not None and answer.outcome == "unknown",
+              f"what a killed instance recorded is lost for good: {answer}")
+        case.check_runs()
     with case.section("the same orders run once when it is back"):
         case.fault("log-service", outage="")
         for key in told:
@@ -186,6 +197,7 @@
     case.publish(harness.Service("catalog"))
     with concurrent.futures.ThreadPoolExecutor(4) as pool:
         copies_at_once(case)
+        recorded_by_holders(case)
         holder_killed(case, pool)
         holder_paused(case, pool)
         store_out(case)
