One set of hooks for the streams that instances exchange

Cause: PeerHooks and RouteInstanceHooks declared the same three hooks, and an instance copied them one by one.

Change: feed::StreamExchange holds them; both have one.

--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -78,6 +78,22 @@
   bool operator==(const StreamState&) const = default;
 };
 
+/// How instances exchange what they know of streams. Called on the control
+/// thread.
+struct StreamExchange {
+  /// The records of a stream that a peer asks for, and records that a peer has
+  /// read.
+  std::function<std::vector<KeyedRecord>(const std::string& stream,
+                                         std::uint64_t from,
+                                         std::size_t max_bytes)>
+      m_records;
+  std::function<void(const std::string& stream,
+                     const std::vector<KeyedRecord>& records)>
+      m_on_records;
+  /// What a peer knows of a stream.
+  std::function<void(const std::string& peer, const StreamState&)> m_on_stream;
+};
+
 }  // namespace guavacross::feed
 
 #endif  // GUAVACROSS_FEED_SHARED_RECORDS_H_
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -92,18 +92,7 @@
                      const std::string& service,
                      const std::vector<std::pair<std::string, int>>& counts)>
       m_on_in_flight;
-  /// The records of a stream that a peer asks for, and records that a peer has
-  /// read.
-  std::function<std::vector<feed::KeyedRecord>(const std::string& stream,
-                                               std::uint64_t from,
-                                               std::size_t max_bytes)>
-      m_records;
-  std::function<void(const std::string& stream,
-                     const std::vector<feed::KeyedRecord>& records)>
-      m_on_records;
-  /// What a peer knows of a stream.
-  std::function<void(const std::string& peer, const feed::StreamState&)>
-      m_on_stream;
+  feed::StreamExchange m_streams;
   /// Some member's state, address or digest changed.
   std::function<void()> m_on_members;
   /// For `RequestLedger::AnswerPeer` and `TakeHandover`.
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -119,8 +119,8 @@
       m_handed = part;
       return true;
     };
-    hooks.m_records = [this](const std::string&, std::uint64_t from,
-                             std::size_t) {
+    hooks.m_streams.m_records = [this](const std::string&, std::uint64_t from,
+                                       std::size_t) {
       std::vector<feed::KeyedRecord> records;
       for (const feed::KeyedRecord& record : m_records) {
         if (record.m_offset >= from) {
@@ -129,15 +129,17 @@
       }
       return records;
     };
-    hooks.m_on_records = [this](const std::string& stream,
-                                const std::vector<feed::KeyedRecord>& records) {
-      m_taken.insert(m_taken.end(), records.begin(), records.end());
-      m_local.m_streams = {
-          {.m_stream = stream,
-           .m_changed_to = records.empty() ? 0 : records.back().m_offset + 1}};
-    };
-    hooks.m_on_stream = [this](const std::string&,
-                               const feed::StreamState& told) {
+    hooks.m_streams.m_on_records =
+        [this](const std::string& stream,
+               const std::vector<feed::KeyedRecord>& records) {
+          m_taken.insert(m_taken.end(), records.begin(), records.end());
+          m_local.m_streams = {
+              {.m_stream = stream,
+               .m_changed_to =
+                   records.empty() ? 0 : records.back().m_offset + 1}};
+        };
+    hooks.m_streams.m_on_stream = [this](const std::string&,
+                                         const feed::StreamState& told) {
       if (told.m_read_at.has_value()) {
         m_told_reads.push_back(*told.m_read_at);
       }
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -36,14 +36,14 @@
 
 void PeerNetwork::Impl::CompareStreams(const InstanceId& from,
                                        const proto::Heartbeat& heartbeat) {
-  if (!m_hooks.m_on_records || heartbeat.streams_size() == 0) {
+  if (!m_hooks.m_streams.m_on_records || heartbeat.streams_size() == 0) {
     return;
   }
   // What was asked for since the last heartbeat may have come by now.
   m_local.reset();
   for (const proto::StreamState& stream : heartbeat.streams()) {
-    m_hooks.m_on_stream(from.m_name,
-                        ToStream(stream, m_options.m_clock.m_now()));
+    m_hooks.m_streams.m_on_stream(from.m_name,
+                                  ToStream(stream, m_options.m_clock.m_now()));
     const std::uint64_t known = ChangedTo(Local().m_streams, stream.stream());
     if (stream.changed_to() > known) {
       FetchRecords(from, stream.stream(), known);
@@ -76,17 +76,17 @@
            }
            records.push_back(std::move(record));
          }
-         m_hooks.m_on_records(stream, records);
+         m_hooks.m_streams.m_on_records(stream, records);
        });
 }
 
 void PeerNetwork::Impl::AnswerRecords(const proto::RecordsRequest& request,
                                       proto::RecordsReply* reply) const {
-  if (!m_hooks.m_records) {
+  if (!m_hooks.m_streams.m_records) {
     return;
   }
-  for (const feed::KeyedRecord& record :
-       m_hooks.m_records(request.stream(), request.from(), kMaxRecordBytes)) {
+  for (const feed::KeyedRecord& record : m_hooks.m_streams.m_records(
+           request.stream(), request.from(), kMaxRecordBytes)) {
     proto::StoreRecord* const told = reply->add_records();
     told->set_key(record.m_key);
     told->set_offset(record.m_offset);
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -229,9 +229,7 @@
     hooks.m_post = m_control.poster();
     hooks.m_local_state = [this] { return LocalState(); };
     hooks.m_on_members = [this] { CountInstances(); };
-    hooks.m_records = m_hooks.m_records;
-    hooks.m_on_records = m_hooks.m_on_records;
-    hooks.m_on_stream = m_hooks.m_on_stream;
+    hooks.m_streams = m_hooks.m_exchange;
     LearnFromPeers(m_router.get(), &hooks);
     m_peers = std::make_unique<peers::PeerNetwork>(std::move(options),
                                                    std::move(hooks));
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -53,20 +53,10 @@
   std::function<std::optional<forwarding::WholeAnswer>(
       const http::RequestHead&)>
       m_answer_locally;
-  /// What this instance knows of the store's streams, the records of one that a
-  /// peer asks for, and records that a peer has read. Called on the control
+  /// What this instance knows of the store's streams; called on the control
   /// thread.
   std::function<std::vector<feed::StreamState>()> m_streams;
-  std::function<std::vector<feed::KeyedRecord>(const std::string& stream,
-                                               std::uint64_t from,
-                                               std::size_t max_bytes)>
-      m_records;
-  std::function<void(const std::string& stream,
-                     const std::vector<feed::KeyedRecord>& records)>
-      m_on_records;
-  /// What a peer knows of a stream.
-  std::function<void(const std::string& peer, const feed::StreamState&)>
-      m_on_stream;
+  feed::StreamExchange m_exchange;
 };
 
 /// An entry instance whose configuration is a table of routes and whose targets
