Hold a request that may have killed a target until the news has travelled

Cause: a crashing request ends within milliseconds, is sent again to a second target at once, and its caller sends it to the next instance after 6 ms. On a busy machine the news of either loss takes longer than that, and each instance that doesn't know it loses two targets of its own.

Change: a suspect, one that was in flight on a target that was lost and has had no answer since, is held for 30 ms before each attempt, also before the retry. By then the other instances know of the first loss, and hold the request in turn until they know of the second. Requests whose connection had merely been closed while idle are sent again at once, as before.

New story: SuspectWaitsForNews.

--- /dev/null
+++ b/src/forwarding/answer_identity_test.cc
@@ -0,0 +1,117 @@
+// Which answers belong to a request, and which requests wait for news of their
+// like.
+
+#include <chrono>
+#include <string>
+
+#include "callers/worker_fixture.h"
+#include "util/story_test.h"
+
+namespace guavacross::forwarding {
+
+namespace {
+
+using callers::Get;
+using callers::Post;
+using callers::Reply;
+using callers::WorkerFixture;
+using net::RunEvents;
+using net::TestPeer;
+using net::WaitUntil;
+using util::Section;
+
+constexpr char kOneId[] = "X-Request-Id: one\r\n";
+
+// The value of a header that a backend server received.
+std::string ValueOf(const TestPeer& peer, const std::string& name) {
+  const std::string& text = peer.received();
+  const std::size_t begin = text.rfind(name + ": ");
+  CPPUNIT_ASSERT(begin != std::string::npos);
+  const std::size_t value = begin + name.size() + 2;
+  return text.substr(value, text.find("\r\n", value) - value);
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(AnswersThatMustRepeatTheRequestsId) {
+  WorkerFixture fixture;
+  ServiceConfig service = fixture.Service();
+  service.m_request_id_header = "X-Request-Id";
+  fixture.Configure(service);
+  TestPeer& caller = fixture.Caller();
+
+  Section("one without an id, as sent before any request, is passed over", [&] {
+    caller.Send(Get("/first", kOneId));
+    TestPeer& backend = fixture.BackendGot("GET /first ");
+    backend.Send(Reply("early"));
+    RunEvents();
+    CPPUNIT_ASSERT(!caller.Received("early"));
+    backend.Send(Reply("own", "200 OK", kOneId));
+    WaitUntil([&] { return caller.Received("own"); });
+    CPPUNIT_ASSERT(!caller.Received("early"));
+  });
+  Section("one with another id is passed over", [&] {
+    caller.Send(Get("/second", "X-Request-Id: two\r\n"));
+    TestPeer& backend = fixture.BackendGot("GET /second ");
+    backend.Send(Reply("of the first", "200 OK", kOneId));
+    backend.Send(Reply("of the second", "200 OK", "X-Request-Id: two\r\n"));
+    WaitUntil([&] { return caller.Received("of the second"); });
+    CPPUNIT_ASSERT(!caller.Received("of the first"));
+  });
+  Section("a request without an id is given one", [&] {
+    caller.Send(Get("/third"));
+    TestPeer& backend = fixture.BackendGot("GET /third ");
+    const std::string id = ValueOf(backend, "X-Request-Id");
+    CPPUNIT_ASSERT(!id.empty());
+    backend.Send(Reply("no id"));
+    backend.Send(Reply("given id", "200 OK", "X-Request-Id: " + id + "\r\n"));
+    WaitUntil([&] { return caller.Received("given id"); });
+    CPPUNIT_ASSERT(!caller.Received("no id"));
+  });
+}
+
+GUAVACROSS_STORY(SuspectWaitsForNews) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+  const std::string charge =
+      Post("/charge", "10 EUR", "Idempotency-Key: k1\r\n");
+  const auto send_suspect = [&](std::size_t claims) {
+    caller.Send(charge);
+    WaitUntil([&] { return fixture.m_claims.size() == claims; });
+    RunEvents();
+  };
+  const auto advance = [&] {
+    fixture.m_clock.Advance(std::chrono::milliseconds(30));
+  };
+  std::uint64_t fingerprint = 0;
+
+  Section("a request that no target was lost with is sent at once", [&] {
+    send_suspect(1);
+    fingerprint = fixture.m_claims.back().second;
+    fixture.BackendGot("POST /charge ").Send(Reply("charged"));
+    WaitUntil([&] { return caller.Received("charged"); });
+    fixture.m_clock.Advance(std::chrono::minutes(1));
+  });
+  Section("a peer lost a target with it: it waits, and is then sent", [&] {
+    fixture.m_router.LearnSuspect({fingerprint, "shop", "elsewhere"});
+    fixture.backend().peers().back()->Forget();
+    send_suspect(2);
+    CPPUNIT_ASSERT(!fixture.backend().peers().back()->Received("POST"));
+    advance();
+    fixture.BackendGot("POST /charge ").Abort();
+    WaitUntil([&] { return caller.Received("unknown"); });
+  });
+  Section("news of a second loss meanwhile has it refused, and sent to none",
+          [&] {
+            caller.Forget();
+            const std::size_t connections = fixture.backend().peers().size();
+            send_suspect(3);
+            fixture.m_router.LearnQuarantine(
+                {fingerprint, std::chrono::minutes(1)});
+            advance();
+            WaitUntil([&] { return caller.Received("quarantined"); });
+            CPPUNIT_ASSERT_EQUAL(connections, fixture.backend().peers().size());
+          });
+}
+
+}  // namespace guavacross::forwarding
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -14,6 +14,10 @@
 // Longest key of a non-repeatable request; keys are kept in the platform's log.
 constexpr std::size_t kMaxKeyBytes = 256;
 
+// How long news of a lost target may take to get here: a millisecond or two of
+// way between availability zones, and a busy processor at both ends.
+constexpr Duration kNewsTime = std::chrono::milliseconds(30);
+
 }  // namespace
 
 Exchange::Exchange(RequestForwarder* owner,
@@ -185,10 +189,25 @@
   }
 }
 
+// A request that may have killed a target is held for the time that news takes
+// to reach the other instances: sent again here, so that they know of the loss
+// before there can be a second one; sent again there by its caller, who can be
+// faster than the news.
 void Exchange::Acquire() {
   m_acquiring = true;
   m_acquired_at = now();
   ++m_acquire_generation;
+  if (context().m_router->IsSuspect(*m_traits)) {
+    m_news_timer = context().m_clock.m_call_after(kNewsTime, [this] {
+      m_news_timer.reset();
+      AskForTarget();
+    });
+  } else {
+    AskForTarget();
+  }
+}
+
+void Exchange::AskForTarget() {
   m_ticket =
       m_owner->Acquire(m_id, m_acquire_generation, m_traits, m_targets_tried);
 }
@@ -198,7 +217,8 @@
 }
 
 void Exchange::StopAcquiring() {
-  if (std::exchange(m_acquiring, false)) {
+  if (std::exchange(m_acquiring, false) &&
+      std::exchange(m_news_timer, nullptr) == nullptr) {
     // A grant that is on its way here is released by the owner.
     context().m_router->CancelWait(m_traits->m_service, m_ticket);
   }
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -84,6 +84,7 @@
 
   // Attempts.
   void Acquire();
+  void AskForTarget();
   void StopAcquiring();
   void StartTry(Grant grant);
   void Send(Try* sent, bool fresh_connection);
@@ -143,6 +144,7 @@
   RequestKey m_key;
   std::unique_ptr<Timer> m_deadline_timer;
   std::unique_ptr<Timer> m_hedge_timer;
+  std::unique_ptr<Timer> m_news_timer;
 
   std::vector<std::unique_ptr<Try>> m_tries;
   std::vector<std::string> m_targets_tried;
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -304,6 +304,10 @@
   void LearnDrain(const DrainNotice& notice);
   void LearnQuarantine(const QuarantineNotice& notice);
   void LearnSuspect(const SuspectNotice& notice);
+
+  /// Whether a target was lost with the same request in flight, here or at a
+  /// peer, so that news of a second loss may be on its way.
+  bool IsSuspect(const RequestTraits& traits) const;
   std::vector<DrainNotice> Drains() const;
   std::vector<QuarantineNotice> Quarantines() const;
 
--- a/src/policy/health_test.cc
+++ b/src/policy/health_test.cc
@@ -111,7 +111,9 @@
   const SuspectNotice second{kKiller, "catalog", "b"};
   Section("two distinct targets lost are enough", [&] {
     Quarantine quarantine;
+    CPPUNIT_ASSERT(!quarantine.IsSuspect(kKiller, kStart));
     CPPUNIT_ASSERT(!quarantine.AddSuspect(first, kStart));
+    CPPUNIT_ASSERT(quarantine.IsSuspect(kKiller, kStart));
     CPPUNIT_ASSERT(!quarantine.AddSuspect(first, kStart));
     CPPUNIT_ASSERT(!quarantine.IsQuarantined(kKiller, kStart));
     CPPUNIT_ASSERT(quarantine.AddSuspect(second, kStart));
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -65,6 +65,12 @@
   return found != m_quarantined_until.end() && now < found->second;
 }
 
+bool Quarantine::IsSuspect(std::uint64_t fingerprint, TimePoint now) const {
+  const auto found = m_suspects.find(fingerprint);
+  return found != m_suspects.end() && !found->second.m_lost_targets.empty() &&
+         now <= found->second.m_last_loss + kSuspectTime;
+}
+
 std::vector<QuarantineNotice> Quarantine::Notices(TimePoint now) const {
   std::vector<QuarantineNotice> notices;
   for (const auto& [fingerprint, until] : m_quarantined_until) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -66,6 +66,10 @@
 
   bool IsQuarantined(std::uint64_t fingerprint, TimePoint now) const;
 
+  /// Whether a target was lost with the fingerprint in flight, and no answer
+  /// has cleared it since.
+  bool IsSuspect(std::uint64_t fingerprint, TimePoint now) const;
+
   /// The quarantines in force.
   std::vector<QuarantineNotice> Notices(TimePoint now) const;
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -154,6 +154,15 @@
     return m_services_with_drains;
   }
 
+  bool IsSuspect(std::uint64_t fingerprint) const {
+    if (!m_any_quarantine) {
+      return false;
+    }
+    const TimePoint now = Now();
+    const std::lock_guard lock(m_quarantine_mutex);
+    return m_quarantine.IsSuspect(fingerprint, now);
+  }
+
   bool IsQuarantined(std::uint64_t fingerprint) {
     if (!m_any_quarantine) {
       return false;
@@ -393,6 +402,10 @@
   return drains;
 }
 
+bool Router::IsSuspect(const RequestTraits& traits) const {
+  return m_impl->IsSuspect(traits.m_fingerprint);
+}
+
 std::vector<QuarantineNotice> Router::Quarantines() const {
   const TimePoint now = m_impl->Now();
   const std::lock_guard lock(m_impl->m_quarantine_mutex);
