Replace a connection between instances that has fallen silent

Cause: a connection may go silent for good without a reset while new ones work. gRPC keeps it until the kernel gives up, some 15 minutes later; meanwhile the peer at its other end seems dead, also for the passing on of what was read.

Change: after two requests in a row without an answer in time the channel is dropped, and the next request opens a new one. Refused connections don't count: gRPC replaces those itself. The proxy of the stand-ins learns the fault (`silence_now`): open connections fall silent, new ones work.

Ruled out: keep-alive pings of HTTP/2, which a server counts as abuse if they come as often as would be needed.

Test: PeerConnectionThatFallsSilent, which fails without the change.

--- a/src/peers/grpc_transport.cc
+++ b/src/peers/grpc_transport.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "peers.grpc.pb.h"
+#include "util/log.h"
 
 namespace guavacross::peers {
 
@@ -18,6 +19,10 @@
 constexpr int kFirstReconnectMs = 100;
 constexpr int kMaxReconnectMs = 1000;
 
+// Requests in a row without an answer after which a connection is replaced: it
+// may have fallen silent while new ones work. One alone may be a slow peer.
+constexpr int kUnansweredToReconnect = 2;
+
 // A step of a call that the completion queue reports.
 class Event {
  public:
@@ -52,6 +57,13 @@
   class ServerCall;
   class ClientCall;
 
+  // The client's side of one peer.
+  struct Connection {
+    std::unique_ptr<Stub> m_stub;
+    // Requests in a row to which nothing came in time.
+    int m_unanswered = 0;
+  };
+
   TransportOptions m_options;
   TransportHooks m_hooks;
   TransportCounts m_counts;
@@ -60,7 +72,8 @@
   std::unique_ptr<grpc::ServerCompletionQueue> m_queue;
   std::unique_ptr<grpc::Server> m_server;
   std::thread m_thread;
-  std::map<Endpoint, std::unique_ptr<Stub>> m_stubs;
+  // For the control thread.
+  std::map<Endpoint, Connection> m_connections;
   // Posted functions check this token, which the control thread resets.
   std::shared_ptr<int> m_alive;
 
@@ -73,6 +86,7 @@
   void AcceptNext();
   void Post(std::function<void()> call);
   void CancelClientCalls();
+  void NoteEnd(const Endpoint& peer, bool silent);
 };
 
 // One request from a peer: waits for it, hands it on, sends the answer.
@@ -159,7 +173,8 @@
  public:
   using Done = std::function<void(std::optional<proto::PeerReply>)>;
 
-  ClientCall(Impl* impl, Done done) : m_impl(impl), m_done(std::move(done)) {}
+  ClientCall(Impl* impl, Endpoint peer, Done done)
+      : m_impl(impl), m_peer(std::move(peer)), m_done(std::move(done)) {}
 
   // With `m_mutex` held and not stopping.
   void Begin(Stub* stub, const proto::PeerRequest& request, Duration timeout) {
@@ -177,8 +192,13 @@
       m_impl->m_counts.m_received_bytes += m_reply.ByteSizeLong();
       reply = std::move(m_reply);
     }
-    m_impl->Post(
-        [done = std::move(m_done), reply = std::move(reply)] { done(reply); });
+    const bool silent =
+        m_status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    m_impl->Post([impl = m_impl, peer = m_peer, silent,
+                  done = std::move(m_done), reply = std::move(reply)] {
+      impl->NoteEnd(peer, silent);
+      done(reply);
+    });
     return true;
   }
 
@@ -186,6 +206,7 @@
 
  private:
   Impl* m_impl;
+  Endpoint m_peer;
   Done m_done;
   grpc::ClientContext m_context;
   std::unique_ptr<grpc::ClientAsyncResponseReader<proto::PeerReply>> m_reader;
@@ -243,6 +264,22 @@
   }
 }
 
+// Requests that are still under way keep the connection that is given up.
+void GrpcTransport::Impl::NoteEnd(const Endpoint& peer, bool silent) {
+  const auto found = m_connections.find(peer);
+  if (found == m_connections.end()) {
+    return;
+  }
+  int& unanswered = found->second.m_unanswered;
+  unanswered = silent ? unanswered + 1 : 0;
+  if (unanswered >= kUnansweredToReconnect) {
+    util::LogChange(
+        "peers", "connection replaced",
+        {{"peer", ToString(peer)}, {"unanswered", std::to_string(unanswered)}});
+    m_connections.erase(found);
+  }
+}
+
 GrpcTransport::GrpcTransport(TransportOptions options, TransportHooks hooks)
     : m_impl(std::make_unique<Impl>()) {
   m_impl->m_options = std::move(options);
@@ -297,7 +334,7 @@
   // Requests that were never answered have no event to end them.
   m_impl->m_events.clear();
   m_impl->m_server.reset();
-  m_impl->m_stubs.clear();
+  m_impl->m_connections.clear();
 }
 
 Endpoint GrpcTransport::listen_address() const {
@@ -312,7 +349,7 @@
   if (!m_impl->m_thread.joinable()) {
     return;
   }
-  std::unique_ptr<Impl::Stub>& stub = m_impl->m_stubs[peer];
+  std::unique_ptr<Impl::Stub>& stub = m_impl->m_connections[peer].m_stub;
   if (stub == nullptr) {
     stub = proto::Peers::NewStub(grpc::CreateCustomChannel(
         "ipv4:" + ToString(peer), grpc::InsecureChannelCredentials(),
@@ -320,7 +357,8 @@
   }
   m_impl->m_counts.m_sent_messages += 1;
   m_impl->m_counts.m_sent_bytes += request.ByteSizeLong();
-  auto call = std::make_unique<Impl::ClientCall>(m_impl.get(), std::move(done));
+  auto call =
+      std::make_unique<Impl::ClientCall>(m_impl.get(), peer, std::move(done));
   Impl::ClientCall* begun = call.get();
   const std::lock_guard lock(m_impl->m_mutex);
   m_impl->m_events.emplace(begun, std::move(call));
@@ -328,7 +366,7 @@
 }
 
 void GrpcTransport::Forget(const Endpoint& peer) {
-  m_impl->m_stubs.erase(peer);
+  m_impl->m_connections.erase(peer);
 }
 
 const TransportCounts& GrpcTransport::counts() const {
--- a/src/peers/grpc_transport.h
+++ b/src/peers/grpc_transport.h
@@ -60,7 +60,8 @@
 
   Endpoint listen_address() const;
 
-  /// Sends a request once. `done` gets nothing if no answer came in time.
+  /// Sends a request once. `done` gets nothing if no answer came in time. After
+  /// some such requests in a row the connection is replaced by a new one.
   void Call(const Endpoint& peer,
             const proto::PeerRequest& request,
             Duration timeout,
--- /dev/null
+++ b/src/peers/grpc_transport_test.cc
@@ -0,0 +1,76 @@
+#include "peers/grpc_transport.h"
+
+#include <QJsonObject>
+#include <QObject>
+#include <chrono>
+#include <optional>
+
+#include "net/test_peer.h"
+#include "standin/proxy.h"
+#include "util/qt_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::peers {
+
+namespace {
+
+using net::WaitUntil;
+using util::Section;
+
+// Answers in time on a working connection, also on a busy machine.
+constexpr Duration kTimeout = std::chrono::milliseconds(300);
+
+// A transport whose control thread is the test's.
+struct End {
+  explicit End(const std::string& ip)
+      : m_transport({.m_listen = {.m_ip = ip}}, MakeHooks()) {
+    CPPUNIT_ASSERT(m_transport.Start());
+  }
+
+  TransportHooks MakeHooks() {
+    return {.m_post =
+                [this](std::function<void()> call) {
+                  QMetaObject::invokeMethod(&m_context, std::move(call),
+                                            Qt::QueuedConnection);
+                },
+            .m_on_request =
+                [](const proto::PeerRequest&, const auto& respond) {
+                  respond(proto::PeerReply());
+                }};
+  }
+
+  /// Whether a request was answered in time.
+  bool Ask(const Endpoint& peer) {
+    std::optional<bool> answered;
+    m_transport.Call(
+        peer, proto::PeerRequest(), kTimeout,
+        [&answered](const auto& reply) { answered = reply.has_value(); });
+    WaitUntil([&answered] { return answered.has_value(); });
+    return *answered;
+  }
+
+  QObject m_context;
+  GrpcTransport m_transport;
+};
+
+}  // namespace
+
+GUAVACROSS_STORY(PeerConnectionThatFallsSilent) {
+  End asked("127.0.7.3");
+  End asking("127.0.7.4");
+  standin::Proxy way("way", asked.m_transport.listen_address(),
+                     util::QtClock());
+  CPPUNIT_ASSERT(way.Listen({.m_ip = "127.0.7.5"}));
+  WaitUntil([&] { return asking.Ask(way.endpoint()); });
+
+  Section("stays open and brings no answer", [&] {
+    CPPUNIT_ASSERT(way.SetFaults({{"silence_now", true}}).isEmpty());
+    CPPUNIT_ASSERT(!asking.Ask(way.endpoint()));
+  });
+  Section("is replaced by a new one, which does", [&] {
+    WaitUntil([&] { return asking.Ask(way.endpoint()); });
+    CPPUNIT_ASSERT(way.Counters()["accepted"].toInt() > 1);
+  });
+}
+
+}  // namespace guavacross::peers
--- a/src/standin/proxy.cc
+++ b/src/standin/proxy.cc
@@ -39,6 +39,7 @@
       {"reset_on_connect", &F::m_reset_on_connect},
       {"half_open", &F::m_half_open},
       {"reset_now", &F::m_reset_now},
+      {"silence_now", &F::m_silence_now},
       {"swap_answers", &F::m_swap_answers},
   };
   return kFields;
@@ -62,6 +63,11 @@
     m_ended = true;
     Pump();
   }
+  /// Takes bytes from now on and passes none on.
+  void Silence() {
+    m_cut = true;
+    m_pieces.clear();
+  }
 
  private:
   struct Piece {
@@ -145,6 +151,11 @@
     m_back->Pump();
   }
 
+  void Silence() {
+    m_there->Silence();
+    m_back->Silence();
+  }
+
   // Closes both sides once what was written has left.
   void Close() {
     m_caller->disconnectFromHost();
@@ -358,7 +369,11 @@
       ListenAgain();
     }
     const bool reset_now = std::exchange(m_faults.m_reset_now, false);
+    const bool silence_now = std::exchange(m_faults.m_silence_now, false);
     for (Link* link : std::set<Link*>(m_links)) {
+      if (silence_now) {
+        link->Silence();
+      }
       reset_now ? link->Reset() : link->PumpBoth();
     }
     return refusal;
--- a/src/standin/proxy.h
+++ b/src/standin/proxy.h
@@ -43,6 +43,9 @@
   bool m_half_open = false;
   /// Resets the open connections, once.
   bool m_reset_now = false;
+  /// Silences the open connections for good, once: they stay open, take bytes
+  /// and pass none on. New ones work.
+  bool m_silence_now = false;
   /// Holds each HTTP answer back until the next one on the same connection has
   /// come, and passes that one on first.
   bool m_swap_answers = false;
