Notice connections to targets that have fallen silent

Cause: a request sent on a kept connection that has fallen silent got nothing until its deadline, and the next request took the next silent connection.

Change: a request without a body fails after its bytes have stayed unacknowledged for 650 ms (sent three times by then), and is sent again on a new connection as after any reset of a kept one. A request that got nothing for 500 ms on a kept connection has the other idle connections to that target closed. Requests with a body are left alone: a target may take its time to read.

Test: BackendConnectionsThatFallSilent for the second part. The first is the kernel's TCP_USER_TIMEOUT and can't be shown on loopback, where the kernel always acknowledges.

--- a/src/backends/attempt.cc
+++ b/src/backends/attempt.cc
@@ -14,6 +14,7 @@
       m_address(std::move(request.m_address)),
       m_head_request(request.m_head.m_method == "HEAD"),
       m_chunked(request.m_head.m_framing == http::BodyFraming::kChunked),
+      m_without_body(request.m_head.m_framing == http::BodyFraming::kNone),
       m_fresh_connection(request.m_fresh_connection) {
   m_unsent_text += FrameBody(request.m_body);
   if (request.m_body_complete) {
--- a/src/backends/attempt.h
+++ b/src/backends/attempt.h
@@ -108,6 +108,7 @@
   Endpoint m_address;
   bool m_head_request;
   bool m_chunked;
+  bool m_without_body;
   bool m_request_complete = false;
   bool m_fresh_connection;
   bool m_reading = true;
--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -24,6 +24,15 @@
 // keep the connection: a request may be on its way as it closes.
 constexpr double kUsedIdleShare = 0.7;
 
+// How long a request may stay unacknowledged by the other end's kernel: time
+// for it to be sent three times (after 200 and 400 ms) on a link that loses
+// packets.
+constexpr Duration kUnacknowledgedLimit = std::chrono::milliseconds(650);
+
+// A request that has got nothing for this long, on a connection that worked,
+// casts doubt on the other idle connections too.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(500);
+
 bool IsInterim(int status) {
   return status >= 100 && status < 200;
 }
@@ -54,6 +63,7 @@
 
 void BackendConnection::Begin(Attempt* attempt) {
   m_attempt = attempt;
+  m_begun_at = m_pool->m_clock.m_now();
   m_idle = false;
   m_head_request = attempt->m_head_request;
   m_answer_started = false;
@@ -66,6 +76,7 @@
       return;
     }
   }
+  LimitSilence();
   m_stream->Write(attempt->m_unsent_text);
   attempt->m_unsent_text = std::string();
   m_stream->SetReading(attempt->m_reading);
@@ -92,6 +103,22 @@
   });
 }
 
+// A connection may fall silent without a reset, and only its own limit shows
+// it. Requests with a body are excepted: a backend server may take its time to
+// read one.
+void BackendConnection::LimitSilence() {
+  const bool limited = m_attempt->m_without_body;
+  if (std::exchange(m_silence_limited, limited) != limited) {
+    m_stream->SetUnacknowledgedLimit(limited ? kUnacknowledgedLimit
+                                             : Duration::zero());
+  }
+}
+
+bool BackendConnection::FellSilent() const {
+  return m_connected && m_requests > 1 && !m_answer_started &&
+         m_pool->m_clock.m_now() - m_begun_at >= kSilentAfter;
+}
+
 void BackendConnection::StartReader() {
   http::MessageReader::Hooks hooks;
   hooks.m_on_response = [this](const http::ResponseHead& head) {
@@ -123,7 +150,11 @@
 }
 
 void BackendConnection::Cancel() {
+  const bool silent = m_attempt != nullptr && FellSilent();
   m_attempt = nullptr;
+  if (silent) {
+    m_pool->CloseIdle(m_address);
+  }
   Retire();
 }
 
@@ -307,6 +338,7 @@
 }
 
 void BackendConnection::Fail(AttemptEnd end, ErrorKind kind, std::string text) {
+  const bool silent = FellSilent();
   Attempt* const attempt = std::exchange(m_attempt, nullptr);
   const AttemptFailure failure{
       .m_end = end,
@@ -316,6 +348,9 @@
       .m_stale_connection = m_requests > 1 && !m_answer_started &&
                             kind == ErrorKind::kBackendReset,
       .m_answer_begun = m_answer_started};
+  if (silent) {
+    m_pool->CloseIdle(m_address);
+  }
   Retire();
   if (attempt != nullptr) {
     attempt->m_connection = nullptr;
--- a/src/backends/backend_connection.h
+++ b/src/backends/backend_connection.h
@@ -55,6 +55,7 @@
 
  private:
   void Connect();
+  void LimitSilence();
   void StartReader();
   void OnConnected();
   void OnReadable();
@@ -68,6 +69,9 @@
   void OnComplete(bool surplus);
   void Fail(AttemptEnd end, ErrorKind kind, std::string text);
   void FailReset(std::string text);
+  // Whether a request got nothing for so long on a connection that had worked
+  // that the others may have fallen silent with it.
+  bool FellSilent() const;
   // Takes the connection out of the pool for good.
   void Retire();
 
@@ -77,6 +81,7 @@
   std::unique_ptr<Timer> m_connect_timer;
   std::optional<http::MessageReader> m_reader;
   Attempt* m_attempt = nullptr;
+  TimePoint m_begun_at;
   TimePoint m_unattended_since;
   std::size_t m_discarded_bytes = 0;
   // Of a body of known length.
@@ -86,6 +91,7 @@
   int m_requests = 0;
   bool m_connected = false;
   bool m_idle = false;
+  bool m_silence_limited = false;
   bool m_retired = false;
   bool m_head_request = false;
   bool m_request_complete = false;
--- a/src/backends/backend_pool.cc
+++ b/src/backends/backend_pool.cc
@@ -80,6 +80,13 @@
   StartWaiting(&target);
 }
 
+void BackendPool::CloseIdle(const Endpoint& address) {
+  const std::vector<BackendConnection*> idle = m_targets[address].m_idle;
+  for (BackendConnection* const each : idle) {
+    each->Cancel();
+  }
+}
+
 void BackendPool::StartWaiting(Target* target) {
   if (!target->m_waiting.empty()) {
     Attempt* const attempt = target->m_waiting.front();
--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -63,6 +63,7 @@
   void StopWaiting(Attempt* attempt);
   // Called by connections.
   void OnIdle(BackendConnection* connection);
+  void CloseIdle(const Endpoint& address);
   void Retire(BackendConnection* connection);
   void StartWaiting(Target* target);
 
--- a/src/backends/backend_pool_test.cc
+++ b/src/backends/backend_pool_test.cc
@@ -91,6 +91,47 @@
   });
 }
 
+GUAVACROSS_STORY(BackendConnectionsThatFallSilent) {
+  PoolFixture fixture;
+  auto first = fixture.Send("/1");
+  const auto second = fixture.Send("/2");
+  for (const std::size_t i : {0, 1}) {
+    fixture.m_server.Peer(i).Send(kReply);
+  }
+  WaitUntil([&] { return first->m_ended && second->m_ended; });
+  const auto ask = [&](Duration waited) {
+    const auto sent = fixture.Send("/silent");
+    RunEvents();
+    fixture.m_clock.Advance(waited);
+    sent->m_attempt->Cancel();
+    RunEvents();
+  };
+
+  Section("a request given up soon closes its connection alone", [&] {
+    ask(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(1, fixture.m_pool.connections());
+    const auto third = fixture.Send("/3");
+    first = fixture.Send("/4");
+    fixture.m_server.Peer(2).Send(kReply);
+    for (const std::size_t i : {0, 1}) {
+      if (!fixture.m_server.Peer(i).gone()) {
+        fixture.m_server.Peer(i).Send(kReply);
+      }
+    }
+    WaitUntil([&] { return first->m_ended && third->m_ended; });
+    CPPUNIT_ASSERT_EQUAL(2, fixture.m_pool.connections());
+  });
+  Section("one that got nothing for long closes the other idle ones", [&] {
+    ask(std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, fixture.m_pool.connections());
+  });
+  Section("and the next request goes on a new connection", [&] {
+    const auto next = fixture.Send("/next");
+    fixture.m_server.Peer(3).Send(kReply);
+    WaitUntil([&] { return next->m_ended; });
+  });
+}
+
 GUAVACROSS_STORY(BackendConnectionReuse) {
   PoolFixture fixture;
   const auto first = fixture.Send("/first");
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -99,6 +99,11 @@
       new Stream(set, descriptor, /*connecting=*/true, std::move(hooks)));
 }
 
+void Stream::SetUnacknowledgedLimit(Duration limit) {
+  SetOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(Milliseconds(limit)));
+}
+
 Stream::Stream(SocketSet* set, int descriptor, bool connecting, Hooks hooks)
     : m_set(set),
       m_descriptor(descriptor),
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "guavacross/identity.h"
+#include "guavacross/time.h"
 #include "net/pipe.h"
 #include "net/socket_set.h"
 
@@ -58,6 +59,10 @@
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
 
+  /// Fails the connection once bytes have stayed unacknowledged, or a peer has
+  /// taken none, for `limit`; zero leaves it to the kernel.
+  void SetUnacknowledgedLimit(Duration limit);
+
   /// Replaces the hooks. Not to be called from inside of a hook.
   void SetHooks(Hooks hooks) { m_hooks = std::move(hooks); }
 
