Follow no peer past records that it never saw

All 51 instances had been killed and listed the targets within 0.3 s of each other; the removal fell between two listings. An instance that lists after it never sees the record of it, tells that it has read up to a later offset, and the one that listed before skips to that offset.

Ruled out: the reader being lost (reads went on; the other instances knew of the removal 0.35 s after it); a page of the listing being older than its end (one page holds all entries).

Change: what an instance tells of a stream now says from which offset on it knows every record. A peer that has read less far neither skips to its offset nor takes its records, follows others meanwhile, and after 600 ms without one reads the stretch itself. One that doesn't reach the store takes what it gets.

Test: SharedStreamWithListingsApart, which fails without the change.

--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -69,6 +69,9 @@
   std::uint64_t m_changed_to = 0;
   /// The offset up to which it has read, or knows that nothing matters.
   std::uint64_t m_read_to = 0;
+  /// The offset from which it knows every record. It has listed the stream
+  /// there and doesn't know which keys were dropped before.
+  std::uint64_t m_complete_from = 0;
   /// When any instance has last read, as far as it knows. Told as an age, which
   /// grows on the way.
   std::optional<TimePoint> m_read_at;
@@ -90,8 +93,8 @@
   std::function<void(const std::string& stream,
                      const std::vector<KeyedRecord>& records)>
       m_on_records;
-  /// What a peer knows of a stream.
-  std::function<void(const std::string& peer, const StreamState&)> m_on_stream;
+  /// What a peer knows of a stream. Returns whether its records may be taken.
+  std::function<bool(const std::string& peer, const StreamState&)> m_on_stream;
 };
 
 }  // namespace guavacross::feed
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -12,6 +12,11 @@
 // that nobody would miss a reader that is gone.
 constexpr Duration kLongestTransit = std::chrono::milliseconds(50);
 
+// How long an instance waits for a peer from which it can take the records that
+// another lacks, before it reads them itself: a read by the one whose turn it
+// is, and a heartbeat.
+constexpr Duration kLongestGap = std::chrono::milliseconds(600);
+
 }  // namespace
 
 SharedStream::SharedStream(SharedStreamOptions options,
@@ -36,6 +41,7 @@
   hooks.m_on_listing = [this](const std::vector<KeyedRecord>& records,
                               std::uint64_t end) {
     const std::uint64_t before = m_records.changed_to();
+    m_complete_from = std::max(m_complete_from, end);
     Pass(m_records.TakeListing(records, end), before);
   };
   hooks.m_on_records = [this](const std::vector<KeyedRecord>& records) {
@@ -65,6 +71,7 @@
   return {.m_stream = m_options.m_name,
           .m_changed_to = m_records.changed_to(),
           .m_read_to = m_feed.offset(),
+          .m_complete_from = m_complete_from,
           .m_read_at = m_read_at,
           .m_reads = m_feed.listed() && m_feed.reachable()};
 }
@@ -74,15 +81,32 @@
   return m_records.Since(from, max_bytes);
 }
 
-void SharedStream::Hear(const std::string& peer, const StreamState& told) {
+bool SharedStream::Hear(const std::string& peer, const StreamState& told) {
   m_peer_reads[peer] = told.m_reads;
   if (told.m_read_at.has_value()) {
     NoteRead(*told.m_read_at - kLongestTransit);
   }
+  const bool lacks_records = m_feed.offset() < told.m_complete_from;
+  if (lacks_records && m_feed.listed() && m_feed.reachable()) {
+    m_gap_to = std::max(m_gap_to, told.m_complete_from);
+    m_gap_since = m_gap_since.value_or(m_clock.m_now());
+    return false;
+  }
+  m_complete_from =
+      std::max(m_complete_from, lacks_records ? told.m_complete_from : 0);
   if (told.m_changed_to <= m_records.changed_to()) {
     // Nothing that matters lies between.
     m_feed.SkipTo(told.m_read_to);
   }
+  return true;
+}
+
+bool SharedStream::HasLongHadGap() {
+  if (m_feed.offset() >= m_gap_to) {
+    m_gap_since.reset();
+  }
+  return m_gap_since.has_value() &&
+         m_clock.m_now() - *m_gap_since >= kLongestGap;
 }
 
 void SharedStream::TakeFromPeer(const std::vector<KeyedRecord>& records) {
@@ -109,6 +133,9 @@
 }
 
 Duration SharedStream::Postpone() {
+  if (HasLongHadGap()) {
+    return Duration::zero();
+  }
   policy::ReadDuty duty = m_options.m_duty;
   duty.m_rank = Rank();
   const TimePoint now = m_clock.m_now();
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -65,7 +65,11 @@
   std::vector<KeyedRecord> Since(std::uint64_t from,
                                  std::size_t max_bytes) const;
 
-  void Hear(const std::string& peer, const StreamState& told);
+  /// What a peer knows.
+  ///
+  /// @return whether its records may be taken: not if it may lack some that
+  /// this instance doesn't know either and can read itself.
+  bool Hear(const std::string& peer, const StreamState& told);
   void TakeFromPeer(const std::vector<KeyedRecord>& records);
 
   /// Notices that nobody has read for long.
@@ -74,6 +78,7 @@
  private:
   FeedHooks MakeFeedHooks();
   Duration Postpone();
+  bool HasLongHadGap();
   int Rank() const;
   void NoteRead(TimePoint at);
   void Pass(const std::vector<KeyedRecord>& newer, std::uint64_t before);
@@ -87,6 +92,11 @@
   std::optional<TimePoint> m_read_at;
   bool m_reachable = true;
   std::string m_why_lost;
+  std::uint64_t m_complete_from = 0;
+  // The offset up to which peers may lack records that this instance lacks too,
+  // and since when it has been so.
+  std::uint64_t m_gap_to = 0;
+  std::optional<TimePoint> m_gap_since;
   KeyedFeed m_feed;
 };
 
--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -112,6 +112,12 @@
         }));
   }
 
+  bool KnowsDropped(const std::string& key) const {
+    return std::any_of(m_seen.begin(), m_seen.end(), [&](const auto& each) {
+      return each.m_key == key && !each.m_value.has_value();
+    });
+  }
+
   bool Knows(const std::string& key, const std::string& value) const {
     for (const KeyedRecord& record : m_seen) {
       if (record.m_key == key && record.m_value == value) {
@@ -141,16 +147,32 @@
       m_readers.push_back(
           std::make_unique<Reader>(&m_store, std::string(1, 'a' + i)));
     }
+    Meet();
     for (const auto& reader : m_readers) {
+      reader->m_stream->Start();
+    }
+  }
+
+  // Every instance learns of every other.
+  void Meet() {
+    for (const auto& reader : m_readers) {
+      reader->m_live_peers.clear();
       for (const auto& peer : m_readers) {
         if (peer != reader) {
           reader->m_live_peers.push_back(peer->m_name);
         }
       }
-      reader->m_stream->Start();
     }
   }
 
+  // Starts one more instance.
+  Reader& Join(const std::string& name) {
+    m_readers.push_back(std::make_unique<Reader>(&m_store, name));
+    Meet();
+    m_readers.back()->m_stream->Start();
+    return *m_readers.back();
+  }
+
   void Run(Duration duration) {
     for (Duration passed{}; passed < duration; passed += milliseconds(50)) {
       m_clock.Advance(milliseconds(50));
@@ -172,9 +194,9 @@
         if (to == from) {
           continue;
         }
-        to->m_stream->Hear(from->m_name, state);
+        const bool follow = to->m_stream->Hear(from->m_name, state);
         const std::uint64_t known = to->m_stream->state().m_changed_to;
-        if (state.m_changed_to > known) {
+        if (follow && state.m_changed_to > known) {
           to->m_stream->TakeFromPeer(from->m_stream->Since(known, 1 << 20));
         }
         to->m_stream->Tick();
@@ -310,11 +332,45 @@
   cluster.Run(seconds(2));
   for (const auto& reader : cluster.m_readers) {
     CPPUNIT_ASSERT(reader->Knows("t3", "ready"));
-    const auto& seen = reader->m_seen;
-    CPPUNIT_ASSERT(std::any_of(seen.begin(), seen.end(), [](const auto& each) {
-      return each.m_key == "t2" && !each.m_value.has_value();
-    }));
+    CPPUNIT_ASSERT(reader->KnowsDropped("t2"));
   }
 }
 
+// Seen on a grown deployment: all instances were started anew, and a target
+// left between the listing of one and that of the next, which reads from then
+// on. The second never saw the record of it, so that the first mustn't follow
+// it past that offset.
+GUAVACROSS_STORY(SharedStreamWithListingsApart) {
+  Cluster cluster(0);
+  cluster.m_store.Append("t1", "ready");
+  Reader& early = cluster.Join("b");
+  cluster.Run(milliseconds(100));
+  cluster.m_store.Append("t1", std::nullopt);
+  cluster.m_store.Append("t2", "ready");
+  Reader& late = cluster.Join("a");
+
+  Section("what left between them is known to the first in time", [&] {
+    cluster.Run(milliseconds(1950));
+    CPPUNIT_ASSERT(!late.Knows("t1", "ready"));
+    CPPUNIT_ASSERT(early.KnowsDropped("t1"));
+  });
+  Section("after which it follows the second without reading", [&] {
+    const int calls = early.m_calls;
+    cluster.m_store.Append("t2", "draining");
+    cluster.Run(milliseconds(1950));
+    CPPUNIT_ASSERT(early.Knows("t2", "draining"));
+    CPPUNIT_ASSERT_EQUAL(calls, early.m_calls);
+  });
+  Section("the first takes what the second knows if it can't read", [&] {
+    early.m_cut = true;
+    late.m_cut = true;
+    cluster.Run(seconds(4));
+    cluster.m_store.Append("t3", "ready");
+    Reader& third = cluster.Join("c");
+    cluster.Run(seconds(2));
+    CPPUNIT_ASSERT(third.Knows("t3", "ready"));
+    CPPUNIT_ASSERT(early.Knows("t3", "ready") && late.Knows("t3", "ready"));
+  });
+}
+
 }  // namespace guavacross::feed
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -102,6 +102,7 @@
     told->set_changed_to(stream.m_changed_to);
     told->set_read_to(stream.m_read_to);
     told->set_reads(stream.m_reads);
+    told->set_complete_from(stream.m_complete_from);
     if (stream.m_read_at.has_value()) {
       // Told as of now: the local state may have been gathered a while ago.
       told->set_read_age_ms(static_cast<std::uint32_t>(
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -143,6 +143,7 @@
       if (told.m_read_at.has_value()) {
         m_told_reads.push_back(*told.m_read_at);
       }
+      return true;
     };
     m_network = std::make_unique<PeerNetwork>(options, hooks);
     CPPUNIT_ASSERT(m_network->Start());
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -25,6 +25,7 @@
   feed::StreamState stream{.m_stream = told.stream(),
                            .m_changed_to = told.changed_to(),
                            .m_read_to = told.read_to(),
+                           .m_complete_from = told.complete_from(),
                            .m_reads = told.reads()};
   if (told.has_read_age_ms()) {
     stream.m_read_at = now - std::chrono::milliseconds(told.read_age_ms());
@@ -42,10 +43,10 @@
   // What was asked for since the last heartbeat may have come by now.
   m_local.reset();
   for (const proto::StreamState& stream : heartbeat.streams()) {
-    m_hooks.m_streams.m_on_stream(from.m_name,
-                                  ToStream(stream, m_options.m_clock.m_now()));
+    const bool follow = m_hooks.m_streams.m_on_stream(
+        from.m_name, ToStream(stream, m_options.m_clock.m_now()));
     const std::uint64_t known = ChangedTo(Local().m_streams, stream.stream());
-    if (stream.changed_to() > known) {
+    if (follow && stream.changed_to() > known) {
       FetchRecords(from, stream.stream(), known);
     }
   }
