Tell of the targets that a start finds in one line

Change: the first listing is told in one line with the number of targets; changes from then on have a line each, as before.

--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -120,7 +120,11 @@
   }
 
   void ApplyTargets() {
-    m_targets_listed = true;
+    if (!std::exchange(m_targets_listed, true)) {
+      util::LogChange(
+          "targets", "targets listed",
+          {{"targets", std::to_string(m_registry.Targets().size())}});
+    }
     ApplyIfChanged();
     ScheduleExpiry();
     UpdateReady();
@@ -302,6 +306,10 @@
       return;
     }
     m_registry_changed = true;
+    if (!m_targets_listed) {
+      // Told of together, so that a start doesn't crowd out other lines.
+      return;
+    }
     util::LogChange(
         "targets", "target changed",
         {{"target", target.m_id},
