Let requests wait only as long as their objective allows

Cause: a request waited for a target until its deadline.

Change, all decided in policy/waiting.h without I/O: - A request waits for at most half of what its class's usual time leaves of the objective, 80 ms at least; then it is refused as not run. - A caller that came back says that it will wait for less than others do: what has passed is taken off. One that can't meet its objective any more queues apart with an eighth of the class's weight. - A request is refused on arrival if its wait is expected to be longer than it may be, once some request has waited 60 ms in vain, so that it is known that no target has room. Attempts that have been out for three usual times count as stuck, not as slots about to become free. - Retry-After grows with how much too long the wait would have been, spread over as much again, so that callers who are refused together don't return together.

--- a/src/callers/route_classifier.cc
+++ b/src/callers/route_classifier.cc
@@ -76,8 +76,9 @@
   forwarding::ForwardRequest request;
   request.m_deadline = now + route->m_deadline;
   if (asked_ms.has_value()) {
-    request.m_deadline = std::min(request.m_deadline,
-                                  now + std::chrono::milliseconds(*asked_ms));
+    request.m_asked_wait = std::chrono::milliseconds(*asked_ms);
+    request.m_deadline =
+        std::min(request.m_deadline, now + request.m_asked_wait);
   }
   if (m_end.has_value() && request.m_deadline > *m_end) {
     return Fail(ErrorKind::kShuttingDown, "this instance is shutting down");
--- a/src/forwarding/request_forwarder.h
+++ b/src/forwarding/request_forwarder.h
@@ -38,6 +38,8 @@
   TimePoint m_arrived;
   /// When the caller stops waiting for the start of the answer.
   TimePoint m_deadline = TimePoint::max();
+  /// How long the caller said that it would wait; zero if it didn't say.
+  Duration m_asked_wait{};
   int m_hops = 0;
 };
 
--- a/src/include/guavacross/error.h
+++ b/src/include/guavacross/error.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "guavacross/outcome.h"
+#include "guavacross/time.h"
 
 /// Errors: one closed list of kinds, and one table from kind to answer.
 ///
@@ -66,6 +67,8 @@
 struct Error {
   ErrorKind m_kind = ErrorKind::kInternal;
   std::string m_text;
+  /// When the request is worth sending again; zero if nothing is known.
+  Duration m_retry_after{};
 
   bool operator==(const Error&) const = default;
 };
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -31,6 +31,9 @@
   std::uint64_t m_fingerprint = 0;
   /// When the caller's deadline ends; `TimePoint::max()` means never.
   TimePoint m_deadline = TimePoint::max();
+  /// How long the caller said on this attempt of its that it would wait; zero
+  /// if it didn't say.
+  Duration m_asked_wait{};
   /// Balancers that this request has passed before this one.
   int m_hops = 0;
 
@@ -195,6 +198,7 @@
   kEjection,
   kFairQueue,
   kEarlyRefusal,
+  kObjectiveWaits,
   kProbes,
 };
 
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -14,10 +14,12 @@
 
 namespace guavacross::policy {
 
-/// What shares a queue fairly: the requests of one tenant in one class.
+/// What shares a queue fairly: the requests of one tenant in one class, those
+/// that can't meet their objective apart.
 struct FlowKey {
   std::string m_class_name;
   std::string m_tenant;
+  bool m_past_objective = false;
 
   // NOLINTNEXTLINE(modernize-use-nullptr): the linter misreads <=>.
   auto operator<=>(const FlowKey&) const = default;
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "policy/slot_shares.h"
+#include "policy/waiting.h"
 #include "util/hash.h"
 
 namespace guavacross::routing {
@@ -19,6 +20,10 @@
 constexpr Duration kGoodOnlyFor = std::chrono::milliseconds(20);
 constexpr Duration kMeasuredOnlyFor = std::chrono::milliseconds(60);
 
+// A request that has held its slot for this many usual times is taken for one
+// that won't free it soon.
+constexpr double kStuckAfterSlotTimes = 3;
+
 // A class that has had no request for this long leaves its slots to others.
 constexpr Duration kClassIdleAfter = std::chrono::seconds(5);
 
@@ -32,7 +37,8 @@
 ServiceRouter::ServiceRouter(std::shared_ptr<const ServiceConfig> config,
                              const RouterOptions& options)
     : m_options(options),
-      m_pool(options, util::Hash(config->m_name, options.m_seed)) {
+      m_pool(options, util::Hash(config->m_name, options.m_seed)),
+      m_random(util::Hash(config->m_name, options.m_seed + 1)) {
   Effects none;
   Configure(std::move(config), options.m_clock.m_now(), &none);
 }
@@ -104,12 +110,17 @@
   }
   ClassState* const state = ClassOf(traits.m_class_name);
   state->m_last_request = now;
+  if (traits.m_asked_wait > Duration::zero()) {
+    state->m_longest_asked.Record(traits.m_asked_wait, now);
+  }
+  const policy::WaitBounds bounds = BoundsOf(*state, traits, now);
   Waiter waiter{.m_class = state,
-                .m_flow = FlowOf(traits),
+                .m_flow = FlowOf(traits, bounds),
                 .m_deadline = traits.m_deadline,
                 .m_avoid = targets_to_avoid,
                 .m_on_grant = std::move(on_grant),
-                .m_arrived = now};
+                .m_arrived = now,
+                .m_bounds = bounds};
   if (!TryGrantAtOnce(ticket, &waiter, now, effects)) {
     Enqueue(ticket, std::move(waiter), now, effects);
   }
@@ -127,10 +138,12 @@
   for (const policy::QueuedRequest& expired : m_queue.TakeExpired(now)) {
     const auto found = m_waiters.find(expired.m_ticket);
     const bool by_deadline = found->second.m_deadline <= now;
-    RefuseWaiter(
-        expired.m_ticket,
-        by_deadline ? ErrorKind::kDeadlineExpired : ErrorKind::kQueueTimeout,
-        "no slot became free in time", effects);
+    const std::string text = "no slot became free in time";
+    effects->m_decisions.push_back(
+        {std::move(found->second.m_on_grant),
+         by_deadline ? Refuse(ErrorKind::kDeadlineExpired, text)
+                     : TooLong(Duration::zero(), text)});
+    m_waiters.erase(found);
   }
   ServeWaiters(now, effects);
 }
@@ -249,11 +262,33 @@
   return nullptr;
 }
 
-policy::FlowKey ServiceRouter::FlowOf(const RequestTraits& traits) const {
+// A caller that comes back says that it will wait for less than on its first
+// attempt, by the time that has passed.
+policy::WaitBounds ServiceRouter::BoundsOf(const ClassState& state,
+                                           const RequestTraits& traits,
+                                           TimePoint now) const {
+  policy::WaitBounds bounds{.m_deadline_left = traits.m_deadline - now};
+  if (!IsEnabled(Mechanism::kObjectiveWaits)) {
+    return bounds;
+  }
+  bounds.m_objective = state.m_config.m_objective;
+  if (traits.m_asked_wait > Duration::zero()) {
+    bounds.m_elapsed = state.m_longest_asked.value() - traits.m_asked_wait;
+  }
+  if (state.m_latency.is_ready()) {
+    bounds.m_usual_time = state.m_latency.median();
+  }
+  return bounds;
+}
+
+policy::FlowKey ServiceRouter::FlowOf(const RequestTraits& traits,
+                                      const policy::WaitBounds& bounds) const {
   if (!IsEnabled(Mechanism::kFairQueue)) {
     return {};
   }
-  return {.m_class_name = traits.m_class_name, .m_tenant = traits.m_tenant};
+  return {.m_class_name = traits.m_class_name,
+          .m_tenant = traits.m_tenant,
+          .m_past_objective = policy::IsPastObjective(bounds)};
 }
 
 double ServiceRouter::WeightOf(const policy::FlowKey& flow) const {
@@ -262,7 +297,8 @@
   const int class_weight = state == nullptr ? 1 : state->m_config.m_weight;
   const int tenant_weight =
       tenant == m_tenant_weights.end() ? 1 : tenant->second;
-  return std::max(1, class_weight) * std::max(1, tenant_weight);
+  const double part = flow.m_past_objective ? policy::kPastObjectiveWeight : 1;
+  return part * std::max(1, class_weight) * std::max(1, tenant_weight);
 }
 
 double ServiceRouter::SlotCostOf(const ClassState& state) const {
@@ -335,15 +371,21 @@
   const ClassConfig& limits = waiter.m_class->m_config;
   const policy::FlowKey flow = waiter.m_flow;
   const double weight = WeightOf(flow);
-  const TimePoint expires =
-      std::min(now + limits.m_queue_wait, waiter.m_deadline);
-  if (IsEnabled(Mechanism::kEarlyRefusal) &&
-      !CanBeServedBy(waiter, expires, now)) {
-    effects->m_decisions.push_back(
-        {std::move(waiter.m_on_grant),
-         Refuse(ErrorKind::kQueueTimeout, "the wait would be too long")});
-    return;
+  const Duration longest = LongestWait(waiter);
+  // Against an objective the estimate is too coarse for a queue that is short
+  // because targets are still being looked for.
+  const bool may_refuse =
+      waiter.m_bounds.m_objective <= Duration::zero() || IsSaturated(now);
+  if (IsEnabled(Mechanism::kEarlyRefusal) && may_refuse) {
+    const Duration expected = ExpectedWait(waiter, now);
+    if (expected > longest) {
+      effects->m_decisions.push_back(
+          {std::move(waiter.m_on_grant),
+           TooLong(expected - longest, "the wait would be too long")});
+      return;
+    }
   }
+  const TimePoint expires = now + longest;
   if (m_queue.SizeOfClass(flow.m_class_name) >= limits.m_queue_limit) {
     const std::optional<std::uint64_t> displaced =
         m_queue.Displace(flow, weight);
@@ -362,18 +404,44 @@
   ServeWaiters(now, effects);
 }
 
-bool ServiceRouter::CanBeServedBy(const Waiter& waiter,
-                                  TimePoint time,
-                                  TimePoint now) const {
-  const int in_flight = m_pool.own_in_flight();
-  if (in_flight == 0 || m_slot_time <= Duration::zero()) {
-    return true;
+Duration ServiceRouter::LongestWait(const Waiter& waiter) const {
+  return std::min(waiter.m_class->m_config.m_queue_wait,
+                  policy::LongestWait(waiter.m_bounds));
+}
+
+// Whether some request has waited for so long that it would have been given any
+// target that answers: only then is it known that none has room.
+bool ServiceRouter::IsSaturated(TimePoint now) const {
+  return std::any_of(m_waiters.begin(), m_waiters.end(),
+                     [now](const auto& entry) {
+                       return now - entry.second.m_arrived >= kMeasuredOnlyFor;
+                     });
+}
+
+Duration ServiceRouter::ExpectedWait(const Waiter& waiter,
+                                     TimePoint now) const {
+  if (m_slot_time <= Duration::zero()) {
+    return Duration::zero();
+  }
+  // What has been out for long isn't likely to free its slot soon: its target
+  // hangs or is gone.
+  const int in_flight = m_pool.CountSentAfter(
+      now - FromSeconds(kStuckAfterSlotTimes * Seconds(m_slot_time)));
+  if (in_flight == 0) {
+    return Duration::zero();
   }
   // Little's law gives the rate at which this instance's slots become free.
   const double freed_per_second = in_flight / Seconds(m_slot_time);
   const double ahead =
       m_queue.Ahead(waiter.m_flow, WeightOf(waiter.m_flow)) + 1;
-  return now + FromSeconds(ahead / freed_per_second) <= time;
+  return FromSeconds(ahead / freed_per_second);
+}
+
+util::Expected<Grant> ServiceRouter::TooLong(Duration excess,
+                                             const std::string& text) {
+  util::Expected<Grant> refusal = Refuse(ErrorKind::kQueueTimeout, text);
+  refusal.m_error.m_retry_after = policy::RetryAfter(excess, &m_random);
+  return refusal;
 }
 
 void ServiceRouter::RefuseWaiter(std::uint64_t ticket,
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -13,6 +13,7 @@
 #include "guavacross/routing.h"
 #include "policy/fair_queue.h"
 #include "policy/probe_budget.h"
+#include "policy/random.h"
 #include "policy/retry_budget.h"
 #include "routing/effects.h"
 #include "routing/target_pool.h"
@@ -91,6 +92,7 @@
     std::vector<std::string> m_avoid;
     GrantCallback m_on_grant;
     TimePoint m_arrived;
+    policy::WaitBounds m_bounds;
   };
   struct PeerCounts {
     std::vector<std::pair<std::string, int>> m_counts;
@@ -102,7 +104,11 @@
   void LimitSavings();
   ClassState* ClassOf(const std::string& name);
   const ClassState* FindClassState(const std::string& name) const;
-  policy::FlowKey FlowOf(const RequestTraits& traits) const;
+  policy::WaitBounds BoundsOf(const ClassState& state,
+                              const RequestTraits& traits,
+                              TimePoint now) const;
+  policy::FlowKey FlowOf(const RequestTraits& traits,
+                         const policy::WaitBounds& bounds) const;
   double WeightOf(const policy::FlowKey& flow) const;
   double SlotCostOf(const ClassState& state) const;
   bool MayServe(const ClassState& state, TimePoint now) const;
@@ -121,7 +127,13 @@
                Waiter waiter,
                TimePoint now,
                Effects* effects);
-  bool CanBeServedBy(const Waiter& waiter, TimePoint time, TimePoint now) const;
+  /// How long a new request may wait.
+  Duration LongestWait(const Waiter& waiter) const;
+  bool IsSaturated(TimePoint now) const;
+  /// How long it is likely to wait.
+  Duration ExpectedWait(const Waiter& waiter, TimePoint now) const;
+  /// Refuses a request whose wait is over or would be too long by `excess`.
+  util::Expected<Grant> TooLong(Duration excess, const std::string& text);
   void RefuseWaiter(std::uint64_t ticket,
                     ErrorKind kind,
                     const std::string& text,
@@ -169,6 +181,7 @@
   std::unordered_map<std::uint64_t, Waiter> m_waiters;
   // Average time for which a request of any class holds its slot.
   Duration m_slot_time{};
+  policy::Random m_random;
   policy::RetryBudget m_retry_budget;
   policy::ProbeBudget m_probe_budget;
   bool m_probes_scheduled = false;
--- a/src/routing/target.h
+++ b/src/routing/target.h
@@ -11,6 +11,7 @@
 #include "policy/latency_window.h"
 #include "policy/quarantine.h"
 #include "policy/target_load.h"
+#include "policy/waiting.h"
 
 namespace guavacross::routing {
 
@@ -21,6 +22,8 @@
   policy::LatencyWindow m_latency;
   /// Average time for which a request holds its slot; zero if not known.
   Duration m_slot_time{};
+  /// How long callers say on their first attempts that they will wait.
+  policy::RecentMaximum m_longest_asked;
   TimePoint m_last_request = TimePoint::min();
 };
 
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -286,6 +286,16 @@
   return ended;
 }
 
+int TargetPool::CountSentAfter(TimePoint time) const {
+  int count = 0;
+  for (const auto& target : m_targets) {
+    for (const Attempt& attempt : target->m_attempts) {
+      count += attempt.m_sent_at > time ? 1 : 0;
+    }
+  }
+  return count;
+}
+
 void TargetPool::ReportInFlight(Target* target, int in_flight, TimePoint at) {
   target->m_reported_in_flight = in_flight;
   if (IsEnabled(Mechanism::kReadings)) {
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -90,6 +90,8 @@
   const policy::ProfileParameters& parameters() const { return m_parameters; }
 
   /// This instance's attempts in flight on all targets.
+  /// Attempts in flight that were sent after `time`.
+  int CountSentAfter(TimePoint time) const;
   int own_in_flight() const { return m_own_in_flight; }
   int total_slots() const { return m_total_slots; }
   /// The estimate of all instances' attempts in flight over all slots.
--- a/src/util/settings.cc
+++ b/src/util/settings.cc
@@ -21,7 +21,7 @@
      {"round-robin", ChoicePolicy::kRoundRobin},
      {"least-in-flight", ChoicePolicy::kLeastInFlight}}};
 
-constexpr std::array<std::pair<std::string_view, Mechanism>, 10> kMechanisms = {
+constexpr std::array<std::pair<std::string_view, Mechanism>, 11> kMechanisms = {
     {{"readings", Mechanism::kReadings},
      {"slowness", Mechanism::kSlowness},
      {"zone-preference", Mechanism::kZonePreference},
@@ -31,6 +31,7 @@
      {"ejection", Mechanism::kEjection},
      {"fair-queue", Mechanism::kFairQueue},
      {"early-refusal", Mechanism::kEarlyRefusal},
+     {"objective-waits", Mechanism::kObjectiveWaits},
      {"probes", Mechanism::kProbes}}};
 
 // Removes the lines of `toml` that set a key which an override sets too, so
