A fault soak of instances on the platform

Change: testsuite/soak starts instances as separate processes behind fault-injecting proxies (ways to the store, to targets and from callers: cut one way, delayed, refused, reset, silenced), kills, pauses, ends and restarts them, changes settings and configuration, and has targets crash, hang, refuse, garble and leave, in three lines that overlap and that the seed decides. Callers keep their connections. Checked from what callers and backend servers see: answers are whole and the caller's own; nothing runs twice, unasked, after a refusal or on a target that has left; planned work cuts nothing off; all serve again.

The suite plays seed 1 for 15 s. SOAK_SECONDS, SOAK_INSTANCES, SOAK_TARGETS and SOAK_CALLERS make it longer and larger.

platform-whole-path: its instances moved to testsuite/platform_entry.py.

Not covered: ways between instances, which tell each other their addresses themselves.

--- a/testsuite/platform-whole-path/run.py
+++ b/testsuite/platform-whole-path/run.py
@@ -3,7 +3,7 @@
 each other, answer for addresses, drain, outlive the store, take changed
 settings, and shut down without cutting anything off."""
 
-import json
+import itertools
 import pathlib
 import signal
 import sys
@@ -13,50 +13,10 @@
 import harness
 import platform_standin as standin
 
+from platform_entry import Entry
 from harness import check, wait_until
 
 
-class Entry(harness.Process):
-    """An instance on the platform."""
-
-    def __init__(self, case, number, store, seeds=()):
-        port = 9000 + 10 * number
-        self.front, self.ready, self.directory = (
-            case.at(port), case.at(port + 1), case.at(port + 2))
-        self.settings_path = case.out / f"e{number}.toml"
-        self.settings = {
-            "name": f"e{number}", "region": "r", "zone": "zone-a",
-            "callers": self.front, "ready": self.ready,
-            "directory": self.directory, "peers": case.at(port + 3),
-            "operators": case.at(port + 4),
-            "seeds": list(seeds), "store": store, "drain_ms": 2000,
-            "grace_s": 6, "address_lifetime_s": 2, "max_descriptors": 1024,
-            "retry_share": 0.2, "retry_extra": 62,
-            "probes_per_target_second": 60}
-        self.write_settings()
-        super().__init__(case, f"e{number}", [
-            case.build / "guavacross", "platform", "--settings",
-            self.settings_path])
-
-    def write_settings(self, **changes):
-        self.settings.update(changes)
-        self.settings_path.write_text("".join(
-            f"{key} = {json.dumps(value)}\n"
-            for key, value in self.settings.items()))
-
-    def is_ready(self):
-        answer = harness.try_call(self.ready, "GET", "/ready", timeout_s=2)
-        return answer is not None and answer.status == 200
-
-    def call(self, method, path, request, **named):
-        return harness.call(self.front, method, path, headers={
-            "Host": "shop.example", "X-Request-Id": request,
-            "X-Deadline-Ms": "1500"}, **named)
-
-    def status(self, path, request, method="GET", **named):
-        return self.call(method, path, request, **named).status
-
-
 ROUTES = [("read", "/read/", "safe", "s1"), ("pay", "/pay/", "unsafe", "s1")]
 
 with harness.Case(__file__) as case:
@@ -118,7 +78,8 @@
                    "both instances know")
         ran = len(targets[0].runs)
         for number in range(20):
-            check(first.status(f"/read/5{number}", f"d{number}") == 200, "ok")
+            answer = first.call("GET", f"/read/5{number}", f"d{number}")
+            check(answer.status == 200, f"{answer}: {answer.body}")
         check(len(targets[0].runs) == ran, "none ran on the draining target")
 
     with case.section("with the store silent all goes on"):
@@ -128,8 +89,10 @@
         store.down = False
         store.append("keyed.op", "config", standin.config(
             3, ROUTES + [("new", "/new/", "safe", "s1")], ["s1"]))
-        wait_until(lambda: first.status("/new/1", "n1") == 200
-                   and second.status("/new/1", "n2") == 200,
+        numbers = itertools.count()
+        wait_until(lambda: all(
+            entry.status("/new/1", f"n{next(numbers)}") == 200
+            for entry in (first, second)),
                    "the next configuration comes in force")
 
     with case.section("with the history gone all is listed anew"):
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -4,8 +4,10 @@
 that the cases need, not all of its rules."""
 
 import base64
+import contextlib
 import http.server
 import json
+import socket
 import struct
 import threading
 import time
@@ -16,6 +18,26 @@
     daemon_threads = True
     request_queue_size = 64
 
+    def __init__(self, *arguments):
+        self._open = set()
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address):
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self):
+        """Stops listening and breaks off what is open."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, *_):
         """Connections that the instance resets are no news."""
 
@@ -126,17 +148,24 @@
 
 
 class Target:
-    """A backend server that registers itself and counts what it runs."""
+    """A backend server that registers itself and remembers what it runs.
+
+    `fault` is empty or one of `mute` (runs and never answers), `lost` (runs and
+    closes without an answer), `full` (refuses as not run), `extra` (sends an
+    answer to another request first)."""
 
-    def __init__(self, store, address, name, service, work_s=0.0):
+    def __init__(self, store, address, name, service, work_s=0.0,
+                 registered_address=None):
         self.store, self.address = store, address
         self.name, self.service = name, service
         self.work_s = work_s
-        self.runs = []
+        self.fault = ""
+        # (time, request) of each start of work.
+        self.started = []
         self.misdirected = 0
+        self._registered_address = registered_address or address
         self._born = int(time.time() * 1000)
         self._heartbeat = 0
-        self._lock = threading.Lock()
         target = self
 
         class Handler(_Handler):
@@ -148,9 +177,13 @@
         self._server = _serve(address, Handler)
         self.register()
 
+    @property
+    def runs(self):
+        return [request for _, request in self.started]
+
     def register(self, state="ready", **fields):
         self._heartbeat += 1
-        entry = {"Service": self.service, "Address": self.address,
+        entry = {"Service": self.service, "Address": self._registered_address,
                  "Zone": "zone-a", "Version": "v1", "Slots": 4, "State": state,
                  "WarmupLeftMs": 0, "Seq": self._heartbeat, "born": self._born}
         self.store.append("keyed.servers", self.name, {**entry, **fields})
@@ -158,6 +191,10 @@
     def leave(self):
         self.store.append("keyed.servers", self.name, None)
 
+    def crash(self):
+        """Ends at once; its entry stays until somebody removes it."""
+        self._server.crash()
+
     def _answer(self, handler):
         length = int(handler.headers.get("Content-Length") or 0)
         handler.rfile.read(length)
@@ -170,9 +207,20 @@
             handler.answer(421, b"", load)
             return
         request = handler.headers["X-Request-Id"]
-        with self._lock:
-            self.runs.append(request)
+        if self.fault == "full":
+            handler.answer(503, b"", load + [("X-Not-Executed", "1")])
+            return
+        self.started.append((time.monotonic(), request))
         time.sleep(self.work_s)
+        if self.fault in ("mute", "lost"):
+            time.sleep(3 if self.fault == "mute" else 0)
+            handler.close_connection = True
+            return
+        if self.fault == "extra":
+            self._answer_as(handler, "another")
+        self._answer_as(handler, request)
+
+    def _answer_as(self, handler, request):
         handler.answer(200, f"{self.name} ran {request}".encode(),
                        [("X-Request-Id", request),
                         ("X-Response-Signature", f"s.{self.name}")])
--- /dev/null
+++ b/testsuite/soak/run.py
@@ -0,0 +1,403 @@
+#!/usr/bin/env python3
+"""A fault soak: instances on the platform as separate processes behind
+fault-injecting proxies, and callers that use them throughout.
+
+What goes wrong, when, for how long and to whom comes from the seed; faults come
+in series and overlap. The promises are checked from what callers and backend
+servers see. Usage:
+
+    testsuite/soak/run.py --seed 7                   one seed, as in CI
+    SOAK_SECONDS=60 SOAK_INSTANCES=12 testsuite/soak/run.py
+
+Seeds that ever failed stand in regressions.txt, each with its cause."""
+
+import http.client
+import os
+import pathlib
+import random
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import harness
+import platform_standin as standin
+
+from harness import check, wait_until
+from platform_entry import Entry
+
+CI_SEED = 1
+SECONDS = float(os.environ.get("SOAK_SECONDS", "15"))
+INSTANCES = int(os.environ.get("SOAK_INSTANCES", "3"))
+TARGETS = int(os.environ.get("SOAK_TARGETS", "6"))
+CALLERS = int(os.environ.get("SOAK_CALLERS", "6"))
+
+STORE_PORT = 9900
+TARGET_PORT = 9100
+# As the settings of the instances tell them.
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+RECOVER_S = 15.0
+# Trouble within this time before excuses what has a bound.
+STABLE_S = 3.0
+CALLER_WAITS_S = 1.5
+NOT_RUN = (408, 421, 429, 503)
+ROUTES = [("read", "/read/", "safe", "s1"), ("pay", "/pay/", "unsafe", "s1")]
+
+
+class Asked:
+    """One request as its caller saw it."""
+
+    def __init__(self, entry, request, path, once):
+        self.entry, self.request = entry, request
+        self.path, self.once = path, once
+        self.began = time.monotonic()
+        self.ended = None
+        self.status = None
+        self.body = b""
+        self.signature = None
+
+
+class Caller(threading.Thread):
+    """Sends requests one after the other, on connections that it keeps until
+    the instance closes them."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.number = number
+        self.random = random.Random(soak.case.seed * 1000 + number)
+        self.connections = {}
+        self.asked = []
+        self.stopping = False
+
+    def run(self):
+        while not self.stopping:
+            self.ask(self.random.choice(self.soak.entries))
+            time.sleep(self.random.uniform(0.005, 0.03))
+
+    def ask(self, entry):
+        once = self.random.random() < 0.4
+        route = "/pay/" if once else self.random.choice(self.soak.read_paths)
+        request = f"{'once' if once else 'safe'}-{self.number}-{len(self.asked)}"
+        asked = Asked(entry, request, f"{route}{request}", once)
+        self.asked.append(asked)
+        connection = self.connections.get(entry) or http.client.HTTPConnection(
+            *entry.callers_address, timeout=2 * CALLER_WAITS_S)
+        self.connections[entry] = connection
+        try:
+            connection.request(
+                "POST" if once else "GET", asked.path,
+                body=b"pay" if once else None,
+                headers={"Host": "shop.example", "X-Request-Id": request,
+                         "X-Deadline-Ms": str(int(CALLER_WAITS_S * 1000))})
+            answer = connection.getresponse()
+            asked.body = answer.read()
+            asked.signature = answer.getheader("X-Response-Signature")
+            asked.status = answer.status
+            if answer.getheader("Connection") == "close":
+                raise OSError("asked to go")
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            del self.connections[entry]
+        asked.ended = time.monotonic()
+
+
+class Soak:
+    """The deployment, its faults, and what is checked."""
+
+    def __init__(self, case):
+        self.case = case
+        # Each line of faults draws from its own part of the seed.
+        self._drawn = threading.local()
+        self.store = standin.Store(case.at(STORE_PORT))
+        links = {f"store-{n}": case.at(STORE_PORT) for n in range(INSTANCES)}
+        links |= {f"callers-{n}": case.at(9000 + 10 * n)
+                  for n in range(INSTANCES)}
+        links |= {f"target-{n}": case.at(TARGET_PORT + n)
+                  for n in range(TARGETS)}
+        case.start_platform({}, more_links=links)
+        self.version = 1
+        self.read_paths = ["/read/"]
+        self.publish()
+        # Every run of a backend server, with the time it began to leave.
+        self.all_targets, self.leaving = [], {}
+        self.targets = [None] * TARGETS
+        for n in range(TARGETS):
+            self.start_target(n)
+        self.entries = []
+        for n in range(INSTANCES):
+            self.entries.append(self.start_entry(n))
+        # (begin, end) of each fault; a planned end of a process is none.
+        self.troubles = []
+        # (entry, time) of each SIGTERM.
+        self.terminated = []
+        self.published = []
+        self.told = []
+
+    @property
+    def random(self):
+        return self._drawn.random
+
+    def start_entry(self, number):
+        entry = Entry(
+            self.case, number, self.case.proxies[f"store-{number}"],
+            seeds=[self.case.at(9003 + 10 * n) for n in range(min(3, INSTANCES))])
+        self.case.processes.append(entry)
+        ip, port = self.case.proxies[f"callers-{number}"].rsplit(":", 1)
+        entry.callers_address = ip, int(port)
+        entry.number = number
+        return entry
+
+    def start_target(self, number):
+        target = standin.Target(
+            self.store, self.case.at(TARGET_PORT + number),
+            f"t{number}-{len(self.all_targets)}", "s1", 0.02,
+            self.case.proxies[f"target-{number}"])
+        self.targets[number] = target
+        self.all_targets.append(target)
+
+    def publish(self):
+        routes = ROUTES + [(f"r{v}", f"/v{v}/", "safe", "s1")
+                           for v in range(2, self.version + 1)]
+        self.store.append("keyed.op", "config",
+                          standin.config(self.version, routes, ["s1"]))
+
+    # Faults: each lasts for `seconds`, and undoes what it did.
+
+    def proxy_fault(self, kind, seconds):
+        name = f"proxy-{kind}-{self.random.randrange(self.size_of(kind))}"
+        fault, undo = self.random.choice([
+            ({"to_target": {"black_hole": True}},
+             {"to_target": {"black_hole": False}}),
+            ({"to_caller": {"black_hole": True}},
+             {"to_caller": {"black_hole": False}}),
+            ({"to_caller": {"delay_ms": 150}}, {"to_caller": {"delay_ms": 0}}),
+            ({"refuse": True}, {"refuse": False}),
+            ({"reset_now": True}, {}), ({"silence_now": True}, {})])
+        self.tell(f"{name}: {fault} for {seconds:.1f} s")
+        self.case.fault(name, **fault)
+        time.sleep(seconds)
+        self.case.fault(name, **undo)
+        if any("black_hole" in way for way in fault.values()
+               if isinstance(way, dict)):
+            # What was lost on the way doesn't come back.
+            self.case.fault(name, reset_now=True)
+
+    def size_of(self, kind):
+        return TARGETS if kind == "target" else INSTANCES
+
+    def store_fault(self, seconds):
+        what = self.random.choice(["down", "refusing", "forget"])
+        self.tell(f"store: {what} for {seconds:.1f} s")
+        if what == "forget":
+            self.store.forget("keyed.servers")
+            return
+        setattr(self.store, what, True)
+        time.sleep(seconds)
+        setattr(self.store, what, False)
+
+    def target_fault(self, seconds):
+        number = self.random.randrange(TARGETS)
+        target = self.targets[number]
+        fault = self.random.choice(["mute", "lost", "full", "extra", "crash"])
+        self.tell(f"{target.name}: {fault} for {seconds:.1f} s")
+        if fault != "crash":
+            target.fault = fault
+            time.sleep(seconds)
+            target.fault = ""
+            return
+        target.crash()
+        time.sleep(min(seconds, 1))
+        target.leave()
+        self.start_target(number)
+
+    def entry_fault(self, seconds):
+        number = self.random.randrange(INSTANCES)
+        entry = self.entries[number]
+        what = self.random.choice(["kill", "pause", "hup"])
+        self.tell(f"{entry.name}: {what} for {seconds:.1f} s")
+        if what == "hup":
+            entry.write_settings(retry_extra=self.random.randrange(30, 90))
+            entry.signal(signal.SIGHUP)
+        elif what == "pause":
+            entry.pause()
+            time.sleep(seconds)
+            entry.resume()
+        else:
+            entry.kill()
+            time.sleep(seconds / 2)
+            self.entries[number] = self.start_entry(number)
+
+    # Planned work.
+
+    def drain(self):
+        number = self.random.randrange(TARGETS)
+        target = self.targets[number]
+        self.tell(f"{target.name}: leaves")
+        target.register("draining")
+        self.leaving[target] = time.monotonic()
+        time.sleep(2 * DRAIN_S)
+        target.leave()
+        target.crash()
+        self.start_target(number)
+
+    def restart(self):
+        number = self.random.randrange(INSTANCES)
+        entry = self.entries[number]
+        self.tell(f"{entry.name}: SIGTERM")
+        self.terminated.append((entry, time.monotonic()))
+        entry.signal(signal.SIGTERM)
+        check(entry.wait() == 0, f"{entry.name} ends by itself")
+        self.entries[number] = self.start_entry(number)
+
+    def reconfigure(self):
+        self.version += 1
+        self.tell(f"configuration {self.version}")
+        self.publish()
+        self.published.append((time.monotonic(), f"/v{self.version}/"))
+        self.read_paths.append(f"/v{self.version}/")
+
+    def tell(self, text):
+        self.told.append(f"{time.monotonic() - self.began:6.2f} s  {text}")
+
+    def play(self):
+        """Runs the faults of the seed in three lines, which overlap: the store
+        and the ways to it, the other links, and the members, planned work on
+        them included."""
+        self.began = time.monotonic()
+        end = self.began + SECONDS
+        failures = []
+
+        def repeat(line, work, gap):
+            self._drawn.random = random.Random(f"{self.case.seed} {line}")
+            try:
+                while time.monotonic() < end:
+                    time.sleep(self.random.uniform(*gap))
+                    work()
+            except Exception as error:  # Reported by the main thread.
+                failures.append(error)
+
+        def trouble(kinds):
+            span = [time.monotonic(), float("inf")]
+            self.troubles.append(span)
+            self.random.choice(kinds)(self.random.uniform(0.3, 3.0))
+            span[1] = time.monotonic()
+
+        def store_trouble():
+            trouble([self.store_fault, lambda s: self.proxy_fault("store", s)])
+
+        def link_trouble():
+            trouble([lambda s: self.proxy_fault("target", s),
+                     lambda s: self.proxy_fault("callers", s)])
+
+        def members():
+            if self.random.random() < 0.5:
+                trouble([self.target_fault, self.entry_fault])
+            else:
+                self.random.choice(
+                    [self.drain, self.restart, self.reconfigure])()
+
+        threads = [
+            threading.Thread(target=repeat, args=("store", store_trouble, (1, 4))),
+            threading.Thread(target=repeat, args=("links", link_trouble, (1, 4))),
+            threading.Thread(target=repeat, args=("members", members, (0, 1)))]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        if failures:
+            raise failures[0]
+
+    # Checks.
+
+    def calm(self, begin, end):
+        """Whether no trouble touched the time from STABLE_S before `begin`."""
+        return all(ended < begin - STABLE_S or began > end
+                   for began, ended in self.troubles)
+
+    def check_answers(self, asked):
+        for each in asked:
+            if each.status == 200:
+                ran_by = each.body.decode(errors="replace").split(" ran ")
+                check(len(ran_by) == 2 and ran_by[1] == each.request and
+                      each.signature == f"s.{ran_by[0]}",
+                      f"{each.request} got {each.body}, {each.signature}")
+
+    def check_runs(self, asked):
+        runs = {}
+        for target in self.all_targets:
+            for at, request in list(target.started):
+                runs.setdefault(request, []).append((at, target))
+        known = {each.request: each for each in asked}
+        for request, started in runs.items():
+            check(request in known, f"{request} ran, and nobody sent it")
+            each = known[request]
+            check(not each.once or len(started) == 1,
+                  f"{request} ran {len(started)} times")
+            check(each.status not in NOT_RUN or not each.once,
+                  f"{request} was told {each.status} and ran")
+            for at, target in started:
+                late = at - self.leaving.get(target, at) - DRAIN_S
+                check(late <= 0 or not self.calm(at - late - DRAIN_S, at),
+                      f"{request} ran on {target.name} {late:.2f} s too late")
+
+    def check_planned_work(self, asked):
+        for each in asked:
+            for entry, at in self.terminated:
+                in_flight = each.entry is entry and each.began < at < each.ended
+                check(not in_flight or each.status is not None or
+                      not self.calm(each.began, each.ended),
+                      f"{each.request} was cut off as {entry.name} ended")
+            for at, path in self.published:
+                settled = (each.path.startswith(path) and
+                           each.began > at + CONFIG_S and
+                           self.calm(at, each.ended))
+                check(not settled or each.status != 404,
+                      f"{each.request} got 404 on a route in force")
+
+    def check_recovery(self):
+        def serves(entry):
+            answer = harness.try_call(
+                ":".join(map(str, entry.callers_address)), "GET",
+                f"{self.read_paths[-1]}recovered", timeout_s=3,
+                headers={"Host": "shop.example", "X-Request-Id": "recovered",
+                         "X-Deadline-Ms": "1500"})
+            return answer is not None and answer.status == 200
+
+        for entry in self.entries:
+            check(entry.running, f"{entry.name} ended by itself")
+            wait_until(lambda: serves(entry), f"{entry.name} serves again",
+                       RECOVER_S)
+
+
+with harness.Case(__file__, seed=CI_SEED) as case:
+    soak = Soak(case)
+    for entry in soak.entries:
+        wait_until(entry.is_ready, f"{entry.name} is ready")
+    callers = [Caller(soak, number) for number in range(CALLERS)]
+    for caller in callers:
+        caller.start()
+    try:
+        with case.section("faults in series and overlapping"):
+            soak.play()
+            for caller in callers:
+                caller.stopping = True
+            for caller in callers:
+                caller.join()
+        with case.section("all instances serve again"):
+            soak.check_recovery()
+        asked = [each for caller in callers for each in caller.asked]
+        served = sum(each.status == 200 for each in asked)
+        print(f"    {len(asked)} requests, {served} served, "
+              f"{len(soak.told)} faults and changes")
+        with case.section("every answer is whole and the caller's own"):
+            soak.check_answers(asked)
+        with case.section("nothing ran twice, unasked, refused or too late"):
+            soak.check_runs([*asked, Asked(None, "recovered", "", False)])
+        with case.section("planned work cut nothing off"):
+            soak.check_planned_work(asked)
+    except harness.Failure:
+        print("    " + "\n    ".join(soak.told))
+        raise
