Metrics, status and explained failures for instances on the platform

Cause: docs/OPERATIONS.md explained three kinds of failure, one of them tested; metrics told nothing of targets, store or zones; `guavacross status` didn't know instances on the platform.

Change: - Metrics: attempts by service, target's zone and end; targets by state, requests waiting, attempts in flight, retries and hedges by service; the configuration in force and since when; the store's reach and the age of the last read of each stream. No series for single targets. - `/status.json` beside `/metrics`; `guavacross status` prints what each instance has in force and since when, its targets and the age of their entries, its peers and what the store last said. - The line of an attempt that failed says what slowdown its target told. - testsuite/explain-failed-requests causes a refusal at overload, a target lost with a request, an answer that never came and an old configuration, and looks for each line and metric of docs/OPERATIONS.md.

The cost of the lines per 1,000 requests has not been measured.

--- a/src/forwarding/exchange_log.cc
+++ b/src/forwarding/exchange_log.cc
@@ -49,18 +49,24 @@
 }
 
 void Exchange::TellOfTry(const Try& ended, AttemptEnd end) {
+  context().m_metrics->CountAttempt(ended.m_grant.m_service,
+                                    ended.m_grant.m_zone, EndName(end));
   if (end == AttemptEnd::kAnswered || context().m_log == nullptr ||
       !context().m_log->TellsTrouble()) {
     return;
   }
-  RequestLog::Tell("attempt ended", RequestId(),
-                   {{"end", std::string(EndName(end))},
-                    {"target", ended.m_grant.m_target},
-                    {"address", ToString(ended.m_grant.m_address)},
-                    {"service", ended.m_grant.m_service},
-                    {"status", std::to_string(ended.m_answer_status)},
-                    {"sent_ms_ago", InMilliseconds(now() - ended.m_sent_at)},
-                    {"attempt", std::to_string(m_targets_tried.size())}});
+  RequestLog::Tell(
+      "attempt ended", RequestId(),
+      {{"end", std::string(EndName(end))},
+       {"target", ended.m_grant.m_target},
+       {"address", ToString(ended.m_grant.m_address)},
+       {"service", ended.m_grant.m_service},
+       {"status", std::to_string(ended.m_answer_status)},
+       {"told_slowdown", ended.m_report.m_load.m_slowdown.has_value()
+                             ? std::to_string(*ended.m_report.m_load.m_slowdown)
+                             : "none"},
+       {"sent_ms_ago", InMilliseconds(now() - ended.m_sent_at)},
+       {"attempt", std::to_string(m_targets_tried.size())}});
 }
 
 void Exchange::TellOfEnd(int status, const std::string& why) {
--- a/src/forwarding/forward_metrics.cc
+++ b/src/forwarding/forward_metrics.cc
@@ -41,6 +41,20 @@
   return series;
 }
 
+void ForwardMetrics::CountAttempt(const std::string& service,
+                                  const std::string& zone,
+                                  std::string_view end) {
+  prometheus::Counter*& counter =
+      m_attempts[Key(service, zone, std::string(end))];
+  if (counter == nullptr) {
+    counter = &m_metrics->Counter(
+        "guavacross_attempts_total",
+        "Attempts by service, the target's zone, and how they ended",
+        {{"service", service}, {"zone", zone}, {"end", std::string(end)}});
+  }
+  counter->Increment();
+}
+
 void ForwardMetrics::CountOwnAnswer(ErrorKind kind) {
   prometheus::Counter*& counter = m_own_answers[kind];
   if (counter == nullptr) {
--- a/src/forwarding/forward_metrics.h
+++ b/src/forwarding/forward_metrics.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 #include "guavacross/error.h"
@@ -33,6 +34,11 @@
                       const std::string& class_name,
                       const std::string& tenant);
 
+  /// Counts an attempt by its service, its target's zone and how it ended.
+  void CountAttempt(const std::string& service,
+                    const std::string& zone,
+                    std::string_view end);
+
   /// Counts an answer that guavacross made itself, by its reason.
   void CountOwnAnswer(ErrorKind kind);
 
@@ -41,6 +47,7 @@
 
   util::Metrics* m_metrics;
   std::map<Key, ClassSeries> m_series;
+  std::map<Key, prometheus::Counter*> m_attempts;
   std::map<ErrorKind, prometheus::Counter*> m_own_answers;
 };
 
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -45,6 +45,8 @@
   std::uint64_t m_id = 0;
   std::string m_service;
   std::string m_target;
+  /// The target's availability zone.
+  std::string m_zone;
   Endpoint m_address;
   TimePoint m_granted_at;
 
--- a/src/operators/metrics_server.cc
+++ b/src/operators/metrics_server.cc
@@ -9,10 +9,15 @@
 
 class MetricsServer::Impl {
  public:
-  explicit Impl(std::function<std::string()> text) : m_text(std::move(text)) {
-    m_server.route("/metrics", [this] {
+  Impl(std::function<std::string()> metrics,
+       std::function<std::string()> status) {
+    m_server.route("/metrics", [metrics = std::move(metrics)] {
       return QHttpServerResponse("text/plain; version=0.0.4",
-                                 QByteArray::fromStdString(m_text()));
+                                 QByteArray::fromStdString(metrics()));
+    });
+    m_server.route("/status.json", [status = std::move(status)] {
+      return QHttpServerResponse("application/json",
+                                 QByteArray::fromStdString(status()));
     });
   }
 
@@ -22,12 +27,12 @@
   }
 
  private:
-  std::function<std::string()> m_text;
   QHttpServer m_server;
 };
 
-MetricsServer::MetricsServer(std::function<std::string()> text)
-    : m_impl(std::make_unique<Impl>(std::move(text))) {}
+MetricsServer::MetricsServer(std::function<std::string()> metrics,
+                             std::function<std::string()> status)
+    : m_impl(std::make_unique<Impl>(std::move(metrics), std::move(status))) {}
 
 MetricsServer::~MetricsServer() = default;
 
--- a/src/operators/metrics_server.h
+++ b/src/operators/metrics_server.h
@@ -9,12 +9,13 @@
 
 namespace guavacross::operators {
 
-/// Serves `/metrics` in Prometheus' text format on an address of its own.
-/// Make one on the control thread and call `Start`.
+/// Serves `/metrics` in Prometheus' text format and `/status.json` on an
+/// address of its own. Make one on the control thread and call `Start`.
 class MetricsServer {
  public:
-  /// `text` gives the metrics; called on the control thread.
-  explicit MetricsServer(std::function<std::string()> text);
+  /// `metrics` and `status` give the pages; called on the control thread.
+  MetricsServer(std::function<std::string()> metrics,
+                std::function<std::string()> status);
   ~MetricsServer();
   MetricsServer(const MetricsServer&) = delete;
   MetricsServer& operator=(const MetricsServer&) = delete;
--- a/src/operators/status_command.cc
+++ b/src/operators/status_command.cc
@@ -57,6 +57,44 @@
   }
 }
 
+// An instance on a platform: one line, and one for each of its services.
+void ShowRouteInstance(const std::string& name,
+                       const QJsonObject& json,
+                       std::ostream& out) {
+  const QJsonObject configuration = json["configuration"].toObject();
+  const QJsonObject store = json["store"].toObject();
+  int live = 0;
+  const QJsonArray peers = json["peers"].toArray();
+  for (const QJsonValue peer : peers) {
+    live += TextOf(peer, "state") == "live" ? 1 : 0;
+  }
+  out << std::left << std::setw(16) << name
+      << (json["ready"].toBool() ? " ready" : " NOT READY")
+      << (json["leaving"].toBool() ? ", leaving" : "") << ", configuration "
+      << configuration["version"].toInteger() << " for " << std::fixed
+      << std::setprecision(0) << configuration["in_force_s"].toDouble()
+      << " s, " << live << " of " << peers.size() << " peers live, store "
+      << (store["reachable"].toBool() ? "answers"
+                                      : "LOST: " + TextOf(store, "error"))
+      << "\n";
+  for (const QJsonValue service : json["services"].toArray()) {
+    std::map<std::string, int> by_state;
+    double oldest_s = 0;
+    const QJsonArray targets = service["targets"].toArray();
+    for (const QJsonValue target : targets) {
+      ++by_state[TextOf(target, "state")];
+      oldest_s = std::max(oldest_s, target["entry_age_s"].toDouble());
+    }
+    out << "  " << std::setw(14) << TextOf(service, "name") << " "
+        << targets.size() << " targets";
+    for (const auto& [state, count] : by_state) {
+      out << ", " << count << " " << state;
+    }
+    out << ", oldest entry " << oldest_s << " s, "
+        << service["waiting"].toInteger() << " requests wait\n";
+  }
+}
+
 void ShowInstance(const Endpoint& endpoint,
                   const net::FetchResult& fetched,
                   std::ostream& out,
@@ -72,6 +110,11 @@
   }
   const std::string name = TextOf(json, "instance");
   const bool ready = json["ready"].toBool();
+  if (json.contains("configuration")) {
+    ShowRouteInstance(name, json, out);
+    view->m_well = view->m_well && ready;
+    return;
+  }
   const QJsonObject log = json["log"].toObject();
   out << std::left << std::setw(16) << name << " " << std::setw(22)
       << ToString(endpoint) << (ready ? " ready" : " NOT READY")
@@ -138,7 +181,9 @@
   for (std::size_t i = 0; i < answers.size(); ++i) {
     ShowInstance(options.m_instances[i], answers[i], out, &view);
   }
-  ShowSections(out, &view);
+  if (!view.m_instances.empty()) {
+    ShowSections(out, &view);
+  }
   return view.m_well ? kExitOk : kExitRefused;
 }
 
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -335,6 +335,7 @@
   return {.m_id = ticket,
           .m_service = m_config->m_name,
           .m_target = target->m_config.m_name,
+          .m_zone = target->m_config.m_zone,
           .m_address = target->m_config.m_address,
           .m_granted_at = now};
 }
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -1,5 +1,6 @@
 #include "serve/route_instance.h"
 
+#include <QJsonDocument>
 #include <algorithm>
 #include <atomic>
 #include <map>
@@ -15,6 +16,7 @@
 #include "routes/target_registry.h"
 #include "serve/control_thread.h"
 #include "serve/peer_news.h"
+#include "serve/route_status.h"
 #include "util/hash.h"
 #include "util/log.h"
 #include "util/metrics.h"
@@ -103,6 +105,7 @@
                      {"routes", std::to_string(table.m_routes.size())},
                      {"services", std::to_string(table.m_services.size())}});
     m_table = std::make_shared<const RouteTable>(table);
+    m_in_force_since = m_clock.m_now();
     ApplyPlans();
     // After the services, so that no route points to one that isn't there.
     m_classifier->SetTable(m_table);
@@ -111,10 +114,12 @@
   }
 
   void PutTarget(const RegisteredTarget& target) {
+    m_told_at[target.m_id] = m_clock.m_now();
     NoteChange(m_registry.Put(target), target);
   }
 
   void RemoveTarget(const std::string& id) {
+    m_told_at.erase(id);
     const auto change = m_registry.Remove(id, m_clock.m_now());
     NoteChange(change, {.m_id = id});
   }
@@ -144,6 +149,7 @@
 
   void SetStoreReachable(bool reachable, const std::string& why) {
     m_registry.SetStoreReachable(reachable, m_clock.m_now());
+    m_store_error = reachable ? "" : why;
     if (reachable) {
       util::LogChange("store", "the store answers again");
     } else {
@@ -275,7 +281,15 @@
       return {};
     }
     m_operators = std::make_unique<operators::MetricsServer>(
-        [this] { return m_metrics.Text(); });
+        [this] {
+          SetGauges(Status(), m_clock.m_now(), &m_metrics);
+          return m_metrics.Text();
+        },
+        [this] {
+          return QJsonDocument(ToJson(Status(), m_clock.m_now()))
+              .toJson()
+              .toStdString();
+        });
     if (!m_operators->Start(m_options.m_operators)) {
       return Fail(ErrorKind::kBadSettings, "metrics: cannot listen on " +
                                                ToString(m_options.m_operators));
@@ -283,6 +297,28 @@
     return {};
   }
 
+  RouteStatus Status() const {
+    const TimePoint now = m_clock.m_now();
+    RouteStatus status;
+    status.m_name = m_self.m_name;
+    status.m_region = m_options.m_region;
+    status.m_zone = m_options.m_zone;
+    status.m_ready = ready();
+    status.m_leaving = m_leaving;
+    status.m_version = version();
+    status.m_in_force_for =
+        m_table == nullptr ? Duration::zero() : now - m_in_force_since;
+    status.m_store_reachable = m_store_error.empty();
+    status.m_store_error = m_store_error;
+    status.m_streams = m_hooks.m_streams();
+    status.m_services = m_router->Status();
+    status.m_peers = m_peers->Members();
+    for (const auto& [id, told_at] : m_told_at) {
+      status.m_entry_ages[id] = now - told_at;
+    }
+    return status;
+  }
+
   // Seeds are addresses to ask; a seed is known as a member once it answers
   // under its own name.
   std::vector<ListedInstance> Seeds() const {
@@ -427,6 +463,11 @@
   routes::TargetRegistry m_registry;
   bool m_registry_changed = false;
   bool m_targets_listed = false;
+  // When the entry of each target was last told.
+  std::map<std::string, TimePoint> m_told_at;
+  // Why the store counts as lost; empty if it doesn't.
+  std::string m_store_error;
+  TimePoint m_in_force_since;
   std::shared_ptr<const RouteTable> m_table;
   std::map<std::string, ServiceConfig> m_plans;
   std::unique_ptr<Router> m_router;
