Plan the service whose target changed, and split two large files

Change: TargetPlans holds the registry, the table and the plans. A change plans its own service; only a new table or new budgets plan all, with the targets sorted by service once. How requests wait and are refused moved to service_waiting.cc. No decision changed.

--- a/src/routes/service_plan.cc
+++ b/src/routes/service_plan.cc
@@ -87,15 +87,4 @@
   return plan;
 }
 
-std::map<std::string, ServiceConfig> PlanServices(
-    const RouteTable& table,
-    const std::vector<RegisteredTarget>& targets,
-    const SharedBudgets& budgets) {
-  std::map<std::string, ServiceConfig> plans;
-  for (const RoutedService& service : table.m_services) {
-    plans[service.m_name] = PlanService(table, service, targets, budgets);
-  }
-  return plans;
-}
-
 }  // namespace guavacross::routes
--- a/src/routes/service_plan.h
+++ b/src/routes/service_plan.h
@@ -1,7 +1,6 @@
 #ifndef GUAVACROSS_ROUTES_SERVICE_PLAN_H_
 #define GUAVACROSS_ROUTES_SERVICE_PLAN_H_
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -30,12 +29,6 @@
                           const std::vector<RegisteredTarget>& targets,
                           const SharedBudgets& budgets);
 
-/// The plans of all services of the table, by name.
-std::map<std::string, ServiceConfig> PlanServices(
-    const RouteTable& table,
-    const std::vector<RegisteredTarget>& targets,
-    const SharedBudgets& budgets);
-
 }  // namespace guavacross::routes
 
 #endif  // GUAVACROSS_ROUTES_SERVICE_PLAN_H_
--- /dev/null
+++ b/src/routing/service_waiting.cc
@@ -0,0 +1,286 @@
+// How the requests of one service wait for targets, and when they are refused.
+
+#include <algorithm>
+#include <utility>
+
+#include "policy/slot_shares.h"
+#include "policy/waiting.h"
+#include "routing/service_router.h"
+
+namespace guavacross::routing {
+
+namespace {
+
+// While requests wait, the queue is looked at this often, since readings that
+// age can open a target without any event.
+constexpr Duration kQueueTick = std::chrono::milliseconds(5);
+
+// How long a request waits for a target that is known to be good, and for one
+// that is known to answer: some rounds of probes between availability zones.
+constexpr Duration kGoodOnlyFor = std::chrono::milliseconds(20);
+constexpr Duration kMeasuredOnlyFor = std::chrono::milliseconds(60);
+
+// A request that has held its slot for this many usual times is taken for one
+// that won't free it soon.
+constexpr double kStuckAfterSlotTimes = 3;
+
+// A class that has had no request for this long leaves its slots to others.
+constexpr Duration kClassIdleAfter = std::chrono::seconds(5);
+
+}  // namespace
+
+void ServiceRouter::CancelWait(std::uint64_t ticket) {
+  const std::lock_guard lock(m_mutex);
+  if (m_waiters.erase(ticket) > 0) {
+    m_queue.Remove(ticket);
+  }
+}
+
+void ServiceRouter::ExpireWaiters(TimePoint now, Effects* effects) {
+  const std::lock_guard lock(m_mutex);
+  for (const policy::QueuedRequest& expired : m_queue.TakeExpired(now)) {
+    const auto found = m_waiters.find(expired.m_ticket);
+    const bool by_deadline = found->second.m_deadline <= now;
+    const std::string text = "no slot became free in time";
+    effects->m_decisions.push_back(
+        {std::move(found->second.m_on_grant),
+         by_deadline ? Refuse(ErrorKind::kDeadlineExpired, text)
+                     : TooLong(Duration::zero(), text)});
+    m_waiters.erase(found);
+  }
+  ServeWaiters(now, effects);
+}
+
+// A caller that comes back says that it will wait for less than on its first
+// attempt, by the time that has passed.
+policy::WaitBounds ServiceRouter::BoundsOf(const ClassState& state,
+                                           const RequestTraits& traits,
+                                           TimePoint now) const {
+  policy::WaitBounds bounds{.m_deadline_left = traits.m_deadline - now};
+  if (!IsEnabled(Mechanism::kObjectiveWaits)) {
+    return bounds;
+  }
+  bounds.m_objective = state.m_config.m_objective;
+  if (traits.m_asked_wait > Duration::zero()) {
+    bounds.m_elapsed = state.m_longest_asked.value() - traits.m_asked_wait;
+  }
+  if (state.m_latency.is_ready()) {
+    bounds.m_usual_time = state.m_latency.median();
+  }
+  return bounds;
+}
+
+policy::FlowKey ServiceRouter::FlowOf(const RequestTraits& traits,
+                                      const policy::WaitBounds& bounds) const {
+  if (!IsEnabled(Mechanism::kFairQueue)) {
+    return {};
+  }
+  return {.m_class_name = traits.m_class_name,
+          .m_tenant = traits.m_tenant,
+          .m_past_objective = policy::IsPastObjective(bounds)};
+}
+
+double ServiceRouter::WeightOf(const policy::FlowKey& flow) const {
+  const ClassState* const state = FindClassState(flow.m_class_name);
+  const auto tenant = m_tenant_weights.find(flow.m_tenant);
+  const int class_weight = state == nullptr ? 1 : state->m_config.m_weight;
+  const int tenant_weight =
+      tenant == m_tenant_weights.end() ? 1 : tenant->second;
+  const double part = flow.m_past_objective ? policy::kPastObjectiveWeight : 1;
+  return part * std::max(1, class_weight) * std::max(1, tenant_weight);
+}
+
+double ServiceRouter::SlotCostOf(const ClassState& state) const {
+  // One millisecond stands for a class that isn't known yet.
+  return std::max(1.0, Milliseconds(state.m_slot_time));
+}
+
+bool ServiceRouter::MayServe(const ClassState& state, TimePoint now) const {
+  if (!state.m_config.m_bulk || !IsEnabled(Mechanism::kFairQueue)) {
+    return true;
+  }
+  bool others_idle = true;
+  for (const auto& other : m_classes) {
+    const bool is_active = other->m_last_request != TimePoint::min() &&
+                           now - other->m_last_request < kClassIdleAfter;
+    others_idle = others_idle && (other->m_config.m_bulk || !is_active);
+  }
+  return m_bulk_in_flight < policy::BulkLimit(m_pool.total_slots(), m_instances,
+                                              m_bulk_weight_share, others_idle);
+}
+
+bool ServiceRouter::TryGrantAtOnce(std::uint64_t ticket,
+                                   Waiter* waiter,
+                                   TimePoint now,
+                                   Effects* effects) {
+  if (m_queue.size() > 0 || !MayServe(*waiter->m_class, now)) {
+    return false;
+  }
+  const Choice choice = Choose(*waiter, now);
+  if (choice.m_target == nullptr && choice.m_worth_waiting) {
+    return false;
+  }
+  if (choice.m_target == nullptr) {
+    effects->m_decisions.push_back(
+        {std::move(waiter->m_on_grant),
+         Refuse(ErrorKind::kNoTarget, "no target takes new requests")});
+    return true;
+  }
+  m_queue.Charge(waiter->m_flow, WeightOf(waiter->m_flow),
+                 SlotCostOf(*waiter->m_class));
+  effects->m_decisions.push_back(
+      {std::move(waiter->m_on_grant),
+       {MakeGrant(choice.m_target, waiter->m_class, ticket, now)}});
+  return true;
+}
+
+void ServiceRouter::Enqueue(std::uint64_t ticket,
+                            Waiter waiter,
+                            TimePoint now,
+                            Effects* effects) {
+  const ClassConfig& limits = waiter.m_class->m_config;
+  const policy::FlowKey flow = waiter.m_flow;
+  const double weight = WeightOf(flow);
+  const Duration longest = LongestWait(waiter);
+  // Against an objective the estimate is too coarse for a queue that is short
+  // because targets are still being looked for.
+  const bool may_refuse =
+      waiter.m_bounds.m_objective <= Duration::zero() || IsSaturated(now);
+  if (IsEnabled(Mechanism::kEarlyRefusal) && may_refuse) {
+    const Duration expected = ExpectedWait(waiter, now);
+    if (expected > longest) {
+      effects->m_decisions.push_back(
+          {std::move(waiter.m_on_grant),
+           TooLong(expected - longest, "the wait would be too long")});
+      return;
+    }
+  }
+  const TimePoint expires = now + longest;
+  if (m_queue.SizeOfClass(flow.m_class_name) >= limits.m_queue_limit) {
+    const std::optional<std::uint64_t> displaced =
+        m_queue.Displace(flow, weight);
+    if (!displaced) {
+      effects->m_decisions.push_back(
+          {std::move(waiter.m_on_grant),
+           Refuse(ErrorKind::kQueueFull, "the queue is full")});
+      return;
+    }
+    RefuseWaiter(*displaced, ErrorKind::kQueueFull,
+                 "the queue is full and others had less of it", effects);
+  }
+  m_queue.Push(flow, weight, SlotCostOf(*waiter.m_class),
+               {.m_ticket = ticket, .m_expires = expires});
+  m_waiters.emplace(ticket, std::move(waiter));
+  ServeWaiters(now, effects);
+}
+
+Duration ServiceRouter::LongestWait(const Waiter& waiter) const {
+  return std::min(waiter.m_class->m_config.m_queue_wait,
+                  policy::LongestWait(waiter.m_bounds));
+}
+
+// Whether some request has waited for so long that it would have been given any
+// target that answers: only then is it known that none has room.
+bool ServiceRouter::IsSaturated(TimePoint now) const {
+  return std::any_of(m_waiters.begin(), m_waiters.end(),
+                     [now](const auto& entry) {
+                       return now - entry.second.m_arrived >= kMeasuredOnlyFor;
+                     });
+}
+
+Duration ServiceRouter::ExpectedWait(const Waiter& waiter,
+                                     TimePoint now) const {
+  if (m_slot_time <= Duration::zero()) {
+    return Duration::zero();
+  }
+  // What has been out for long isn't likely to free its slot soon: its target
+  // hangs or is gone.
+  const int in_flight = m_pool.CountSentAfter(
+      now - FromSeconds(kStuckAfterSlotTimes * Seconds(m_slot_time)));
+  if (in_flight == 0) {
+    return Duration::zero();
+  }
+  // Little's law gives the rate at which this instance's slots become free.
+  const double freed_per_second = in_flight / Seconds(m_slot_time);
+  const double ahead =
+      m_queue.Ahead(waiter.m_flow, WeightOf(waiter.m_flow)) + 1;
+  return FromSeconds(ahead / freed_per_second);
+}
+
+util::Expected<Grant> ServiceRouter::TooLong(Duration excess,
+                                             const std::string& text) {
+  util::Expected<Grant> refusal = Refuse(ErrorKind::kQueueTimeout, text);
+  refusal.m_error.m_retry_after = policy::RetryAfter(excess, &m_random);
+  return refusal;
+}
+
+void ServiceRouter::RefuseWaiter(std::uint64_t ticket,
+                                 ErrorKind kind,
+                                 const std::string& text,
+                                 Effects* effects) {
+  const auto found = m_waiters.find(ticket);
+  effects->m_decisions.push_back(
+      {std::move(found->second.m_on_grant), Refuse(kind, text)});
+  m_waiters.erase(found);
+}
+
+void ServiceRouter::ServeWaiters(TimePoint now, Effects* effects) {
+  const auto may_serve = [this, now](const std::string& class_name) {
+    const ClassState* const state = FindClassState(class_name);
+    return state == nullptr || MayServe(*state, now);
+  };
+  while (m_queue.size() > 0) {
+    const std::optional<policy::QueuedRequest> next = m_queue.Pop(may_serve);
+    if (!next) {
+      break;
+    }
+    const auto found = m_waiters.find(next->m_ticket);
+    Waiter& waiter = found->second;
+    const Choice choice = Choose(waiter, now);
+    if (choice.m_target == nullptr && choice.m_worth_waiting) {
+      m_queue.UndoPop();
+      break;
+    }
+    if (choice.m_target == nullptr) {
+      RefuseWaiter(next->m_ticket, ErrorKind::kNoTarget,
+                   "no target takes new requests", effects);
+      continue;
+    }
+    effects->m_decisions.push_back(
+        {std::move(waiter.m_on_grant),
+         {MakeGrant(choice.m_target, waiter.m_class, next->m_ticket, now)}});
+    m_waiters.erase(found);
+  }
+  if (MeasuresFirst()) {
+    OrderProbes(now, effects);
+  }
+  WakeForWaiters(now, effects);
+}
+
+void ServiceRouter::WakeForWaiters(TimePoint now, Effects* effects) {
+  if (m_queue.size() == 0 ||
+      (m_wake_at > now && m_wake_at <= now + kQueueTick)) {
+    return;
+  }
+  m_wake_at = now + kQueueTick;
+  effects->m_expire_at = m_wake_at;
+}
+
+bool ServiceRouter::MeasuresFirst() const {
+  return m_config->m_probe.m_before_placing && IsEnabled(Mechanism::kProbes) &&
+         m_options.m_policy == ChoicePolicy::kGuavacross;
+}
+
+Choice ServiceRouter::Choose(const Waiter& waiter, TimePoint now) {
+  if (!MeasuresFirst()) {
+    return m_pool.Choose(waiter.m_avoid, now);
+  }
+  const Duration waited = now - waiter.m_arrived;
+  const TargetPool::Demand demand =
+      waited < kGoodOnlyFor       ? TargetPool::Demand::kGood
+      : waited < kMeasuredOnlyFor ? TargetPool::Demand::kMeasured
+                                  : TargetPool::Demand::kAny;
+  return m_pool.ChooseMeasured(waiter.m_avoid, demand, now);
+}
+
+}  // namespace guavacross::routing
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -13,10 +13,10 @@
 #include "guavacross/routing.h"
 #include "operators/metrics_server.h"
 #include "peers/peer_network.h"
-#include "routes/target_registry.h"
 #include "serve/control_thread.h"
 #include "serve/peer_news.h"
 #include "serve/route_status.h"
+#include "serve/target_plans.h"
 #include "util/hash.h"
 #include "util/log.h"
 #include "util/metrics.h"
@@ -67,6 +67,7 @@
                    m_clock.m_wall_now().time_since_epoch().count())} {
     MakeRouter();
     MakePeers();
+    MakeTargets();
     MakeCallers();
     m_probes = std::make_unique<backends::ProbeRunner>(
         m_router.get(), m_clock, &m_metrics, m_hooks.m_target_dialect);
@@ -106,32 +107,19 @@
                      {"services", std::to_string(table.m_services.size())}});
     m_table = std::make_shared<const RouteTable>(table);
     m_in_force_since = m_clock.m_now();
-    ApplyPlans();
+    m_targets->SetTable(m_table);
     // After the services, so that no route points to one that isn't there.
     m_classifier->SetTable(m_table);
     m_callers->SetLimits(LimitsOf(table.m_limits));
     UpdateReady();
   }
 
-  void PutTarget(const RegisteredTarget& target) {
-    m_told_at[target.m_id] = m_clock.m_now();
-    NoteChange(m_registry.Put(target), target);
-  }
+  void PutTarget(const RegisteredTarget& target) { m_targets->Put(target); }
 
-  void RemoveTarget(const std::string& id) {
-    m_told_at.erase(id);
-    const auto change = m_registry.Remove(id, m_clock.m_now());
-    NoteChange(change, {.m_id = id});
-  }
+  void RemoveTarget(const std::string& id) { m_targets->Remove(id); }
 
   void ApplyTargets() {
-    if (!std::exchange(m_targets_listed, true)) {
-      util::LogChange(
-          "targets", "targets listed",
-          {{"targets", std::to_string(m_registry.Targets().size())}});
-    }
-    ApplyIfChanged();
-    ScheduleExpiry();
+    m_targets->Apply();
     UpdateReady();
   }
 
@@ -148,14 +136,13 @@
   }
 
   void SetStoreReachable(bool reachable, const std::string& why) {
-    m_registry.SetStoreReachable(reachable, m_clock.m_now());
+    m_targets->SetStoreReachable(reachable);
     m_store_error = reachable ? "" : why;
     if (reachable) {
       util::LogChange("store", "the store answers again");
     } else {
       util::LogWarning("store", "the store is lost", {{"why", why}});
     }
-    ScheduleExpiry();
   }
 
   void Reload(const RouteInstanceOptions& options) {
@@ -163,9 +150,7 @@
     m_options.m_budgets = options.m_budgets;
     m_options.m_grace = options.m_grace;
     m_peers->SetListed(Seeds());
-    if (m_table != nullptr) {
-      ApplyPlans();
-    }
+    m_targets->SetBudgets(m_options.m_budgets);
   }
 
   void Shutdown(std::function<void()> on_done) {
@@ -203,8 +188,6 @@
   }
 
  private:
-  using Change = routes::TargetRegistry::Change;
-
   void MakeRouter() {
     RouterOptions options;
     options.m_zone = m_options.m_zone;
@@ -245,6 +228,20 @@
                                                    std::move(hooks));
   }
 
+  void MakeTargets() {
+    TargetPlansHooks hooks;
+    hooks.m_on_plan = [this](const ServiceConfig& plan) {
+      m_router->Configure(plan);
+      m_peers->SetTargets(plan.m_name, TargetNames(plan));
+    };
+    hooks.m_on_drop = [this](const std::string& service) {
+      m_router->Remove(service);
+      m_peers->SetTargets(service, {});
+    };
+    m_targets = std::make_unique<TargetPlans>(m_options.m_budgets, m_clock,
+                                              std::move(hooks));
+  }
+
   void MakeCallers() {
     m_classifier = std::make_unique<callers::RouteClassifier>(
         m_router.get(), m_hooks.m_deadline_header);
@@ -313,9 +310,7 @@
     status.m_streams = m_hooks.m_streams();
     status.m_services = m_router->Status();
     status.m_peers = m_peers->Members();
-    for (const auto& [id, told_at] : m_told_at) {
-      status.m_entry_ages[id] = now - told_at;
-    }
+    status.m_entry_ages = m_targets->EntryAges();
     return status;
   }
 
@@ -337,51 +332,6 @@
     return m_table == nullptr ? 0 : m_table->m_version;
   }
 
-  void NoteChange(Change change, const RegisteredTarget& target) {
-    if (change == Change::kNone || change == Change::kHeartbeat) {
-      return;
-    }
-    m_registry_changed = true;
-    if (!m_targets_listed) {
-      // Told of together, so that a start doesn't crowd out other lines.
-      return;
-    }
-    util::LogChange(
-        "targets", "target changed",
-        {{"target", target.m_id},
-         {"change", std::string(routes::RegistryChangeName(change))},
-         {"service", target.m_service},
-         {"incarnation", std::to_string(target.m_incarnation)},
-         {"heartbeat", std::to_string(target.m_heartbeat)},
-         {"address", ToString(target.m_address)}});
-  }
-
-  void ApplyIfChanged() {
-    if (std::exchange(m_registry_changed, false) && m_table != nullptr) {
-      ApplyPlans();
-    }
-  }
-
-  // Configures the services whose plan has changed.
-  void ApplyPlans() {
-    std::map<std::string, ServiceConfig> plans = routes::PlanServices(
-        *m_table, m_registry.Targets(), m_options.m_budgets);
-    for (const auto& [name, plan] : plans) {
-      const auto known = m_plans.find(name);
-      if (known == m_plans.end() || known->second != plan) {
-        m_router->Configure(plan);
-        m_peers->SetTargets(name, TargetNames(plan));
-      }
-    }
-    for (const auto& [name, plan] : m_plans) {
-      if (!plans.contains(name)) {
-        m_router->Remove(name);
-        m_peers->SetTargets(name, {});
-      }
-    }
-    m_plans = std::move(plans);
-  }
-
   static std::vector<std::string> TargetNames(const ServiceConfig& service) {
     std::vector<std::string> names;
     for (const TargetConfig& target : service.m_targets) {
@@ -390,23 +340,8 @@
     return names;
   }
 
-  void ScheduleExpiry() {
-    const auto next = m_registry.NextExpiry();
-    if (!next.has_value() || *next == TimePoint::max()) {
-      return;
-    }
-    const Duration delay = std::max(Duration::zero(), *next - m_clock.m_now());
-    m_expiry_timer = m_clock.m_call_after(delay, [this] {
-      for (const std::string& id : m_registry.Expire(m_clock.m_now())) {
-        NoteChange(Change::kRemoved, {.m_id = id});
-      }
-      ApplyIfChanged();
-      ScheduleExpiry();
-    });
-  }
-
   void UpdateReady() {
-    const bool ready = m_table != nullptr && m_targets_listed;
+    const bool ready = m_table != nullptr && m_targets->listed();
     if (m_ready.exchange(ready) != ready) {
       util::LogChange("serve", "ready",
                       {{"version", std::to_string(version())}});
@@ -460,24 +395,18 @@
   InstanceId m_self;
   ControlThread m_control;
   util::Metrics m_metrics;
-  routes::TargetRegistry m_registry;
-  bool m_registry_changed = false;
-  bool m_targets_listed = false;
-  // When the entry of each target was last told.
-  std::map<std::string, TimePoint> m_told_at;
   // Why the store counts as lost; empty if it doesn't.
   std::string m_store_error;
   TimePoint m_in_force_since;
   std::shared_ptr<const RouteTable> m_table;
-  std::map<std::string, ServiceConfig> m_plans;
   std::unique_ptr<Router> m_router;
   std::unique_ptr<peers::PeerNetwork> m_peers;
+  std::unique_ptr<TargetPlans> m_targets;
   std::unique_ptr<callers::RouteClassifier> m_classifier;
   std::unique_ptr<backends::ProbeRunner> m_probes;
   std::unique_ptr<callers::CallerServer> m_callers;
   std::unique_ptr<operators::MetricsServer> m_operators;
   std::unique_ptr<Timer> m_count_timer;
-  std::unique_ptr<Timer> m_expiry_timer;
   std::unique_ptr<Timer> m_shutdown_timer;
   std::function<void()> m_on_shut_down;
   std::atomic<bool> m_ready{false};
--- /dev/null
+++ b/src/serve/target_plans.cc
@@ -0,0 +1,154 @@
+#include "serve/target_plans.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "util/log.h"
+
+namespace guavacross::serve {
+
+TargetPlans::TargetPlans(routes::SharedBudgets budgets,
+                         Clock clock,
+                         TargetPlansHooks hooks)
+    : m_budgets(budgets),
+      m_clock(std::move(clock)),
+      m_hooks(std::move(hooks)) {}
+
+void TargetPlans::SetTable(std::shared_ptr<const RouteTable> table) {
+  m_table = std::move(table);
+  PlanAll();
+}
+
+void TargetPlans::SetBudgets(const routes::SharedBudgets& budgets) {
+  m_budgets = budgets;
+  PlanAll();
+}
+
+void TargetPlans::Put(const RegisteredTarget& target) {
+  const Change change = m_registry.Put(target);
+  if (change == Change::kNone) {
+    return;
+  }
+  Told& told = m_told[target.m_id];
+  if (told.m_service != target.m_service) {
+    // It may have been another service's.
+    m_changed.insert(std::exchange(told.m_service, target.m_service));
+  }
+  told.m_at = m_clock.m_now();
+  NoteChange(change, target);
+}
+
+void TargetPlans::Remove(const std::string& id) {
+  const Change change = m_registry.Remove(id, m_clock.m_now());
+  NoteChange(change, {.m_id = id, .m_service = m_told[id].m_service});
+  if (change != Change::kLapsed) {
+    m_told.erase(id);
+  }
+}
+
+void TargetPlans::Apply() {
+  if (!std::exchange(m_listed, true)) {
+    util::LogChange("targets", "targets listed",
+                    {{"targets", std::to_string(m_told.size())}});
+  }
+  PlanChanged();
+  ScheduleExpiry();
+}
+
+void TargetPlans::SetStoreReachable(bool reachable) {
+  m_registry.SetStoreReachable(reachable, m_clock.m_now());
+  ScheduleExpiry();
+}
+
+std::map<std::string, Duration> TargetPlans::EntryAges() const {
+  std::map<std::string, Duration> ages;
+  for (const auto& [id, told] : m_told) {
+    ages[id] = m_clock.m_now() - told.m_at;
+  }
+  return ages;
+}
+
+void TargetPlans::NoteChange(Change change, const RegisteredTarget& target) {
+  if (change == Change::kNone || change == Change::kHeartbeat) {
+    return;
+  }
+  m_changed.insert(target.m_service);
+  if (!m_listed) {
+    // Told of together, so that a start doesn't crowd out other lines.
+    return;
+  }
+  util::LogChange("targets", "target changed",
+                  {{"target", target.m_id},
+                   {"change", std::string(routes::RegistryChangeName(change))},
+                   {"service", target.m_service},
+                   {"incarnation", std::to_string(target.m_incarnation)},
+                   {"heartbeat", std::to_string(target.m_heartbeat)},
+                   {"address", ToString(target.m_address)}});
+}
+
+void TargetPlans::PlanAll() {
+  m_changed.clear();
+  if (m_table == nullptr) {
+    return;
+  }
+  std::map<std::string, std::vector<RegisteredTarget>> by_service;
+  for (RegisteredTarget& target : m_registry.Targets()) {
+    by_service[target.m_service].push_back(std::move(target));
+  }
+  std::set<std::string> present;
+  for (const RoutedService& service : m_table->m_services) {
+    present.insert(service.m_name);
+    Plan(service, by_service[service.m_name]);
+  }
+  std::erase_if(m_plans, [&](const auto& entry) {
+    const bool dropped = !present.contains(entry.first);
+    if (dropped) {
+      m_hooks.m_on_drop(entry.first);
+    }
+    return dropped;
+  });
+}
+
+void TargetPlans::PlanChanged() {
+  if (m_table == nullptr || m_changed.empty()) {
+    return;
+  }
+  const std::set<std::string> changed = std::exchange(m_changed, {});
+  const std::vector<RegisteredTarget> targets = m_registry.Targets();
+  for (const RoutedService& service : m_table->m_services) {
+    if (changed.contains(service.m_name)) {
+      Plan(service, targets);
+    }
+  }
+}
+
+void TargetPlans::Plan(const RoutedService& service,
+                       const std::vector<RegisteredTarget>& targets) {
+  ServiceConfig plan =
+      routes::PlanService(*m_table, service, targets, m_budgets);
+  const auto known = m_plans.find(service.m_name);
+  if (known != m_plans.end() && known->second == plan) {
+    return;
+  }
+  m_hooks.m_on_plan(plan);
+  m_plans[service.m_name] = std::move(plan);
+}
+
+void TargetPlans::ScheduleExpiry() {
+  const auto next = m_registry.NextExpiry();
+  if (!next.has_value() || *next == TimePoint::max()) {
+    return;
+  }
+  const Duration delay = std::max(Duration::zero(), *next - m_clock.m_now());
+  m_expiry_timer = m_clock.m_call_after(delay, [this] {
+    for (const std::string& id : m_registry.Expire(m_clock.m_now())) {
+      NoteChange(Change::kRemoved,
+                 {.m_id = id, .m_service = m_told[id].m_service});
+      m_told.erase(id);
+    }
+    PlanChanged();
+    ScheduleExpiry();
+  });
+}
+
+}  // namespace guavacross::serve
--- /dev/null
+++ b/src/serve/target_plans_test.cc
@@ -0,0 +1,107 @@
+#include "serve/target_plans.h"
+
+#include <chrono>
+
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::serve {
+
+namespace {
+
+using std::chrono::seconds;
+using util::Section;
+
+RegisteredTarget Entry(const std::string& id, const std::string& service) {
+  RegisteredTarget entry;
+  entry.m_id = id;
+  entry.m_service = service;
+  entry.m_incarnation = 1;
+  entry.m_heartbeat = 1;
+  entry.m_slots = 4;
+  return entry;
+}
+
+// Plans of the services `a` and `b`, and which of them were told.
+struct Plans {
+  Plans()
+      : m_plans({},
+                m_clock.clock(),
+                {.m_on_plan =
+                     [this](const ServiceConfig& plan) {
+                       m_told.push_back(plan.m_name);
+                       m_targets[plan.m_name] = plan.m_targets.size();
+                     },
+                 .m_on_drop =
+                     [this](const std::string& service) {
+                       m_told.push_back("no " + service);
+                     }}) {}
+
+  void SetServices(const std::vector<std::string>& names) {
+    auto table = std::make_shared<RouteTable>();
+    for (const std::string& name : names) {
+      table->m_services.push_back({.m_name = name});
+    }
+    m_plans.SetTable(std::move(table));
+  }
+
+  std::vector<std::string> TakeTold() { return std::exchange(m_told, {}); }
+
+  util::ManualClock m_clock;
+  std::vector<std::string> m_told;
+  std::map<std::string, std::size_t> m_targets;
+  TargetPlans m_plans;
+};
+
+}  // namespace
+
+GUAVACROSS_STORY(PlansFollowTargets) {
+  using Names = std::vector<std::string>;
+  Plans plans;
+  plans.m_plans.Put(Entry("t1", "a"));
+  plans.m_plans.Put(Entry("t2", "b"));
+  plans.m_plans.Apply();
+  CPPUNIT_ASSERT(plans.TakeTold().empty());
+  plans.SetServices({"a", "b"});
+
+  Section("with a table all its services are planned", [&] {
+    CPPUNIT_ASSERT(plans.TakeTold() == (Names{"a", "b"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plans.m_targets["a"]);
+  });
+  Section("a change plans its own service alone", [&] {
+    plans.m_plans.Put(Entry("t3", "b"));
+    plans.m_plans.Apply();
+    CPPUNIT_ASSERT(plans.TakeTold() == (Names{"b"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, plans.m_targets["b"]);
+  });
+  Section("a target that moves plans both services", [&] {
+    RegisteredTarget moved = Entry("t3", "a");
+    moved.m_incarnation = 2;
+    plans.m_plans.Put(moved);
+    plans.m_plans.Apply();
+    CPPUNIT_ASSERT(plans.TakeTold() == (Names{"a", "b"}));
+  });
+  Section("a heartbeat plans none", [&] {
+    RegisteredTarget again = Entry("t1", "a");
+    again.m_heartbeat = 2;
+    plans.m_plans.Put(again);
+    plans.m_plans.Apply();
+    CPPUNIT_ASSERT(plans.TakeTold().empty());
+  });
+  Section("an entry that goes with the store away stays for a while", [&] {
+    plans.m_plans.SetStoreReachable(false);
+    plans.m_plans.Remove("t2");
+    plans.m_plans.Apply();
+    plans.m_plans.SetStoreReachable(true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plans.m_targets["b"]);
+    plans.m_clock.Advance(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, plans.m_targets["b"]);
+  });
+  Section("a service that the table has no more is dropped", [&] {
+    plans.TakeTold();
+    plans.SetServices({"a"});
+    CPPUNIT_ASSERT(plans.TakeTold() == (Names{"no b"}));
+  });
+}
+
+}  // namespace guavacross::serve
