--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -85,7 +85,7 @@
       return Fail(ErrorKind::kBadSettings,
                   "peers: cannot listen on " + ToString(m_options.m_peers));
     }
-    BOOST_LEAF_CHECK(StartMetrics());
+    StartMetrics();
     m_peers->SetListed(Seeds());
     m_probes->Start(kFirstProbeAfter);
     CountInstances();
@@ -273,9 +273,10 @@
     m_callers->SetReady(true);
   }
 
-  Result<void> StartMetrics() {
+  // An instance that can't be watched serves all the same.
+  void StartMetrics() {
     if (m_options.m_operators.m_port == 0) {
-      return {};
+      return;
     }
     m_operators = std::make_unique<operators::MetricsServer>(
         [this] {
@@ -288,10 +289,9 @@
               .toStdString();
         });
     if (!m_operators->Start(m_options.m_operators)) {
-      return Fail(ErrorKind::kBadSettings, "metrics: cannot listen on " +
-                                               ToString(m_options.m_operators));
+      util::LogWarning("serve", "metrics can't be served: the address is taken",
+                       {{"address", ToString(m_options.m_operators)}});
     }
-    return {};
   }
 
   RouteStatus Status() const {
--- a/testsuite/explain-failed-requests/run.py
+++ b/testsuite/explain-failed-requests/run.py
@@ -112,3 +112,10 @@
         check("configuration 1 for " in run.stdout and
               "store LOST" in run.stdout and "1 targets" in run.stdout,
               run.stdout)
+
+    with case.section("an instance that can't be watched serves all the same"):
+        store.down = False
+        blind = case._start(Entry(case, 2, case.at(9900),
+                                  operators=entry.settings["operators"]))
+        wait_until(blind.is_ready, "it is ready")
+        check("metrics can't be served" in blind.log(), "the log says so")
--- a/testsuite/platform_entry.py
+++ b/testsuite/platform_entry.py
@@ -9,7 +9,7 @@
     """An instance on the platform: the real program, with settings as the
     platform would fill them in."""
 
-    def __init__(self, case, number, store, seeds=()):
+    def __init__(self, case, number, store, seeds=(), **changes):
         port = 9000 + 10 * number
         self.front, self.ready, self.directory = (
             case.at(port), case.at(port + 1), case.at(port + 2))
@@ -23,7 +23,7 @@
             "grace_s": 6, "address_lifetime_s": 2, "max_descriptors": 1024,
             "retry_share": 0.2, "retry_extra": 62,
             "probes_per_target_second": 60}
-        self.write_settings()
+        self.write_settings(**changes)
         super().__init__(case, f"e{number}", [
             case.build / "guavacross", "platform", "--settings",
             self.settings_path])
