Count the time of earlier attempts against the objective

Cause, found on reading: a request that is sent again by this instance was judged by what had passed when it arrived, not by what has passed since. And closing the idle connections of a target could, at the connections' cap, have closed one that a waiting request had just taken.

Change: the time since the arrival counts too; a connection that is no longer idle is left alone.

--- a/src/backends/backend_pool.cc
+++ b/src/backends/backend_pool.cc
@@ -83,7 +83,10 @@
 void BackendPool::CloseIdle(const Endpoint& address) {
   const std::vector<BackendConnection*> idle = m_targets[address].m_idle;
   for (BackendConnection* const each : idle) {
-    each->Cancel();
+    // Closing one may have let a waiting request start on another.
+    if (each->idle()) {
+      each->Cancel();
+    }
   }
 }
 
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -78,6 +78,8 @@
  private:
   FeedHooks MakeFeedHooks();
   Duration Postpone();
+  // Whether no peer has closed a gap between what this instance has read and
+  // what a peer knows for so long that it has to read itself.
   bool HasLongHadGap();
   int Rank() const;
   void NoteRead(TimePoint at);
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -157,6 +157,7 @@
   traits.m_fingerprint = m_body.Fingerprint(m_request.m_head);
   traits.m_deadline = m_request.m_deadline;
   traits.m_asked_wait = m_request.m_asked_wait;
+  traits.m_arrived = m_request.m_arrived;
   traits.m_hops = m_request.m_hops;
   m_traits = std::make_shared<const RequestTraits>(std::move(traits));
 }
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -31,9 +31,10 @@
   std::uint64_t m_fingerprint = 0;
   /// When the caller's deadline ends; `TimePoint::max()` means never.
   TimePoint m_deadline = TimePoint::max();
-  /// How long the caller said on this attempt of its that it would wait; zero
-  /// if it didn't say.
+  /// How long the caller said on this attempt of its that it would wait, zero
+  /// if it didn't say, and when that attempt arrived.
   Duration m_asked_wait{};
+  TimePoint m_arrived;
   /// Balancers that this request has passed before this one.
   int m_hops = 0;
 
--- a/src/routing/overload_test.cc
+++ b/src/routing/overload_test.cc
@@ -136,7 +136,8 @@
                                .m_class_name = "read",
                                .m_tenant = "t",
                                .m_deadline = deadline,
-                               .m_asked_wait = deadline - asked_at};
+                               .m_asked_wait = deadline - asked_at,
+                               .m_arrived = asked_at};
     m_router.Acquire(traits, {}, [=, this](const util::Expected<Grant>& grant) {
       if (grant) {
         Send(caller, traits, *grant.m_value);
--- a/src/routing/service_waiting.cc
+++ b/src/routing/service_waiting.cc
@@ -62,7 +62,8 @@
   }
   bounds.m_objective = state.m_config.m_objective;
   if (traits.m_asked_wait > Duration::zero()) {
-    bounds.m_elapsed = state.m_longest_asked.value() - traits.m_asked_wait;
+    bounds.m_elapsed = state.m_longest_asked.value() - traits.m_asked_wait +
+                       (now - traits.m_arrived);
   }
   if (state.m_latency.is_ready()) {
     bounds.m_usual_time = state.m_latency.median();
