Disconnect a proxy's sockets before its pipes go

PeerConnectionThatFallsSilent is the first test that ends with open links; only stand-ins are concerned.

Change: the link no longer listens to its sockets once it goes.

--- a/src/standin/proxy.cc
+++ b/src/standin/proxy.cc
@@ -134,7 +134,12 @@
             [this] { SideClosed(m_back.get()); });
   }
 
-  ~Link() override { m_proxy->m_links.erase(this); }
+  ~Link() override {
+    // The sockets close as they go, after the pipes that would be told of it.
+    m_caller->disconnect();
+    m_target.disconnect();
+    m_proxy->m_links.erase(this);
+  }
 
   void Reset() {
     if (std::exchange(m_over, true)) {
