One way to run a command, and one set of parts for both instances

Read again: `platform` parsed its flags and printed its errors with a copy of what `serve` did, and both, as `demo`, repeated `RunWithFlags` but for the Qt application that they make later. Both instances put together the same options for their peers, listed the names of a service's targets and drew their incarnation in copies of their own.

Change: `ParseAndRun` is `RunWithFlags` without the application; the three commands use it. `serve/instance_parts.h` holds what both instances share.

--- a/src/guavacross/command_line.cc
+++ b/src/guavacross/command_line.cc
@@ -11,7 +11,7 @@
 
 namespace guavacross::commands {
 
-int RunWithFlags(
+int ParseAndRun(
     cxxopts::Options options,
     int argc,
     char** argv,
@@ -24,8 +24,6 @@
       std::cout << options.help();
       return kExitOk;
     }
-    QCoreApplication application(argc, argv);
-    util::StartLogging(argv[0], "error");
     return util::Handle([&] { return run(flags); },
                         [&name](const Error& error) {
                           std::cerr << name << ": " << error.m_text
@@ -38,6 +36,19 @@
   }
 }
 
+int RunWithFlags(
+    cxxopts::Options options,
+    int argc,
+    char** argv,
+    const std::function<Result<int>(const cxxopts::ParseResult&)>& run) {
+  return ParseAndRun(std::move(options), argc, argv,
+                     [&](const cxxopts::ParseResult& flags) {
+                       QCoreApplication application(argc, argv);
+                       util::StartLogging(argv[0], "error");
+                       return run(flags);
+                     });
+}
+
 Result<Endpoint> EndpointFlag(const cxxopts::ParseResult& flags,
                               const std::string& name) {
   Endpoint endpoint;
--- a/src/guavacross/command_line.h
+++ b/src/guavacross/command_line.h
@@ -12,8 +12,15 @@
 namespace guavacross::commands {
 
 /// Parses the flags of one command, prints its help if asked for, and otherwise
-/// runs `run` with the flags in a Qt application. A `Result` error of `run` and
-/// a wrong flag are printed after the command's name and give exit code 2.
+/// runs `run` with the flags. A `Result` error of `run` and a wrong flag are
+/// printed after the command's name and give exit code 2.
+int ParseAndRun(
+    cxxopts::Options options,
+    int argc,
+    char** argv,
+    const std::function<Result<int>(const cxxopts::ParseResult&)>& run);
+
+/// As `ParseAndRun`, in a Qt application that logs errors alone.
 int RunWithFlags(
     cxxopts::Options options,
     int argc,
--- a/src/guavacross/demo_command.cc
+++ b/src/guavacross/demo_command.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "guavacross/command_line.h"
 #include "guavacross/commands.h"
 #include "guavacross/config_state.h"
 #include "guavacross/demo_deployment.h"
@@ -312,23 +313,21 @@
       cxxopts::value<double>()->default_value("1"))("no-faults",
                                                     "Leave the faults out")(
       "log-level", "debug, info, warn or error",
-      cxxopts::value<std::string>()->default_value("error"))("help",
-                                                             "This text");
+      cxxopts::value<std::string>()->default_value("error"));
   return options;
 }
 
-int RunDemo(const cxxopts::ParseResult& flags, int argc, char** argv) {
+Result<int> RunDemo(const cxxopts::ParseResult& flags, int argc, char** argv) {
+  if (flags.count("darkframe") + flags.count("cedarbloom") != 1) {
+    return Fail(ErrorKind::kBadSettings, "give --darkframe or --cedarbloom");
+  }
   DemoFlags demo_flags;
   demo_flags.m_name = flags.count("darkframe") > 0 ? "darkframe" : "cedarbloom";
   demo_flags.m_seed = flags["seed"].as<std::uint64_t>();
   demo_flags.m_seconds = flags["seconds"].as<double>();
   demo_flags.m_scale = flags["scale"].as<double>();
   demo_flags.m_faults = flags.count("no-faults") == 0;
-  if (!ParseEndpoint(flags["control"].as<std::string>(),
-                     &demo_flags.m_control)) {
-    std::cerr << "guavacross demo: --control must be IP:PORT" << std::endl;
-    return kExitUsage;
-  }
+  BOOST_LEAF_ASSIGN(demo_flags.m_control, EndpointFlag(flags, "control"));
   QCoreApplication application(argc, argv);
   util::StartLogging("demo", flags["log-level"].as<std::string>());
   DemoRun demo(demo_flags);
@@ -348,23 +347,10 @@
 }  // namespace
 
 int Demo(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  try {
-    const cxxopts::ParseResult flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help();
-      return kExitOk;
-    }
-    if (flags.count("darkframe") + flags.count("cedarbloom") != 1) {
-      std::cerr << "guavacross demo: give --darkframe or --cedarbloom"
-                << std::endl;
-      return kExitUsage;
-    }
-    return RunDemo(flags, argc, argv);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "guavacross demo: " << error.what() << std::endl;
-    return kExitUsage;
-  }
+  return ParseAndRun(MakeOptions(), argc, argv,
+                     [&](const cxxopts::ParseResult& flags) {
+                       return RunDemo(flags, argc, argv);
+                     });
 }
 
 }  // namespace guavacross::commands
--- a/src/guavacross/platform_command.cc
+++ b/src/guavacross/platform_command.cc
@@ -6,11 +6,11 @@
 #include <functional>
 #include <iostream>
 #include <memory>
-#include <optional>
 #include <sstream>
 #include <string>
 #include <utility>
 
+#include "guavacross/command_line.h"
 #include "guavacross/commands.h"
 #include "platform/program.h"
 #include "platform/settings.h"
@@ -39,7 +39,6 @@
   auto add = options.add_options();
   add("settings", "the settings file (TOML)", cxxopts::value<std::string>());
   add("check", "check the settings file and exit");
-  add("help", "this text");
   return options;
 }
 
@@ -118,10 +117,10 @@
 };
 
 // Runs the instance on this thread's event loop until it has shut down.
-int RunInstance(const std::string& path,
-                const platform::Settings& settings,
-                int argc,
-                char** argv) {
+Result<int> RunInstance(const std::string& path,
+                        const platform::Settings& settings,
+                        int argc,
+                        char** argv) {
   QCoreApplication application(argc, argv);
   std::unique_ptr<platform::Program> program;
   std::unique_ptr<SettingsWatcher> settings_watcher;
@@ -142,43 +141,23 @@
       path, settings, clock,
       [&](const platform::Settings& changed) { program->Reload(changed); });
   program = std::make_unique<platform::Program>(settings, clock);
-  const util::Expected<bool> started =
-      util::Catch([&] { return program->Start(); });
-  if (!started) {
-    std::cerr << "guavacross platform: " << started.m_error.m_text << std::endl;
-    return kExitUsage;
-  }
+  BOOST_LEAF_CHECK(program->Start());
   return QCoreApplication::exec();
 }
 
 }  // namespace
 
 int Platform(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  std::optional<cxxopts::ParseResult> flags;
-  try {
-    flags = options.parse(argc, argv);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "guavacross platform: " << error.what() << std::endl;
-    return kExitUsage;
-  }
-  if (flags->count("help") > 0) {
-    std::cout << options.help();
-    return kExitOk;
-  }
-  const std::string path = SettingsPath(*flags);
-  const util::Expected<platform::Settings> settings =
-      util::Catch([&] { return ReadSettings(path); });
-  if (!settings) {
-    std::cerr << "guavacross platform: " << settings.m_error.m_text
-              << std::endl;
-    return kExitUsage;
-  }
-  if (flags->count("check") > 0) {
-    std::cout << "the settings are good" << std::endl;
-    return kExitOk;
-  }
-  return RunInstance(path, *settings.m_value, argc, argv);
+  return ParseAndRun(MakeOptions(), argc, argv,
+                     [&](const cxxopts::ParseResult& flags) -> Result<int> {
+                       const std::string path = SettingsPath(flags);
+                       BOOST_LEAF_AUTO(settings, ReadSettings(path));
+                       if (flags.count("check") > 0) {
+                         std::cout << "the settings are good" << std::endl;
+                         return kExitOk;
+                       }
+                       return RunInstance(path, settings, argc, argv);
+                     });
 }
 
 }  // namespace guavacross::commands
--- a/src/guavacross/serve_command.cc
+++ b/src/guavacross/serve_command.cc
@@ -4,15 +4,14 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
-#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
 
+#include "guavacross/command_line.h"
 #include "guavacross/commands.h"
 #include "guavacross/settings.h"
 #include "serve/instance.h"
-#include "util/handle.h"
 #include "util/log.h"
 #include "util/qt_clock.h"
 #include "util/signal_watcher.h"
@@ -39,7 +38,6 @@
   }
   add("set", "KEY=VALUE in TOML, for any other setting; may be repeated",
       cxxopts::value<std::vector<std::string>>());
-  add("help", "this text");
   return options;
 }
 
@@ -51,10 +49,8 @@
                           flags[key].as<std::string>() + "\"");
     }
   }
-  if (flags.count("set") > 0) {
-    for (const auto& entry : flags["set"].as<std::vector<std::string>>()) {
-      overrides.push_back(entry);
-    }
+  for (const std::string& entry : ListFlag(flags, "set")) {
+    overrides.push_back(entry);
   }
   return overrides;
 }
@@ -73,7 +69,9 @@
 }
 
 // Runs the instance on this thread's event loop until it has shut down.
-int RunInstance(const InstanceSettings& settings, int argc, char** argv) {
+Result<int> RunInstance(const InstanceSettings& settings,
+                        int argc,
+                        char** argv) {
   QCoreApplication application(argc, argv);
   util::StartLogging(settings.m_name, settings.m_log_level);
   std::unique_ptr<serve::Instance> instance;
@@ -90,37 +88,18 @@
     }
   });
   instance = std::make_unique<serve::Instance>(settings, util::QtClock());
-  const util::Expected<bool> started =
-      util::Catch([&] { return instance->Start(); });
-  if (!started) {
-    std::cerr << "guavacross serve: " << started.m_error.m_text << std::endl;
-    return kExitUsage;
-  }
+  BOOST_LEAF_CHECK(instance->Start());
   return QCoreApplication::exec();
 }
 
 }  // namespace
 
 int Serve(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  std::optional<cxxopts::ParseResult> flags;
-  try {
-    flags = options.parse(argc, argv);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << "guavacross serve: " << error.what() << std::endl;
-    return kExitUsage;
-  }
-  if (flags->count("help") > 0) {
-    std::cout << options.help();
-    return kExitOk;
-  }
-  const util::Expected<InstanceSettings> settings =
-      util::Catch([&] { return ReadSettings(*flags); });
-  if (!settings) {
-    std::cerr << "guavacross serve: " << settings.m_error.m_text << std::endl;
-    return kExitUsage;
-  }
-  return RunInstance(*settings.m_value, argc, argv);
+  return ParseAndRun(MakeOptions(), argc, argv,
+                     [&](const cxxopts::ParseResult& flags) -> Result<int> {
+                       BOOST_LEAF_AUTO(settings, ReadSettings(flags));
+                       return RunInstance(settings, argc, argv);
+                     });
 }
 
 }  // namespace guavacross::commands
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -14,6 +14,7 @@
 #include "operators/operator_server.h"
 #include "peers/peer_network.h"
 #include "serve/control_thread.h"
+#include "serve/instance_parts.h"
 #include "serve/peer_news.h"
 #include "util/hash.h"
 #include "util/log.h"
@@ -28,22 +29,6 @@
 constexpr Duration kFirstProbeAfter = std::chrono::seconds(3);
 constexpr Duration kInstanceCountInterval = std::chrono::milliseconds(200);
 
-// Incarnations must rise from start to start, without anything kept between
-// them: the wall clock does that, unless it is set back by more than the time
-// between two starts of the same name.
-std::uint64_t NewIncarnation(const Clock& clock) {
-  return static_cast<std::uint64_t>(
-      clock.m_wall_now().time_since_epoch().count());
-}
-
-std::vector<std::string> TargetNames(const ServiceConfig& service) {
-  std::vector<std::string> names;
-  for (const TargetConfig& target : service.m_targets) {
-    names.push_back(target.m_name);
-  }
-  return names;
-}
-
 }  // namespace
 
 // Members are destroyed in reverse order: what calls others comes last.
@@ -149,15 +134,7 @@
 }
 
 void Instance::Impl::MakePeers() {
-  peers::PeerOptions options;
-  options.m_self = m_self;
-  options.m_region = m_settings.m_region;
-  options.m_zone = m_settings.m_zone;
-  options.m_callers = m_settings.m_callers;
-  options.m_listen = m_settings.m_peers;
-  options.m_clock = m_clock;
-  options.m_metrics = &m_metrics;
-  options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation + 1);
+  peers::PeerOptions options = PeerOptionsOf(Self(), m_clock, &m_metrics);
 
   peers::PeerHooks hooks;
   hooks.m_post = m_control.poster();
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -14,6 +14,7 @@
 #include "operators/metrics_server.h"
 #include "peers/peer_network.h"
 #include "serve/control_thread.h"
+#include "serve/instance_parts.h"
 #include "serve/peer_news.h"
 #include "serve/route_status.h"
 #include "serve/target_plans.h"
@@ -63,8 +64,7 @@
         m_clock(std::move(clock)),
         m_hooks(std::move(hooks)),
         m_self{.m_name = m_options.m_name,
-               .m_incarnation = static_cast<std::uint64_t>(
-                   m_clock.m_wall_now().time_since_epoch().count())} {
+               .m_incarnation = NewIncarnation(m_clock)} {
     MakeRouter();
     MakePeers();
     MakeTargets();
@@ -205,15 +205,7 @@
   }
 
   void MakePeers() {
-    peers::PeerOptions options;
-    options.m_self = m_self;
-    options.m_region = m_options.m_region;
-    options.m_zone = m_options.m_zone;
-    options.m_callers = m_options.m_callers;
-    options.m_listen = m_options.m_peers;
-    options.m_clock = m_clock;
-    options.m_metrics = &m_metrics;
-    options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation + 1);
+    peers::PeerOptions options = PeerOptionsOf(Self(), m_clock, &m_metrics);
     options.m_heartbeat_interval = kHeartbeatInterval;
     options.m_suspect_after = kSuspectAfter;
     options.m_dead_after = kDeadAfter;
@@ -332,14 +324,6 @@
     return m_table == nullptr ? 0 : m_table->m_version;
   }
 
-  static std::vector<std::string> TargetNames(const ServiceConfig& service) {
-    std::vector<std::string> names;
-    for (const TargetConfig& target : service.m_targets) {
-      names.push_back(target.m_name);
-    }
-    return names;
-  }
-
   void UpdateReady() {
     const bool ready = m_table != nullptr && m_targets->listed();
     if (m_ready.exchange(ready) != ready) {
