Tell errors, request ids and callers' patience in one place each

Read again: the text `KIND: reason` was put together in four places; the answers on the platform set type, body and framing as `MakeAnswer` does; which header tells a request's id was decided twice in Exchange; how long a caller waits was worked out by both classifications, each with its own limit. And the dialects' error answer took a time to come back beside an error that carries it.

No behaviour changes.

--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -260,8 +260,7 @@
       {{"method", head.m_method},
        {"host", std::string(head.m_fields.Find("Host").value_or(""))},
        {"path", std::string(http::PathOf(head.m_target))},
-       {"why",
-        std::string(AnswerFor(error.m_kind).m_name) + ": " + error.m_text}});
+       {"why", Describe(error)}});
 }
 
 forwarding::AnswerHooks CallerConnection::MakeAnswerHooks() {
@@ -333,8 +332,8 @@
 
 void CallerConnection::SendError(const Error& error, Outcome outcome) {
   m_worker->m_metrics.CountOwnAnswer(error.m_kind);
-  SendWhole(m_worker->m_hooks->m_caller_dialect->m_error_answer(
-      error, outcome, Duration::zero()));
+  SendWhole(
+      m_worker->m_hooks->m_caller_dialect->m_error_answer(error, outcome));
 }
 
 void CallerConnection::SendHead(http::ResponseHead head) {
--- a/src/callers/classify.cc
+++ b/src/callers/classify.cc
@@ -14,6 +14,7 @@
 
 namespace {
 
+// Longest time that a caller is taken to wait.
 constexpr std::int64_t kMaxDeadlineMs = std::int64_t{24} * 3600 * 1000;
 
 std::string ServiceName(const http::RequestHead& head) {
@@ -34,24 +35,7 @@
   return declared ? std::string(named) : kOtherTenant;
 }
 
-Result<TimePoint> Deadline(const http::RequestHead& head,
-                           const ClassConfig& rule,
-                           TimePoint now) {
-  BOOST_LEAF_AUTO(asked_ms,
-                  ReadNumber(head.m_fields, kDeadlineHeader, kMaxDeadlineMs));
-  TimePoint deadline = TimePoint::max();
-  if (rule.m_deadline > Duration::zero()) {
-    deadline = now + rule.m_deadline;
-  }
-  if (asked_ms.has_value()) {
-    const TimePoint asked = now + std::chrono::milliseconds(*asked_ms);
-    deadline = std::min(deadline, asked);
-  }
-  return deadline;
-}
-
-}  // namespace
-
+// Reads a field that must hold a number from 0 to `max`, if it is there.
 Result<std::optional<std::int64_t>> ReadNumber(const http::Fields& fields,
                                                const char* name,
                                                std::int64_t max) {
@@ -71,6 +55,24 @@
   return std::optional<std::int64_t>(value);
 }
 
+}  // namespace
+
+Result<CallerPatience> ReadPatience(const http::Fields& fields,
+                                    const std::string& name,
+                                    std::optional<Duration> limit,
+                                    TimePoint now) {
+  BOOST_LEAF_AUTO(asked_ms, ReadNumber(fields, name.c_str(), kMaxDeadlineMs));
+  CallerPatience patience;
+  if (limit.has_value()) {
+    patience.m_deadline = now + *limit;
+  }
+  if (asked_ms.has_value()) {
+    patience.m_asked = std::chrono::milliseconds(*asked_ms);
+    patience.m_deadline = std::min(patience.m_deadline, now + patience.m_asked);
+  }
+  return patience;
+}
+
 Result<forwarding::ForwardRequest> Classify(const Router& router,
                                             const http::RequestHead& head,
                                             TimePoint now) {
@@ -90,12 +92,18 @@
                 "no class of " + service + " takes this method and path");
   }
   BOOST_LEAF_AUTO(hops, ReadNumber(head.m_fields, kHopsHeader, kMaxHops));
-  BOOST_LEAF_AUTO(deadline, Deadline(head, *request.m_class, now));
+  const Duration limit = request.m_class->m_deadline;
+  BOOST_LEAF_AUTO(
+      patience,
+      ReadPatience(
+          head.m_fields, kDeadlineHeader,
+          limit > Duration::zero() ? std::optional(limit) : std::nullopt, now));
   request.m_head = head;
   request.m_tenant = TenantName(head, *request.m_service);
   request.m_key_tenant = head.m_fields.Find(kTenantHeader).value_or("");
   request.m_arrived = now;
-  request.m_deadline = deadline;
+  request.m_deadline = patience.m_deadline;
+  request.m_asked_wait = patience.m_asked;
   request.m_hops = static_cast<int>(hops.value_or(0));
   return request;
 }
--- a/src/callers/classify.h
+++ b/src/callers/classify.h
@@ -1,12 +1,13 @@
 #ifndef GUAVACROSS_CALLERS_CLASSIFY_H_
 #define GUAVACROSS_CALLERS_CLASSIFY_H_
 
-#include <cstdint>
 #include <optional>
+#include <string>
 
 #include "forwarding/request_forwarder.h"
 #include "guavacross/error.h"
 #include "guavacross/routing.h"
+#include "guavacross/time.h"
 #include "http/message.h"
 
 namespace guavacross::callers {
@@ -17,11 +18,23 @@
 /// The balancers that a request may have passed.
 inline constexpr int kMaxHops = 16;
 
-/// Reads a field that must hold a number from 0 to `max`, if it is there.
-/// Errors: `kBadRequest`.
-Result<std::optional<std::int64_t>> ReadNumber(const http::Fields& fields,
-                                               const char* name,
-                                               std::int64_t max);
+/// How long a caller waits.
+struct CallerPatience {
+  /// By its own word; zero if it didn't say.
+  Duration m_asked{};
+  /// The earlier of its own word's end and of the limit's.
+  TimePoint m_deadline = TimePoint::max();
+
+  bool operator==(const CallerPatience&) const = default;
+};
+
+/// Reads how many milliseconds a caller says in the field `name` that it waits;
+/// `limit` is the longest time that is allowed, if any. Errors: `kBadRequest`.
+/// Thread safe.
+Result<CallerPatience> ReadPatience(const http::Fields& fields,
+                                    const std::string& name,
+                                    std::optional<Duration> limit,
+                                    TimePoint now);
 
 /// Finds out by the document's rules what a request is: its service (header,
 /// else host name), class, tenant, deadline and hops.
--- a/src/callers/route_classifier.cc
+++ b/src/callers/route_classifier.cc
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Longest time that a caller is taken to wait.
-constexpr std::int64_t kMaxDeadlineMs = std::int64_t{24} * 3600 * 1000;
-
 const ClassConfig* FindClassNamed(const ServiceConfig& service,
                                   const std::string& name) {
   const auto found =
@@ -71,15 +68,11 @@
     return Fail(ErrorKind::kNoMatchingClass,
                 "no route of " + std::string(host) + " takes this path");
   }
-  BOOST_LEAF_AUTO(asked_ms, ReadNumber(head.m_fields, m_deadline_header.c_str(),
-                                       kMaxDeadlineMs));
+  BOOST_LEAF_AUTO(patience, ReadPatience(head.m_fields, m_deadline_header,
+                                         route->m_deadline, now));
   forwarding::ForwardRequest request;
-  request.m_deadline = now + route->m_deadline;
-  if (asked_ms.has_value()) {
-    request.m_asked_wait = std::chrono::milliseconds(*asked_ms);
-    request.m_deadline =
-        std::min(request.m_deadline, now + request.m_asked_wait);
-  }
+  request.m_deadline = patience.m_deadline;
+  request.m_asked_wait = patience.m_asked;
   if (m_end.has_value() && request.m_deadline > *m_end) {
     return Fail(ErrorKind::kShuttingDown, "this instance is shutting down");
   }
--- a/src/forwarding/caller_dialect.cc
+++ b/src/forwarding/caller_dialect.cc
@@ -5,10 +5,8 @@
 namespace guavacross::forwarding {
 
 const CallerDialect& OwnCallerDialect() {
-  static const CallerDialect kDialect{
-      .m_error_answer = [](const Error& error, Outcome outcome,
-                           Duration) { return ErrorToAnswer(error, outcome); },
-      .m_answer_head = HeadForCaller};
+  static const CallerDialect kDialect{.m_error_answer = ErrorToAnswer,
+                                      .m_answer_head = HeadForCaller};
   return kDialect;
 }
 
--- a/src/forwarding/caller_dialect.h
+++ b/src/forwarding/caller_dialect.h
@@ -5,17 +5,14 @@
 
 #include "forwarding/own_answer.h"
 #include "guavacross/error.h"
-#include "guavacross/time.h"
 #include "http/message.h"
 
 namespace guavacross::forwarding {
 
 /// How callers are answered.
 struct CallerDialect {
-  /// The answer to an error. `retry_after` tells when the request is worth
-  /// sending again; zero leaves that to the error's kind.
-  std::function<WholeAnswer(const Error&, Outcome, Duration retry_after)>
-      m_error_answer;
+  /// The answer to an error.
+  std::function<WholeAnswer(const Error&, Outcome)> m_error_answer;
   /// The head with which a backend server's answer is passed on.
   std::function<http::ResponseHead(const http::ResponseHead&)> m_answer_head;
 };
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -269,6 +269,14 @@
   return HeadForBackend(m_request.m_head, told, *context().m_target_dialect);
 }
 
+// The header by which answers are told apart: the service's own, which all of
+// its answers repeat, or the one that backend servers usually repeat.
+const std::string& Exchange::RequestIdHeader() const {
+  const std::string& required = m_request.m_service->m_request_id_header;
+  return required.empty() ? context().m_target_dialect->m_request_id_header
+                          : required;
+}
+
 // Gives the request an id where its service's answers must repeat one and the
 // caller sent none.
 void Exchange::SetRequestId() {
@@ -283,16 +291,13 @@
 // Whether an answer is to this request: a backend server may send a second
 // answer to an earlier one, or one before it was asked.
 bool Exchange::IsAnswer(const http::ResponseHead& head) const {
-  const std::string& required = m_request.m_service->m_request_id_header;
-  const std::string& name =
-      required.empty() ? context().m_target_dialect->m_request_id_header
-                       : required;
+  const std::string& name = RequestIdHeader();
   if (name.empty()) {
     return true;
   }
   const auto id = head.m_fields.Find(name);
   return id.has_value() ? id == m_request.m_head.m_fields.Find(name)
-                        : required.empty();
+                        : m_request.m_service->m_request_id_header.empty();
 }
 
 void Exchange::Send(Try* sent, bool fresh_connection) {
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -77,6 +77,7 @@
   // Before the first attempt.
   bool CheckRequest();
   void SetRequestId();
+  const std::string& RequestIdHeader() const;
   void OnBodyReady();
   void AskForBody();
   void Claim();
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -308,10 +308,9 @@
 void Exchange::AnswerError(const Error& error, Outcome outcome) {
   Count(outcome);
   context().m_metrics->CountOwnAnswer(error.m_kind);
-  const WholeAnswer answer = context().m_caller_dialect->m_error_answer(
-      error, outcome, error.m_retry_after);
-  TellOfEnd(answer.m_head.m_status,
-            std::string(AnswerFor(error.m_kind).m_name) + ": " + error.m_text);
+  const WholeAnswer answer =
+      context().m_caller_dialect->m_error_answer(error, outcome);
+  TellOfEnd(answer.m_head.m_status, Describe(error));
   m_hooks.m_on_answer(answer);
 }
 
--- a/src/forwarding/exchange_log.cc
+++ b/src/forwarding/exchange_log.cc
@@ -42,10 +42,8 @@
 }  // namespace
 
 std::string Exchange::RequestId() const {
-  const std::string& own = m_request.m_service->m_request_id_header;
-  const std::string& name =
-      own.empty() ? context().m_target_dialect->m_request_id_header : own;
-  return std::string(m_request.m_head.m_fields.Find(name).value_or(""));
+  return std::string(
+      m_request.m_head.m_fields.Find(RequestIdHeader()).value_or(""));
 }
 
 void Exchange::TellOfTry(const Try& ended, AttemptEnd end) {
--- a/src/forwarding/own_answer.cc
+++ b/src/forwarding/own_answer.cc
@@ -18,23 +18,31 @@
 
 }  // namespace
 
+WholeAnswer AnswerWithBody(int status,
+                           std::string content_type,
+                           std::string body) {
+  WholeAnswer answer;
+  answer.m_head.m_status = status;
+  answer.m_head.m_fields.Add("Content-Type", std::move(content_type));
+  SetBody(std::move(body), &answer);
+  return answer;
+}
+
 WholeAnswer MakeAnswer(int status,
                        Outcome outcome,
                        std::string content_type,
                        std::string body) {
-  WholeAnswer answer;
-  answer.m_head.m_status = status;
-  answer.m_head.m_fields.Add("Content-Type", std::move(content_type));
+  WholeAnswer answer =
+      AnswerWithBody(status, std::move(content_type), std::move(body));
   answer.m_head.m_fields.Add(kOutcomeHeader, std::string(OutcomeName(outcome)));
-  SetBody(std::move(body), &answer);
   return answer;
 }
 
 WholeAnswer ErrorToAnswer(const Error& error, Outcome outcome) {
   const ErrorAnswer& row = AnswerFor(error.m_kind);
-  std::string body = std::string(row.m_name) + ": " + error.m_text + "\n";
-  WholeAnswer answer = MakeAnswer(row.m_http_status, outcome,
-                                  "text/plain; charset=utf-8", std::move(body));
+  WholeAnswer answer =
+      MakeAnswer(row.m_http_status, outcome, "text/plain; charset=utf-8",
+                 Describe(error) + "\n");
   answer.m_head.m_fields.Add(kReasonHeader, std::string(row.m_name));
   if (row.m_retry_after_s > 0) {
     answer.m_head.m_fields.Add("Retry-After",
--- a/src/forwarding/own_answer.h
+++ b/src/forwarding/own_answer.h
@@ -17,7 +17,12 @@
   bool operator==(const WholeAnswer&) const = default;
 };
 
-/// Makes an answer with a body of the given type; the outcome header is set.
+/// Makes an answer with a body of the given type and no other header.
+WholeAnswer AnswerWithBody(int status,
+                           std::string content_type,
+                           std::string body);
+
+/// As `AnswerWithBody`, with the outcome header.
 WholeAnswer MakeAnswer(int status,
                        Outcome outcome,
                        std::string content_type,
--- a/src/include/guavacross/error.h
+++ b/src/include/guavacross/error.h
@@ -90,6 +90,10 @@
 /// The row of the table for `kind`. Thread safe.
 const ErrorAnswer& AnswerFor(ErrorKind kind);
 
+/// The error in one line, as logs and answers tell it: `queue-full: TEXT`.
+/// Thread safe.
+std::string Describe(const Error& error);
+
 /// The whole table, one row for each kind in the order of the enumeration.
 std::span<const ErrorAnswer> AllErrorAnswers();
 
--- a/src/util/error.cc
+++ b/src/util/error.cc
@@ -65,6 +65,10 @@
   return kAnswers[static_cast<std::size_t>(kind)];
 }
 
+std::string Describe(const Error& error) {
+  return std::string(AnswerFor(error.m_kind).m_name) + ": " + error.m_text;
+}
+
 std::span<const ErrorAnswer> AllErrorAnswers() {
   return kAnswers;
 }
