--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -114,9 +114,13 @@
   }
 }
 
-bool BackendConnection::FellSilent() const {
-  return m_connected && m_requests > 1 && !m_answer_started &&
-         m_pool->m_clock.m_now() - m_begun_at >= kSilentAfter;
+void BackendConnection::DoubtOthersIfSilent() {
+  const bool silent = m_attempt != nullptr && m_connected && m_requests > 1 &&
+                      !m_answer_started &&
+                      m_pool->m_clock.m_now() - m_begun_at >= kSilentAfter;
+  if (silent) {
+    m_pool->CloseIdle(m_address);
+  }
 }
 
 void BackendConnection::StartReader() {
@@ -150,11 +154,8 @@
 }
 
 void BackendConnection::Cancel() {
-  const bool silent = m_attempt != nullptr && FellSilent();
+  DoubtOthersIfSilent();
   m_attempt = nullptr;
-  if (silent) {
-    m_pool->CloseIdle(m_address);
-  }
   Retire();
 }
 
@@ -338,7 +339,7 @@
 }
 
 void BackendConnection::Fail(AttemptEnd end, ErrorKind kind, std::string text) {
-  const bool silent = FellSilent();
+  DoubtOthersIfSilent();
   Attempt* const attempt = std::exchange(m_attempt, nullptr);
   const AttemptFailure failure{
       .m_end = end,
@@ -348,9 +349,6 @@
       .m_stale_connection = m_requests > 1 && !m_answer_started &&
                             kind == ErrorKind::kBackendReset,
       .m_answer_begun = m_answer_started};
-  if (silent) {
-    m_pool->CloseIdle(m_address);
-  }
   Retire();
   if (attempt != nullptr) {
     attempt->m_connection = nullptr;
--- a/src/backends/backend_connection.h
+++ b/src/backends/backend_connection.h
@@ -69,9 +69,9 @@
   void OnComplete(bool surplus);
   void Fail(AttemptEnd end, ErrorKind kind, std::string text);
   void FailReset(std::string text);
-  // Whether a request got nothing for so long on a connection that had worked
-  // that the others may have fallen silent with it.
-  bool FellSilent() const;
+  // Closes the other idle connections if a request got nothing for so long on
+  // this one, which had worked, that they may have fallen silent with it.
+  void DoubtOthersIfSilent();
   // Takes the connection out of the pool for good.
   void Retire();
 
--- a/src/feed/keyed_feed.cc
+++ b/src/feed/keyed_feed.cc
@@ -58,11 +58,12 @@
 }
 
 void KeyedFeed::List() {
-  m_hooks.m_list(m_after, kListTimeout, [this, alive = m_alive](FeedPage page) {
-    if (*alive) {
-      OnListed(std::move(page));
-    }
-  });
+  m_hooks.m_calls.m_list(m_after, kListTimeout,
+                         [this, alive = m_alive](FeedPage page) {
+                           if (*alive) {
+                             OnListed(std::move(page));
+                           }
+                         });
 }
 
 void KeyedFeed::OnListed(FeedPage page) {
@@ -95,13 +96,13 @@
 }
 
 void KeyedFeed::Read() {
-  m_hooks.m_read(m_offset, m_options.m_wait,
-                 m_options.m_wait + m_options.m_slack,
-                 [this, alive = m_alive](FeedPage page) {
-                   if (*alive) {
-                     OnRead(std::move(page));
-                   }
-                 });
+  m_hooks.m_calls.m_read(m_offset, m_options.m_wait,
+                         m_options.m_wait + m_options.m_slack,
+                         [this, alive = m_alive](FeedPage page) {
+                           if (*alive) {
+                             OnRead(std::move(page));
+                           }
+                         });
 }
 
 void KeyedFeed::OnRead(FeedPage page) {
--- a/src/feed/keyed_feed.h
+++ b/src/feed/keyed_feed.h
@@ -50,8 +50,8 @@
 
 using PageDone = std::function<void(FeedPage)>;
 
-/// How a feed reaches the store and whom it tells.
-struct FeedHooks {
+/// The calls of the store by which a stream is read.
+struct StoreCalls {
   /// Lists the newest record of each key, from the key after `after` on.
   std::function<void(const std::string& after, Duration timeout, PageDone)>
       m_list;
@@ -59,6 +59,11 @@
   std::function<
       void(std::uint64_t from, Duration wait, Duration timeout, PageDone)>
       m_read;
+};
+
+/// How a feed reaches the store and whom it tells.
+struct FeedHooks {
+  StoreCalls m_calls;
   /// How long the next read is to be put off; nothing or less for not at all.
   /// May be empty.
   std::function<Duration()> m_postpone;
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -35,8 +35,7 @@
 
 FeedHooks SharedStream::MakeFeedHooks() {
   FeedHooks hooks;
-  hooks.m_list = m_hooks.m_list;
-  hooks.m_read = m_hooks.m_read;
+  hooks.m_calls = m_hooks.m_calls;
   hooks.m_postpone = [this] { return Postpone(); };
   hooks.m_on_listing = [this](const std::vector<KeyedRecord>& records,
                               std::uint64_t end) {
@@ -92,8 +91,9 @@
     m_gap_since = m_gap_since.value_or(m_clock.m_now());
     return false;
   }
-  m_complete_from =
-      std::max(m_complete_from, lacks_records ? told.m_complete_from : 0);
+  if (lacks_records) {
+    m_complete_from = std::max(m_complete_from, told.m_complete_from);
+  }
   if (told.m_changed_to <= m_records.changed_to()) {
     // Nothing that matters lies between.
     m_feed.SkipTo(told.m_read_to);
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -19,19 +19,14 @@
   /// This instance's name.
   std::string m_self;
   FeedOptions m_feed;
-  /// Rank and number of readers aside, when others step in; see `ReadDuty`.
+  /// Rank aside, when others step in; see `ReadDuty`.
   policy::ReadDuty m_duty;
   /// The store counts as lost when no instance has read for this long.
   Duration m_lost_after = std::chrono::milliseconds(1500);
 };
 
 struct SharedStreamHooks {
-  /// As in `FeedHooks`.
-  std::function<void(const std::string& after, Duration timeout, PageDone)>
-      m_list;
-  std::function<
-      void(std::uint64_t from, Duration wait, Duration timeout, PageDone)>
-      m_read;
+  StoreCalls m_calls;
   /// Names of the other live instances.
   std::function<std::vector<std::string>()> m_live_peers;
   /// Records that are newer than what was known.
--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -81,11 +81,12 @@
     options.m_duty = {.m_missed_after = milliseconds(780),
                       .m_step = milliseconds(150)};
     SharedStreamHooks hooks;
-    hooks.m_list = [this](const std::string&, Duration timeout, PageDone done) {
+    hooks.m_calls.m_list = [this](const std::string&, Duration timeout,
+                                  PageDone done) {
       Answer([this] { return m_store->Listing(); }, timeout, std::move(done));
     };
-    hooks.m_read = [this](std::uint64_t from, Duration, Duration timeout,
-                          PageDone done) {
+    hooks.m_calls.m_read = [this](std::uint64_t from, Duration,
+                                  Duration timeout, PageDone done) {
       Answer([this, from] { return m_store->From(from); }, timeout,
              std::move(done));
     };
--- a/src/include/guavacross/document.h
+++ b/src/include/guavacross/document.h
@@ -71,8 +71,6 @@
   bool m_claims = true;
   /// Time within which an answer is worth most; zero if none is stated.
   Duration m_objective{};
-  /// Rank against the service's other classes; 0 is the most urgent.
-  int m_priority = 0;
   /// Targets to which one request may be sent; 0 leaves it to the service.
   int m_max_attempts = 0;
 
--- a/src/include/guavacross/route_table.h
+++ b/src/include/guavacross/route_table.h
@@ -28,9 +28,6 @@
   kDownload,
 };
 
-/// The kind's name in logs and metrics.
-std::string_view RouteKindName(RouteKind kind);
-
 /// A service's part of a route's requests.
 struct ServiceShare {
   std::string m_service;
--- a/src/policy/target_choice.cc
+++ b/src/policy/target_choice.cc
@@ -32,6 +32,14 @@
 // Service times vary; a target is slow only beyond this.
 constexpr double kUsualSlowness = 3;
 
+// How many times longer work takes on a target, by its own word and by what was
+// seen of it.
+double WorkFactor(const Candidate& candidate) {
+  const double seen =
+      candidate.m_slowness > kUsualSlowness ? candidate.m_slowness : 1;
+  return candidate.m_slowdown * seen;
+}
+
 }  // namespace
 
 double Cost(const Candidate& candidate) {
@@ -40,9 +48,7 @@
   const double queueing = std::max(1.0, occupancy);
   const double zone = candidate.m_other_zone ? kZoneCost : 0;
   const double borrowing = candidate.m_borrows ? kBorrowCost : 0;
-  const double slowness =
-      candidate.m_slowness > kUsualSlowness ? candidate.m_slowness : 1;
-  return candidate.m_slowdown * slowness * queueing +
+  return WorkFactor(candidate) * queueing +
          kOccupancyCost * std::min(1.0, occupancy) + zone + borrowing;
 }
 
@@ -52,9 +58,7 @@
   const double crowding = occupancy <= kNearlyFull
                               ? 1
                               : kNearlyFullSlowness * std::max(1.0, occupancy);
-  const double slowness =
-      candidate.m_slowness > kUsualSlowness ? candidate.m_slowness : 1;
-  return candidate.m_slowdown * slowness * crowding +
+  return WorkFactor(candidate) * crowding +
          kMeasuredOccupancyCost * std::min(1.0, occupancy) +
          (candidate.m_other_zone ? kMeasuredZoneCost : 0);
 }
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -4,18 +4,6 @@
 
 namespace guavacross {
 
-std::string_view RouteKindName(RouteKind kind) {
-  switch (kind) {
-    case RouteKind::kRepeatable:
-      return "repeatable";
-    case RouteKind::kOnce:
-      return "once";
-    case RouteKind::kDownload:
-      break;
-  }
-  return "download";
-}
-
 RouteIndex::RouteIndex(const RouteTable& table) {
   for (const Route& route : table.m_routes) {
     m_by_host[route.m_host].push_back(&route);
--- a/src/routes/service_plan.cc
+++ b/src/routes/service_plan.cc
@@ -37,7 +37,6 @@
   plan.m_claims = false;
   plan.m_deadline = route.m_deadline;
   plan.m_objective = route.m_objective;
-  plan.m_priority = route.m_priority;
   plan.m_max_attempts = route.m_max_attempts;
   plan.m_queue_limit = kQueueLimit;
   plan.m_queue_wait = route.m_deadline;
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -135,8 +135,7 @@
   /// Refuses a request whose wait is over or would be too long by `excess`.
   util::Expected<Grant> TooLong(Duration excess, const std::string& text);
   void RefuseWaiter(std::uint64_t ticket,
-                    ErrorKind kind,
-                    const std::string& text,
+                    util::Expected<Grant> refusal,
                     Effects* effects);
   void ServeWaiters(TimePoint now, Effects* effects);
   void WakeForWaiters(TimePoint now, Effects* effects);
--- a/src/routing/service_waiting.cc
+++ b/src/routing/service_waiting.cc
@@ -39,14 +39,13 @@
 void ServiceRouter::ExpireWaiters(TimePoint now, Effects* effects) {
   const std::lock_guard lock(m_mutex);
   for (const policy::QueuedRequest& expired : m_queue.TakeExpired(now)) {
-    const auto found = m_waiters.find(expired.m_ticket);
-    const bool by_deadline = found->second.m_deadline <= now;
+    const bool by_deadline =
+        m_waiters.find(expired.m_ticket)->second.m_deadline <= now;
     const std::string text = "no slot became free in time";
-    effects->m_decisions.push_back(
-        {std::move(found->second.m_on_grant),
-         by_deadline ? Refuse(ErrorKind::kDeadlineExpired, text)
-                     : TooLong(Duration::zero(), text)});
-    m_waiters.erase(found);
+    RefuseWaiter(expired.m_ticket,
+                 by_deadline ? Refuse(ErrorKind::kDeadlineExpired, text)
+                             : TooLong(Duration::zero(), text),
+                 effects);
   }
   ServeWaiters(now, effects);
 }
@@ -166,8 +165,10 @@
            Refuse(ErrorKind::kQueueFull, "the queue is full")});
       return;
     }
-    RefuseWaiter(*displaced, ErrorKind::kQueueFull,
-                 "the queue is full and others had less of it", effects);
+    RefuseWaiter(*displaced,
+                 Refuse(ErrorKind::kQueueFull,
+                        "the queue is full and others had less of it"),
+                 effects);
   }
   m_queue.Push(flow, weight, SlotCostOf(*waiter.m_class),
                {.m_ticket = ticket, .m_expires = expires});
@@ -216,12 +217,11 @@
 }
 
 void ServiceRouter::RefuseWaiter(std::uint64_t ticket,
-                                 ErrorKind kind,
-                                 const std::string& text,
+                                 util::Expected<Grant> refusal,
                                  Effects* effects) {
   const auto found = m_waiters.find(ticket);
   effects->m_decisions.push_back(
-      {std::move(found->second.m_on_grant), Refuse(kind, text)});
+      {std::move(found->second.m_on_grant), std::move(refusal)});
   m_waiters.erase(found);
 }
 
@@ -243,8 +243,9 @@
       break;
     }
     if (choice.m_target == nullptr) {
-      RefuseWaiter(next->m_ticket, ErrorKind::kNoTarget,
-                   "no target takes new requests", effects);
+      RefuseWaiter(next->m_ticket,
+                   Refuse(ErrorKind::kNoTarget, "no target takes new requests"),
+                   effects);
       continue;
     }
     effects->m_decisions.push_back(
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -297,7 +297,6 @@
     status.m_version = version();
     status.m_in_force_for =
         m_table == nullptr ? Duration::zero() : now - m_in_force_since;
-    status.m_store_reachable = m_store_error.empty();
     status.m_store_error = m_store_error;
     status.m_streams = m_hooks.m_streams();
     status.m_services = m_router->Status();
--- a/src/serve/route_status.cc
+++ b/src/serve/route_status.cc
@@ -93,7 +93,7 @@
            QJsonObject{{"version", static_cast<qint64>(status.m_version)},
                        {"in_force_s", Seconds(status.m_in_force_for)}}},
           {"store",
-           QJsonObject{{"reachable", status.m_store_reachable},
+           QJsonObject{{"reachable", status.m_store_error.empty()},
                        {"error", QString::fromStdString(status.m_store_error)},
                        {"streams", StreamsToJson(status, now)}}},
           {"services", ServicesToJson(status)},
@@ -116,7 +116,7 @@
       Seconds(status.m_in_force_for));
   set("guavacross_store_reachable",
       "Whether any instance has read the store lately",
-      status.m_store_reachable ? 1 : 0);
+      status.m_store_error.empty() ? 1 : 0);
   for (const feed::StreamState& stream : status.m_streams) {
     if (const auto age = ReadAge(stream, now)) {
       set("guavacross_stream_read_age_seconds",
--- a/src/serve/route_status.h
+++ b/src/serve/route_status.h
@@ -25,8 +25,7 @@
   /// The configuration in force; 0 if there is none.
   std::uint64_t m_version = 0;
   Duration m_in_force_for{};
-  bool m_store_reachable = true;
-  /// Why the store counts as lost.
+  /// Why the store counts as lost; empty if it doesn't.
   std::string m_store_error;
   std::vector<feed::StreamState> m_streams;
   std::vector<ServiceStatus> m_services;
