--- a/src/callers/worker_fixture.h
+++ b/src/callers/worker_fixture.h
@@ -136,6 +136,24 @@
   std::vector<ClaimEnd> m_finished;
 };
 
+/// Instances are given this long to learn that a target was lost.
+inline constexpr Duration kNewsTime = std::chrono::milliseconds(30);
+
+/// The backend server that the latest request with `text` has reached.
+inline net::TestPeer& LatestBackend(WorkerFixture* fixture,
+                                    const std::string& text) {
+  net::TestPeer* found = nullptr;
+  net::WaitUntil([&] {
+    for (const auto& backend : fixture->m_backends) {
+      for (const auto& peer : backend->peers()) {
+        found = peer->Received(text) && !peer->gone() ? peer.get() : found;
+      }
+    }
+    return found != nullptr;
+  });
+  return *found;
+}
+
 /// A request without a body.
 inline std::string Get(const std::string& target,
                        const std::string& fields = {}) {
--- a/src/forwarding/answer_identity_test.cc
+++ b/src/forwarding/answer_identity_test.cc
@@ -1,5 +1,5 @@
-// Which answers belong to a request, and which requests wait for news of their
-// like.
+// Which answers belong to a request, and what becomes of requests that may have
+// killed their targets.
 
 #include <chrono>
 #include <string>
@@ -12,6 +12,8 @@
 namespace {
 
 using callers::Get;
+using callers::kNewsTime;
+using callers::LatestBackend;
 using callers::Post;
 using callers::Reply;
 using callers::WorkerFixture;
@@ -70,6 +72,47 @@
   });
 }
 
+GUAVACROSS_STORY(RequestThatKillsBackendServers) {
+  WorkerFixture fixture(/*targets=*/3);
+  TestPeer& caller = fixture.Caller();
+  // The next request finds an idle connection to each target.
+  for (const std::string path : {"/1", "/2", "/3"}) {
+    caller.Send(Get(path));
+    LatestBackend(&fixture, "GET " + path + " ").Send(Reply(path));
+    WaitUntil([&] { return caller.Received("\r\n\r\n" + path); });
+    caller.Forget();
+  }
+  // Takes down the target that runs the request.
+  const auto crash = [&fixture] {
+    TestPeer& peer = LatestBackend(&fixture, "GET /kill ");
+    for (const auto& backend : fixture.m_backends) {
+      for (const auto& each : backend->peers()) {
+        if (each.get() == &peer) {
+          backend->close();
+        }
+      }
+    }
+    peer.Abort();
+    // The retry waits until the other instances know of the loss.
+    WaitUntil([&] { return peer.gone(); });
+    RunEvents();
+    fixture.m_clock.Advance(kNewsTime);
+  };
+
+  Section("on connections in use is quarantined at the second target", [&] {
+    caller.Send(Get("/kill"));
+    crash();
+    crash();
+    WaitUntil([&] { return caller.Received("Guavacross-Outcome: unknown"); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_router.Quarantines().size());
+  });
+  Section("is then refused", [&] {
+    caller.Forget();
+    caller.Send(Get("/kill"));
+    WaitUntil([&] { return caller.Received("quarantined"); });
+  });
+}
+
 GUAVACROSS_STORY(SuspectWaitsForNews) {
   WorkerFixture fixture;
   TestPeer& caller = fixture.Caller();
@@ -80,9 +123,7 @@
     WaitUntil([&] { return fixture.m_claims.size() == claims; });
     RunEvents();
   };
-  const auto advance = [&] {
-    fixture.m_clock.Advance(std::chrono::milliseconds(30));
-  };
+  const auto advance = [&] { fixture.m_clock.Advance(kNewsTime); };
   std::uint64_t fingerprint = 0;
 
   Section("a request that no target was lost with is sent at once", [&] {
--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -11,6 +11,8 @@
 namespace {
 
 using callers::Get;
+using callers::kNewsTime;
+using callers::LatestBackend;
 using callers::Post;
 using callers::Reply;
 using callers::WorkerFixture;
@@ -20,28 +22,12 @@
 using util::Section;
 
 constexpr int kWarmUpRequests = 300;
-// Instances are given this long to learn that a target was lost.
-constexpr Duration kNewsTime = std::chrono::milliseconds(30);
 constexpr char kKey[] = "Idempotency-Key: k1\r\n";
 
 std::string Charge() {
   return Post("/charge", "10 EUR", kKey);
 }
 
-// The backend server that the latest request has reached.
-TestPeer& LatestBackend(WorkerFixture* fixture, const std::string& text) {
-  TestPeer* found = nullptr;
-  WaitUntil([&] {
-    for (const auto& backend : fixture->m_backends) {
-      for (const auto& peer : backend->peers()) {
-        found = peer->Received(text) && !peer->gone() ? peer.get() : found;
-      }
-    }
-    return found != nullptr;
-  });
-  return *found;
-}
-
 }  // namespace
 
 GUAVACROSS_STORY(AnswerCutShort) {
@@ -187,47 +173,6 @@
   });
 }
 
-GUAVACROSS_STORY(RequestThatKillsBackendServers) {
-  WorkerFixture fixture(/*targets=*/3);
-  TestPeer& caller = fixture.Caller();
-  // The next request finds an idle connection to each target.
-  for (const std::string path : {"/1", "/2", "/3"}) {
-    caller.Send(Get(path));
-    LatestBackend(&fixture, "GET " + path + " ").Send(Reply(path));
-    WaitUntil([&] { return caller.Received("\r\n\r\n" + path); });
-    caller.Forget();
-  }
-  // Takes down the target that runs the request.
-  const auto crash = [&fixture] {
-    TestPeer& peer = LatestBackend(&fixture, "GET /kill ");
-    for (const auto& backend : fixture.m_backends) {
-      for (const auto& each : backend->peers()) {
-        if (each.get() == &peer) {
-          backend->close();
-        }
-      }
-    }
-    peer.Abort();
-    // The retry waits until the other instances know of the loss.
-    WaitUntil([&] { return peer.gone(); });
-    RunEvents();
-    fixture.m_clock.Advance(kNewsTime);
-  };
-
-  Section("on connections in use is quarantined at the second target", [&] {
-    caller.Send(Get("/kill"));
-    crash();
-    crash();
-    WaitUntil([&] { return caller.Received("Guavacross-Outcome: unknown"); });
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_router.Quarantines().size());
-  });
-  Section("is then refused", [&] {
-    caller.Forget();
-    caller.Send(Get("/kill"));
-    WaitUntil([&] { return caller.Received("quarantined"); });
-  });
-}
-
 GUAVACROSS_STORY(RepeatableRequest) {
   WorkerFixture fixture(/*targets=*/2);
   TestPeer& caller = fixture.Caller();
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -84,7 +84,7 @@
         asked = Asked(entry, request, f"{route}{request}", once)
         self.asked.append(asked)
         connection = self.connections.get(entry) or http.client.HTTPConnection(
-            *entry.callers_address, timeout=2 * CALLER_WAITS_S)
+            entry.callers_address, timeout=2 * CALLER_WAITS_S)
         self.connections[entry] = connection
         try:
             connection.request(
@@ -141,13 +141,11 @@
         return self._drawn.random
 
     def start_entry(self, number):
-        entry = Entry(
+        entry = self.case._start(Entry(
             self.case, number, self.case.proxies[f"store-{number}"],
-            seeds=[self.case.at(9003 + 10 * n) for n in range(min(3, INSTANCES))])
-        self.case.processes.append(entry)
-        ip, port = self.case.proxies[f"callers-{number}"].rsplit(":", 1)
-        entry.callers_address = ip, int(port)
-        entry.number = number
+            seeds=[self.case.at(9003 + 10 * n)
+                   for n in range(min(3, INSTANCES))]))
+        entry.callers_address = self.case.proxies[f"callers-{number}"]
         return entry
 
     def start_target(self, number):
@@ -360,7 +358,7 @@
     def check_recovery(self):
         def serves(entry):
             answer = harness.try_call(
-                ":".join(map(str, entry.callers_address)), "GET",
+                entry.callers_address, "GET",
                 f"{self.read_paths[-1]}recovered", timeout_s=3,
                 headers={"Host": "shop.example", "X-Request-Id": "recovered",
                          "X-Deadline-Ms": "1500"})
