End deferred attempts before the pool they belong to

A trace of both: a probe that was given to SocketSet::DeleteLater is destroyed by the set, whose owner destroys its pool first; the probe's attempt then returns its connection to a pool that is gone. A caller worker orders its members alike.

Ruled out: gRPC's and log4cplus's threads at exit; the ledger's handover (it also happened where no peer took it); requests, which had all been answered.

Change: a pool ends deferred attempts in its destructor, a worker all that it has deferred. The case tells the exit code now; the check is the same.

Test: BackendPoolThatEndsWithAttempts crashed before and passes now.

--- a/src/backends/backend_pool.cc
+++ b/src/backends/backend_pool.cc
@@ -17,7 +17,10 @@
                          BackendPoolOptions options)
     : m_set(set), m_clock(std::move(clock)), m_options(options) {}
 
-BackendPool::~BackendPool() = default;
+BackendPool::~BackendPool() {
+  // Attempts among what is deferred return their connections to the pool.
+  m_set->DeleteDeferred();
+}
 
 std::unique_ptr<Attempt> BackendPool::Start(AttemptRequest request,
                                             AttemptHooks hooks) {
--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -32,7 +32,8 @@
 /// once a second. Not thread safe.
 class BackendPool {
  public:
-  /// `set` must outlive the pool.
+  /// `set` must outlive the pool, attempts must not; those that were given to
+  /// `set->DeleteLater` end with the pool.
   BackendPool(net::SocketSet* set, Clock clock, BackendPoolOptions options);
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
--- a/src/backends/backend_pool_test.cc
+++ b/src/backends/backend_pool_test.cc
@@ -58,6 +58,31 @@
 
 }  // namespace
 
+GUAVACROSS_STORY(BackendPoolThatEndsWithAttempts) {
+  util::ManualClock clock;
+  net::SocketSet sockets;
+  net::TestServer server(&sockets);
+  auto pool = std::make_unique<BackendPool>(&sockets, clock.clock(),
+                                            BackendPoolOptions{});
+  // Held by the attempt's hooks.
+  const auto held = std::make_shared<int>(0);
+  AttemptHooks hooks;
+  hooks.m_on_head = [held](const http::ResponseHead&) {};
+  hooks.m_on_failure = [](const AttemptFailure&) {};
+  AttemptRequest request;
+  request.m_address = server.endpoint();
+  request.m_head.m_method = "GET";
+  request.m_head.m_target = "/";
+  auto attempt = pool->Start(std::move(request), std::move(hooks));
+
+  Section("ends those that are to be destroyed later", [&] {
+    sockets.DeleteLater(std::move(attempt));
+    CPPUNIT_ASSERT_EQUAL(2L, held.use_count());
+    pool.reset();
+    CPPUNIT_ASSERT_EQUAL(1L, held.use_count());
+  });
+}
+
 GUAVACROSS_STORY(BackendPoolCap) {
   PoolFixture fixture({.m_max_connections_per_target = 1});
   const auto first = fixture.Send("/first");
--- a/src/callers/caller_worker.cc
+++ b/src/callers/caller_worker.cc
@@ -56,6 +56,8 @@
   m_on_done = nullptr;
   m_post.Stop();
   AbortAll();
+  // What was ended refers to the parts of this worker.
+  m_sockets.DeleteDeferred();
 }
 
 void CallerWorker::Accept(int descriptor, bool refuse, bool local_only) {
--- a/src/net/socket_set.h
+++ b/src/net/socket_set.h
@@ -39,6 +39,10 @@
     ScheduleDeletion();
   }
 
+  /// Destroys at once what `DeleteLater` was given. For owners that end and
+  /// hold what such objects refer to; not while a hook is running.
+  void DeleteDeferred();
+
  private:
   friend class Stream;
 
@@ -59,7 +63,6 @@
   void FlushLater(Stream* stream) { m_to_flush.push_back(stream); }
   void Flush();
   void ScheduleDeletion();
-  void DeleteDeferred();
   // Takes an empty pipe, or null, and gives it back.
   std::unique_ptr<Pipe> TakePipe();
   void KeepPipe(std::unique_ptr<Pipe> pipe);
--- a/testsuite/runs-at-most-once/run.py
+++ b/testsuite/runs-at-most-once/run.py
@@ -181,7 +181,8 @@
         answers = {f"handed-{n}": send(leaving, f"handed-{n}")
                    for n in range(10)}
         leaving.signal(signal.SIGTERM)
-        check(leaving.wait() == 0, f"{leaving.name} did not end well")
+        exit_code = leaving.wait()
+        check(exit_code == 0, f"{leaving.name} ended with {exit_code}")
         case.unlist_instance(leaving)
         for key, first in answers.items():
             check(first is not None and first.outcome == "done", f"{first}")
