Find other instances through the store when all seeds are gone

Cause: an instance knows others by the seeds of its settings and by gossip. With all seeds gone for good it stays alone: it isn't in the others' address answers, reads the store for itself and takes the shared budgets for its own.

Change: feed::ContactBook keeps the addresses of up to eight live instances in one record of a topic of our own. The first instance by rank reads it every 30 s, asks addresses that it doesn't know and writes it anew when too few of them are alive (policy/contact_choice.h, pure). An instance that is alone is its own first and looks every 4 s. Ways weighed: a record for each incarnation (a write for each start, 51 in a herd's), consumer groups (calls go on for ever).

Tests: ContactsInTheStore, ChoiceOfContacts, and instances-without-seeds with real processes, which waits in vain for the second instance before the change.

--- /dev/null
+++ b/src/feed/contact_book.cc
@@ -0,0 +1,154 @@
+#include "feed/contact_book.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+#include "policy/contact_choice.h"
+#include "util/log.h"
+
+namespace guavacross::feed {
+
+namespace {
+
+constexpr char kContactKey[] = "instances";
+
+// Instances that start together find each other within some heartbeats.
+constexpr Duration kFirstCheckAfter = std::chrono::milliseconds(2000);
+
+// Between two checks by an instance that knows others: each is a priced call of
+// the store, and groups that don't know each other are rare.
+constexpr Duration kCheckInterval = std::chrono::seconds(30);
+
+// Between two checks by one that knows nobody: it isn't in the others' address
+// answers, so that it gets no callers.
+constexpr Duration kAloneInterval = std::chrono::seconds(4);
+
+// An instance that is asked answers within a heartbeat or two.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(1200);
+
+// The store answers within milliseconds; slow ones take some hundred.
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+
+std::string Encode(const std::vector<Endpoint>& contacts) {
+  std::string text;
+  for (const Endpoint& contact : contacts) {
+    text += (text.empty() ? "" : " ") + ToString(contact);
+  }
+  return text;
+}
+
+// What isn't an address is passed over: a later version may write more.
+std::vector<Endpoint> Decode(const std::string& text) {
+  std::vector<Endpoint> contacts;
+  std::istringstream words(text);
+  std::string word;
+  while (words >> word && contacts.size() < policy::kMaxContacts) {
+    Endpoint contact;
+    if (ParseEndpoint(word, &contact)) {
+      contacts.push_back(contact);
+    }
+  }
+  return contacts;
+}
+
+std::vector<Endpoint> ContactsOf(const FeedPage& page) {
+  for (const KeyedRecord& record : page.m_records) {
+    if (record.m_key == kContactKey && record.m_value.has_value()) {
+      return Decode(*record.m_value);
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+ContactBook::ContactBook(Clock clock, ContactBookHooks hooks)
+    : m_clock(std::move(clock)), m_hooks(std::move(hooks)) {}
+
+void ContactBook::Start() {
+  m_since = m_clock.m_now();
+}
+
+void ContactBook::Tick() {
+  const Duration passed = m_clock.m_now() - m_since;
+  if (m_step == Step::kRest && passed >= RestTime() && m_hooks.m_is_first()) {
+    List();
+  } else if (m_step == Step::kAsking && passed >= kAnswerTime) {
+    Compare();
+  }
+}
+
+Duration ContactBook::RestTime() const {
+  if (!m_has_checked) {
+    return kFirstCheckAfter;
+  }
+  return m_hooks.m_live().size() > 1 ? kCheckInterval : kAloneInterval;
+}
+
+void ContactBook::List() {
+  m_step = Step::kListing;
+  m_hooks.m_list(kCallTimeout,
+                 [this, alive = std::weak_ptr<int>(m_alive)](FeedPage page) {
+                   if (!alive.expired()) {
+                     OnListed(page);
+                   }
+                 });
+}
+
+void ContactBook::OnListed(const FeedPage& page) {
+  if (page.m_status != FeedPage::Status::kOk) {
+    util::LogWarning("peers", "the recorded instances can't be read",
+                     {{"why", page.m_error}});
+    Rest();
+    return;
+  }
+  m_recorded = ContactsOf(page);
+  std::vector<Endpoint> unknown = m_recorded;
+  const std::vector<Endpoint> live = m_hooks.m_live();
+  std::erase_if(unknown, [&live](const Endpoint& contact) {
+    return std::find(live.begin(), live.end(), contact) != live.end();
+  });
+  if (!unknown.empty()) {
+    util::LogChange(
+        "peers", "asking recorded instances",
+        {{"contacts", Encode(unknown)}, {"live", std::to_string(live.size())}});
+  }
+  m_hooks.m_on_contacts(unknown);
+  m_step = Step::kAsking;
+  m_since = m_clock.m_now();
+}
+
+void ContactBook::Compare() {
+  const std::vector<Endpoint> contacts =
+      policy::ContactsToRecord(m_recorded, m_hooks.m_live());
+  if (contacts.empty() || !m_hooks.m_is_first()) {
+    Rest();
+    return;
+  }
+  m_step = Step::kWriting;
+  m_hooks.m_write(
+      kContactKey, Encode(contacts), kCallTimeout,
+      [this, contacts,
+       alive = std::weak_ptr<int>(m_alive)](const std::string& error) {
+        if (alive.expired()) {
+          return;
+        }
+        if (error.empty()) {
+          util::LogChange("peers", "instances recorded",
+                          {{"contacts", Encode(contacts)}});
+        } else {
+          util::LogWarning("peers", "the instances can't be recorded",
+                           {{"why", error}});
+        }
+        Rest();
+      });
+}
+
+void ContactBook::Rest() {
+  m_has_checked = true;
+  m_step = Step::kRest;
+  m_since = m_clock.m_now();
+}
+
+}  // namespace guavacross::feed
--- /dev/null
+++ b/src/feed/contact_book_test.cc
@@ -0,0 +1,168 @@
+#include "feed/contact_book.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "policy/contact_choice.h"
+#include "util/manual_clock.h"
+#include "util/story_test.h"
+
+namespace guavacross::feed {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using util::Section;
+using Endpoints = std::vector<Endpoint>;
+
+Endpoint Instance(int number) {
+  return {.m_ip = "10.0.0." + std::to_string(number), .m_port = 7660};
+}
+
+Endpoints Instances(int first, int count) {
+  Endpoints instances;
+  for (int i = 0; i < count; ++i) {
+    instances.push_back(Instance(first + i));
+  }
+  return instances;
+}
+
+// The store's topic; calls are answered at once or fail.
+struct Topic {
+  std::optional<std::string> m_value;
+  bool m_down = false;
+  int m_reads = 0;
+  int m_writes = 0;
+};
+
+struct Keeper {
+  Keeper(util::ManualClock* clock, Topic* topic, Endpoints live)
+      : m_live(std::move(live)), m_book(clock->clock(), Hooks(topic)) {
+    m_book.Start();
+  }
+
+  ContactBookHooks Hooks(Topic* topic) {
+    ContactBookHooks hooks;
+    hooks.m_list = [topic](Duration, const PageDone& done) {
+      ++topic->m_reads;
+      FeedPage page{.m_status = topic->m_down ? FeedPage::Status::kUnreachable
+                                              : FeedPage::Status::kOk};
+      if (topic->m_value.has_value()) {
+        page.m_records = {{.m_key = "instances", .m_value = topic->m_value}};
+      }
+      done(page);
+    };
+    hooks.m_write = [topic](const std::string&, const std::string& value,
+                            Duration, const auto& done) {
+      ++topic->m_writes;
+      if (!topic->m_down) {
+        topic->m_value = value;
+      }
+      done(topic->m_down ? "no answer" : "");
+    };
+    hooks.m_is_first = [this] { return m_first; };
+    hooks.m_live = [this] { return m_live; };
+    hooks.m_on_contacts = [this](const Endpoints& contacts) {
+      m_asked = contacts;
+    };
+    return hooks;
+  }
+
+  bool m_first = true;
+  Endpoints m_live;
+  Endpoints m_asked;
+  ContactBook m_book;
+};
+
+void Pass(util::ManualClock* clock,
+          const std::vector<Keeper*>& keepers,
+          Duration time) {
+  for (Duration passed{}; passed < time; passed += milliseconds(200)) {
+    clock->Advance(milliseconds(200));
+    for (Keeper* const keeper : keepers) {
+      keeper->m_book.Tick();
+    }
+  }
+}
+
+}  // namespace
+
+GUAVACROSS_STORY(ContactsInTheStore) {
+  util::ManualClock clock;
+  Topic topic;
+  Keeper first(&clock, &topic, Instances(1, 6));
+  Keeper other(&clock, &topic, Instances(1, 6));
+  other.m_first = false;
+  const std::vector<Keeper*> both{&first, &other};
+
+  Section("are recorded by the first instance alone", [&] {
+    Pass(&clock, both, seconds(5));
+    CPPUNIT_ASSERT_EQUAL(1, topic.m_writes);
+    CPPUNIT_ASSERT_EQUAL(1, topic.m_reads);
+  });
+  Section("cost a read in half a minute while nothing changes", [&] {
+    Pass(&clock, both, seconds(60));
+    CPPUNIT_ASSERT_EQUAL(1, topic.m_writes);
+    CPPUNIT_ASSERT_EQUAL(3, topic.m_reads);
+  });
+  Section("are asked by an instance that knows nobody", [&] {
+    Keeper alone(&clock, &topic, {Instance(9)});
+    Pass(&clock, {&alone}, milliseconds(2200));
+    CPPUNIT_ASSERT(alone.m_asked == Instances(1, 6));
+    alone.m_live = Instances(1, 9);
+    Pass(&clock, {&alone}, seconds(2));
+    CPPUNIT_ASSERT_EQUAL(1, topic.m_writes);
+  });
+  Section("are replaced by one that none of them answers", [&] {
+    Keeper alone(&clock, &topic, {Instance(9)});
+    Pass(&clock, {&alone}, seconds(5));
+    CPPUNIT_ASSERT(topic.m_value == "10.0.0.9:7660");
+  });
+  Section("and two that were alone find each other", [&] {
+    Keeper another(&clock, &topic, {Instance(8)});
+    Pass(&clock, {&another}, milliseconds(2200));
+    CPPUNIT_ASSERT(another.m_asked == Endpoints{Instance(9)});
+  });
+  Section("wait for a store that is away", [&] {
+    topic.m_down = true;
+    Keeper alone(&clock, &topic, {Instance(7)});
+    Pass(&clock, {&alone}, seconds(3));
+    CPPUNIT_ASSERT(alone.m_asked.empty());
+    topic.m_down = false;
+    Pass(&clock, {&alone}, seconds(5));
+    CPPUNIT_ASSERT(alone.m_asked == Endpoints{Instance(9)});
+  });
+  Section("that can't be read name nobody", [&] {
+    topic.m_value = "what? 10.0.0.4:7660 10.0.0:1";
+    Keeper alone(&clock, &topic, {Instance(7)});
+    Pass(&clock, {&alone}, milliseconds(2200));
+    CPPUNIT_ASSERT(alone.m_asked == Endpoints{Instance(4)});
+  });
+}
+
+GUAVACROSS_STORY(ChoiceOfContacts) {
+  Section("is spread over the live instances", [] {
+    const Endpoints chosen =
+        policy::ContactsToRecord({}, Instances(1, 4 * policy::kMaxContacts));
+    CPPUNIT_ASSERT_EQUAL(policy::kMaxContacts, chosen.size());
+    CPPUNIT_ASSERT(chosen[1] == Instance(5));
+  });
+  Section("stays while enough of them are alive", [] {
+    CPPUNIT_ASSERT(
+        policy::ContactsToRecord(Instances(1, 8), Instances(5, 20)).empty());
+    CPPUNIT_ASSERT(
+        !policy::ContactsToRecord(Instances(1, 8), Instances(6, 20)).empty());
+  });
+  Section("asks no more of a small deployment than it has", [] {
+    CPPUNIT_ASSERT(
+        policy::ContactsToRecord(Instances(1, 2), Instances(1, 2)).empty());
+    CPPUNIT_ASSERT(policy::ContactsToRecord({}, Instances(1, 1)) ==
+                   Instances(1, 1));
+  });
+}
+
+}  // namespace guavacross::feed
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -70,6 +70,9 @@
   /// Notices that nobody has read for long.
   void Tick();
 
+  /// Whether no live peer that reaches the store comes before this instance.
+  bool IsFirst() const { return Rank() == 0; }
+
  private:
   FeedHooks MakeFeedHooks();
   Duration Postpone();
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -135,6 +135,26 @@
     return names;
   }
 
+  std::vector<Endpoint> LiveAddresses() const {
+    std::map<std::string, Endpoint> live{{m_self.m_name, m_options.m_peers}};
+    for (const Member& member : m_peers->Members()) {
+      if (member.m_state == MemberState::kLive) {
+        live.emplace(member.m_id.m_name, member.m_peers);
+      }
+    }
+    std::vector<Endpoint> addresses;
+    for (const auto& [name, address] : live) {
+      addresses.push_back(address);
+    }
+    return addresses;
+  }
+
+  void SetContacts(const std::vector<Endpoint>& contacts) {
+    if (std::exchange(m_contacts, contacts) != contacts) {
+      m_peers->SetListed(Seeds());
+    }
+  }
+
   void SetStoreReachable(bool reachable, const std::string& why) {
     m_targets->SetStoreReachable(reachable);
     m_store_error = reachable ? "" : why;
@@ -308,8 +328,10 @@
   // Seeds are addresses to ask; a seed is known as a member once it answers
   // under its own name.
   std::vector<ListedInstance> Seeds() const {
+    std::vector<Endpoint> seeds = m_options.m_seeds;
+    seeds.insert(seeds.end(), m_contacts.begin(), m_contacts.end());
     std::vector<ListedInstance> listed;
-    for (const Endpoint& seed : m_options.m_seeds) {
+    for (const Endpoint& seed : seeds) {
       if (seed != m_options.m_peers) {
         ListedInstance& instance = listed.emplace_back();
         instance.m_name = ToString(seed);
@@ -376,6 +398,8 @@
   Clock m_clock;
   RouteInstanceHooks m_hooks;
   InstanceId m_self;
+  // Asked beside the seeds of the settings.
+  std::vector<Endpoint> m_contacts;
   ControlThread m_control;
   util::Metrics m_metrics;
   // Why the store counts as lost; empty if it doesn't.
@@ -429,6 +453,14 @@
   return m_impl->LivePeers();
 }
 
+std::vector<Endpoint> RouteInstance::LiveAddresses() const {
+  return m_impl->LiveAddresses();
+}
+
+void RouteInstance::SetContacts(const std::vector<Endpoint>& contacts) {
+  m_impl->SetContacts(contacts);
+}
+
 void RouteInstance::TellPeers() {
   m_impl->TellPeers();
 }
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -89,6 +89,11 @@
   void ApplyTargets();
   /// Names of the other instances that are live.
   std::vector<std::string> LivePeers() const;
+  /// Where live instances are found by others, this one included; sorted by
+  /// their names.
+  std::vector<Endpoint> LiveAddresses() const;
+  /// Addresses at which other instances may be found, beside the seeds.
+  void SetContacts(const std::vector<Endpoint>& contacts);
   /// Tells the other instances at once that there is something new.
   void TellPeers();
   /// The source of table and targets has been lost, or answers again.
--- a/testsuite/platform_entry.py
+++ b/testsuite/platform_entry.py
@@ -13,11 +13,12 @@
         port = 9000 + 10 * number
         self.front, self.ready, self.directory = (
             case.at(port), case.at(port + 1), case.at(port + 2))
+        self.peers = case.at(port + 3)
         self.settings_path = case.out / f"e{number}.toml"
         self.settings = {
             "name": f"e{number}", "region": "r", "zone": "zone-a",
             "callers": self.front, "ready": self.ready,
-            "directory": self.directory, "peers": case.at(port + 3),
+            "directory": self.directory, "peers": self.peers,
             "operators": case.at(port + 4),
             "seeds": list(seeds), "store": store, "drain_ms": 2000,
             "grace_s": 6, "address_lifetime_s": 2, "max_descriptors": 1024,
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -84,6 +84,8 @@
             def do_GET(self):
                 store._answer(self)
 
+            do_POST = do_GET
+
         self._server = _serve(address, Handler)
 
     def append(self, topic, key, value):
@@ -97,6 +99,12 @@
         with self._changed:
             self._first[topic] = len(self._topics.get(topic, []))
 
+    def newest(self, topic):
+        """The newest value of each key."""
+        with self._changed:
+            return {key: value for key, value in self._topics.get(topic, [])
+                    if value is not None}
+
     def _answer(self, handler):
         self.calls += 1
         if self.down:
@@ -114,9 +122,28 @@
         elif url.path == "/log-read":
             handler.answer(*self._read(query["Topic"], int(query["From"]),
                                        int(query.get("WaitMs", 0))))
+        elif url.path == "/log-append":
+            length = int(handler.headers.get("Content-Length") or 0)
+            handler.answer(*self._append(query["Topic"],
+                                         handler.rfile.read(length)))
         else:
             handler.answer(404)
 
+    def _append(self, topic, body):
+        """Takes one record of a topic that is not the operators' or servers'."""
+        if topic in ("keyed.op", "keyed.servers"):
+            return 403, b""
+        size, = struct.unpack_from(">I", body)
+        content = body[4:4 + size]
+        if len(content) != size or len(body) != 4 + size:
+            return 400, b""
+        key_end = 1 + content[0]
+        self.append(topic, content[1:key_end].decode(),
+                    content[key_end:].decode() or None)
+        with self._changed:
+            end = len(self._topics[topic])
+        return 200, json.dumps({"Offset": end - 1, "End": end}).encode()
+
     def _newest(self, topic):
         with self._changed:
             log = list(self._topics.get(topic, []))
