--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -16,18 +16,8 @@
 
 constexpr char kHealthPath[] = "/healthz";
 constexpr char kReadyPath[] = "/readyz";
-constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr char kPlainText[] = "text/plain; charset=utf-8";
 
-// How long a connection whose last answer has been sent waits for the caller
-// to close: closing while bytes of the caller are unread would reset it and
-// could lose the answer.
-constexpr Duration kLingerTime = std::chrono::seconds(2);
-
-// How long an idle connection is kept for a request that may be on its way,
-// once the server is shutting down.
-constexpr Duration kFinishingIdleTime = std::chrono::seconds(1);
-
 constexpr int kOkStatus = 200;
 
 }  // namespace
@@ -263,32 +253,6 @@
        {"why", Describe(error)}});
 }
 
-forwarding::AnswerHooks CallerConnection::MakeAnswerHooks() {
-  forwarding::AnswerHooks hooks;
-  hooks.m_on_answer = [this](const forwarding::WholeAnswer& answer) {
-    m_exchange = nullptr;
-    SendWhole(answer);
-  };
-  hooks.m_on_head = [this](const http::ResponseHead& head) { SendHead(head); };
-  hooks.m_on_body = [this](std::string_view bytes) { SendBody(bytes); };
-  hooks.m_on_end = [this] {
-    m_exchange = nullptr;
-    SendEnd();
-  };
-  hooks.m_on_abort = [this] {
-    m_exchange = nullptr;
-    CutShort();
-  };
-  hooks.m_on_body_wanted = [this] { m_stream->SetReading(true); };
-  hooks.m_raw_stream = [this] {
-    const bool raw = m_answer_framing == http::BodyFraming::kLength &&
-                     !m_head_request && !m_closed;
-    return raw ? m_stream.get() : nullptr;
-  };
-  hooks.m_unsent = [this] { return m_stream->unsent(); };
-  return hooks;
-}
-
 void CallerConnection::OnReadError(const Error& error) {
   m_keep_alive = false;
   if (m_exchange != nullptr) {
@@ -324,153 +288,4 @@
   }
 }
 
-void CallerConnection::SendWhole(const forwarding::WholeAnswer& answer) {
-  SendHead(answer.m_head);
-  SendBody(answer.m_body);
-  SendEnd();
-}
-
-void CallerConnection::SendError(const Error& error, Outcome outcome) {
-  m_worker->m_metrics.CountOwnAnswer(error.m_kind);
-  SendWhole(
-      m_worker->m_hooks->m_caller_dialect->m_error_answer(error, outcome));
-}
-
-void CallerConnection::SendHead(http::ResponseHead head) {
-  m_answer = Answer::kStarted;
-  const bool body_unread = m_has_body && !m_request_complete;
-  const ServerState& state = *m_worker->m_state;
-  const bool leaving =
-      state.m_finishing ||
-      (state.m_leaving && m_worker->m_options.m_close_while_leaving);
-  if (m_http_10 || body_unread || leaving) {
-    m_keep_alive = false;
-  }
-  const bool length_unknown =
-      head.m_framing == http::BodyFraming::kUntilClose ||
-      head.m_framing == http::BodyFraming::kChunked;
-  if (length_unknown) {
-    head.m_framing = m_http_10 ? http::BodyFraming::kUntilClose
-                               : http::BodyFraming::kChunked;
-  }
-  head.m_keep_alive = m_keep_alive;
-  m_answer_framing = head.m_framing;
-  m_stream->Write(http::Serialize(head));
-}
-
-void CallerConnection::SendBody(std::string_view bytes) {
-  if (m_head_request || bytes.empty()) {
-    return;
-  }
-  if (m_answer_framing != http::BodyFraming::kChunked) {
-    m_stream->Write(bytes);
-    return;
-  }
-  m_stream->Write(http::ChunkHeader(bytes.size()));
-  m_stream->Write(bytes);
-  m_stream->Write(http::kChunkEnd);
-}
-
-void CallerConnection::SendEnd() {
-  if (m_answer_framing == http::BodyFraming::kChunked && !m_head_request) {
-    m_stream->Write(http::kLastChunk);
-  }
-  m_answer = Answer::kDone;
-  if (!m_processing) {
-    Continue();
-  }
-}
-
-// Resets the connection, so that the caller can't take a part for the whole.
-void CallerConnection::CutShort() {
-  m_stream->Abort();
-  Close();
-}
-
-void CallerConnection::Sweep(TimePoint now) {
-  if (m_closed) {
-    return;
-  }
-  if (m_lingering) {
-    SweepLingering(now);
-  } else if (Stalled(now)) {
-    CutShort();
-  } else {
-    SweepRequest(now);
-  }
-}
-
-bool CallerConnection::Stalled(TimePoint now) {
-  const std::uint64_t sent = m_stream->bytes_sent();
-  if (m_stream->unsent() == 0 || sent != m_bytes_sent_seen) {
-    m_bytes_sent_seen = sent;
-    m_last_sent = now;
-  }
-  return now - m_last_sent > m_worker->m_options.m_limits.m_stall_time;
-}
-
-void CallerConnection::SweepLingering(TimePoint now) {
-  const bool all_sent = m_stream->unsent() == 0;
-  if (Stalled(now) || (all_sent && now - m_last_progress > kLingerTime)) {
-    Close();
-  }
-}
-
-void CallerConnection::SweepRequest(TimePoint now) {
-  const CallerLimits& limits = m_worker->m_options.m_limits;
-  const Duration quiet = now - m_last_progress;
-  if (!m_reader.has_value()) {
-    const bool finishing = m_worker->m_state->m_finishing;
-    if (quiet > (finishing ? kFinishingIdleTime : limits.m_idle_time)) {
-      Close();
-    }
-  } else if (!m_reader->head_done()) {
-    if (now - m_head_started > limits.m_header_time) {
-      OnReadError({.m_kind = ErrorKind::kSlowRequest,
-                   .m_text = "the head took too long"});
-    }
-  } else if (!m_request_complete) {
-    const bool waiting = m_stream->reading() && m_answer == Answer::kNone;
-    if (waiting && quiet > limits.m_body_progress_time) {
-      OnReadError({.m_kind = ErrorKind::kSlowRequest,
-                   .m_text = "the body made no progress"});
-    }
-  } else if (m_peer_finished) {
-    ProbeCaller();
-  }
-}
-
-// A caller that has closed its direction may still wait for the answer or may
-// have left; only sending something tells. An interim answer does no harm to
-// the one (RFC 9110, 15.2) and makes the other's kernel reset the connection.
-void CallerConnection::ProbeCaller() {
-  if (!m_probed && !m_http_10 && m_answer == Answer::kNone) {
-    m_probed = true;
-    m_stream->Write(kContinue);
-  }
-}
-
-void CallerConnection::Linger() {
-  m_lingering = true;
-  m_held.clear();
-  m_last_progress = now();
-  m_stream->FinishWriting();
-  m_stream->SetReading(true);
-}
-
-void CallerConnection::Abort() {
-  CutShort();
-}
-
-void CallerConnection::Close() {
-  if (std::exchange(m_closed, true)) {
-    return;
-  }
-  m_stream->Close();
-  if (m_exchange != nullptr) {
-    std::exchange(m_exchange, nullptr)->OnCallerGone();
-  }
-  m_worker->Remove(this);
-}
-
 }  // namespace guavacross::callers
--- a/src/callers/caller_connection.h
+++ b/src/callers/caller_connection.h
@@ -41,6 +41,8 @@
   void Abort();
 
  private:
+  static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
   enum class Answer { kNone, kStarted, kDone };
 
   void OnReadable();
--- /dev/null
+++ b/src/ledger/plain_claims_peers.cc
@@ -0,0 +1,190 @@
+// What claims of keys ask of other instances, and answer them.
+
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "ledger/plain_claims.h"
+#include "util/log.h"
+
+namespace guavacross::ledger {
+
+namespace {
+
+constexpr int kMaxSurveys = 64;
+// How long an instance that knows of no copy of a request runs none, and how
+// long its word may be used.
+constexpr Duration kPledge = std::chrono::seconds(2);
+constexpr Duration kUseOfPledge = std::chrono::milliseconds(1500);
+constexpr std::size_t kMaxPledges = 65'536;
+
+}  // namespace
+
+void PlainClaims::AskHolder(const KeyHash& key,
+                            const ClaimView& view,
+                            Waiter* waiter) {
+  if (StateOfHolder(*m_context, view.m_holder) == HolderState::kGone) {
+    AskForHandover(key, view.m_attempt, std::move(*waiter));
+    return;
+  }
+  const LedgerQuestion question{.m_kind = LedgerQuestion::Kind::kHowEnded,
+                                .m_asker = m_context->m_options.m_self,
+                                .m_key = key,
+                                .m_fingerprint = waiter->m_fingerprint,
+                                .m_attempt = view.m_attempt};
+  auto kept = std::make_shared<Waiter>(std::move(*waiter));
+  m_context->m_hooks.m_ask(
+      view.m_holder, question,
+      m_context->WhileAlive([this, key, kept](const LedgerReply& reply) {
+        OnHolderReply(key, reply, std::move(*kept));
+      }));
+}
+
+void PlainClaims::OnHolderReply(const KeyHash& key,
+                                const LedgerReply& reply,
+                                Waiter waiter) {
+  if (reply.m_status == LedgerReply::Status::kUnreachable) {
+    waiter.m_decide(Refuse(ErrorKind::kKeyInProgress,
+                           "the instance that holds the key doesn't answer"));
+    return;
+  }
+  if (reply.m_status != LedgerReply::Status::kNotRun) {
+    waiter.m_decide(ToDecision(reply));
+    return;
+  }
+  // The end is in the log or on its way: wait for it, but don't ask again.
+  const auto view = m_fold.Find(key);
+  const bool is_settled =
+      view && (view->m_ended_not_run || view->m_attempt > reply.m_attempt);
+  if (is_settled) {
+    Enqueue(key, std::move(waiter));
+    return;
+  }
+  waiter.m_decide(ToDecision({.m_status = LedgerReply::Status::kInProgress}));
+}
+
+// The holder is gone; before it left it may have handed its table to a peer.
+void PlainClaims::AskForHandover(const KeyHash& key,
+                                 std::uint32_t attempt,
+                                 Waiter waiter) {
+  const LedgerQuestion question{.m_kind = LedgerQuestion::Kind::kHowEnded,
+                                .m_asker = m_context->m_options.m_self,
+                                .m_key = key,
+                                .m_fingerprint = waiter.m_fingerprint,
+                                .m_attempt = attempt};
+  AskAll(*m_context, MembersToAsk(*m_context, SurveyScope::kNotDead), question,
+         [decide = std::move(waiter.m_decide)](
+             const std::vector<LedgerReply>& replies) {
+           for (const LedgerReply& reply : replies) {
+             if (reply.m_status == LedgerReply::Status::kDone ||
+                 reply.m_status == LedgerReply::Status::kConflict) {
+               decide(ToDecision(reply));
+               return;
+             }
+           }
+           decide(ToDecision({.m_status = LedgerReply::Status::kUnknown}));
+         });
+}
+
+// Nothing of this copy runs, but an earlier copy may have run on another
+// instance without this one having read its claim. "Not run" is told only if
+// this instance knew all older claims when it last read the log to its end, and
+// all instances that were there at that time, and no new ones, say that they
+// know of no copy.
+void PlainClaims::RefuseUnsettled(const KeyHash& key,
+                                  Waiter waiter,
+                                  std::string text) {
+  const bool knows_older =
+      m_log.caught_up() && !CheckAge(waiter) && !MembersHaveChanged();
+  if (!knows_older || m_surveys >= kMaxSurveys) {
+    waiter.m_decide(Refuse(ErrorKind::kAppendUnclear, std::move(text)));
+    return;
+  }
+  ++m_surveys;
+  const LedgerQuestion question{.m_kind = LedgerQuestion::Kind::kIsKnown,
+                                .m_asker = m_context->m_options.m_self,
+                                .m_key = key};
+  const std::vector<InstanceId> peers(m_members_at_last_end.begin(),
+                                      m_members_at_last_end.end());
+  AskAll(*m_context, peers, question,
+         [this, key, asked_at = m_context->m_options.m_clock.m_now(),
+          decide = std::move(waiter.m_decide),
+          text = std::move(text)](const std::vector<LedgerReply>& replies) {
+           --m_surveys;
+           const Duration took =
+               m_context->m_options.m_clock.m_now() - asked_at;
+           const bool all_none = std::all_of(
+               replies.begin(), replies.end(), [](const LedgerReply& reply) {
+                 return reply.m_status == LedgerReply::Status::kNone;
+               });
+           HeldKey* held = m_context->m_held.Find(key);
+           const auto view = m_fold.Find(key);
+           const bool is_free =
+               took <= kUseOfPledge && !m_waiting.contains(key) &&
+               (held == nullptr || held->m_state == HeldState::kNotRun) &&
+               (!view || view->m_ended_not_run);
+           decide(Refuse(all_none && is_free ? ErrorKind::kStoreUnavailable
+                                             : ErrorKind::kAppendUnclear,
+                         text));
+         });
+}
+
+std::set<InstanceId> PlainClaims::MemberIds() const {
+  const auto members = MembersToAsk(*m_context, SurveyScope::kAll);
+  return {members.begin(), members.end()};
+}
+
+// Whether an instance has come or started again since the log was last read to
+// its end: an incarnation before it may have claimed, run and gone unseen.
+bool PlainClaims::MembersHaveChanged() const {
+  const std::set<InstanceId> now = MemberIds();
+  return !std::includes(m_members_at_last_end.begin(),
+                        m_members_at_last_end.end(), now.begin(), now.end());
+}
+
+LedgerReply PlainClaims::HowEnded(const LedgerQuestion& question) const {
+  const auto pending = m_log.PendingAttempt(question.m_key);
+  const auto view = m_fold.Find(question.m_key);
+  LedgerReply reply{.m_attempt = question.m_attempt};
+  if (pending && *pending >= question.m_attempt) {
+    reply.m_status = LedgerReply::Status::kInProgress;
+  } else if (view && (view->m_attempt > question.m_attempt ||
+                      (view->m_attempt == question.m_attempt &&
+                       view->m_ended_not_run))) {
+    reply.m_status = LedgerReply::Status::kNotRun;
+  } else {
+    reply.m_status = LedgerReply::Status::kUnknown;
+  }
+  return reply;
+}
+
+bool PlainClaims::IsPledged(const KeyHash& key) {
+  const auto found = m_pledged.find(key);
+  if (found == m_pledged.end()) {
+    return false;
+  }
+  const bool is_open = m_context->m_options.m_clock.m_now() < found->second;
+  if (!is_open) {
+    m_pledged.erase(found);
+  }
+  return is_open;
+}
+
+bool PlainClaims::IsKnown(const KeyHash& key) {
+  const auto view = m_fold.Find(key);
+  const TimePoint now = m_context->m_options.m_clock.m_now();
+  if (m_pledged.size() >= kMaxPledges) {
+    std::erase_if(m_pledged,
+                  [now](const auto& item) { return item.second <= now; });
+  }
+  const bool is_known =
+      m_pledged.size() >= kMaxPledges || m_waiting.contains(key) ||
+      m_log.PendingAttempt(key).has_value() || (view && !view->m_ended_not_run);
+  if (!is_known) {
+    m_pledged[key] = now + kPledge;
+  }
+  return is_known;
+}
+
+}  // namespace guavacross::ledger
--- /dev/null
+++ b/src/routing/target_pool_choice.cc
@@ -0,0 +1,251 @@
+// How a pool chooses the target of a request.
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "policy/slot_shares.h"
+#include "routing/target_pool.h"
+
+namespace guavacross::routing {
+
+namespace {
+
+// A target that has told its load and speed within this time is known: its
+// neighbours stay for some 150 ms, and its other requests for longer.
+constexpr Duration kMeasuredFor = std::chrono::milliseconds(20);
+
+// A target that gave no answer to a probe is probed again after this.
+constexpr Duration kSilentProbeInterval = std::chrono::milliseconds(250);
+
+// A target is full for measured choices with this many requests beyond its
+// slots.
+constexpr int kMeasuredOverflow = 2;
+
+// How much a late answer counts against a target while it is still awaited.
+constexpr double kLateSlowness = 2;
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+Choice TargetPool::Choose(const std::vector<std::string>& avoid,
+                          TimePoint now) {
+  if (m_targets.empty()) {
+    return {};
+  }
+  if (m_options.m_policy != ChoicePolicy::kGuavacross) {
+    return ChooseBaseline();
+  }
+  RefreshExceptions(now);
+  const Offer sampled = BestOfSample(avoid, now);
+  if (sampled.m_target != nullptr && sampled.m_cost <= policy::kGoodCost) {
+    return {.m_target = sampled.m_target};
+  }
+  return BestOfAll(avoid, now);
+}
+
+Choice TargetPool::ChooseMeasured(const std::vector<std::string>& avoid,
+                                  Demand demand,
+                                  TimePoint now) {
+  RefreshExceptions(now);
+  Offer best;
+  bool any_eligible = false;
+  const std::size_t start =
+      m_targets.empty() ? 0 : m_random.Below(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    Target* const target = m_targets[(start + i) % m_targets.size()].get();
+    if (!IsEligible(*target, now) || Contains(avoid, target->m_config.m_name)) {
+      continue;
+    }
+    any_eligible = true;
+    if (demand != Demand::kAny && !IsMeasured(*target, now)) {
+      continue;
+    }
+    const double cost = MeasuredCostOf(*target, now);
+    if (best.m_target == nullptr || cost < best.m_cost) {
+      best = {.m_target = target, .m_cost = cost};
+    }
+  }
+  const double limit =
+      demand == Demand::kGood ? policy::kGoodCost : policy::kWaitCost;
+  if (best.m_target != nullptr && best.m_cost <= limit) {
+    return {.m_target = best.m_target};
+  }
+  if (!any_eligible && !avoid.empty() && demand == Demand::kAny) {
+    return ChooseMeasured({}, demand, now);
+  }
+  return {.m_worth_waiting = any_eligible || !avoid.empty()};
+}
+
+std::vector<Target*> TargetPool::ToMeasure(std::size_t count, TimePoint now) {
+  std::vector<Offer> offers;
+  for (const auto& target : m_targets) {
+    if (target->m_removed || target->m_replaced || target->m_probe_in_flight ||
+        target->m_draining.is_draining() || IsMeasured(*target, now) ||
+        (target->m_silent &&
+         now - target->m_probed_at < kSilentProbeInterval)) {
+      continue;
+    }
+    // A random part, so that the instances don't all ask the same ones.
+    offers.push_back({.m_target = target.get(),
+                      .m_cost = MeasuredCostOf(*target, now) *
+                                (1 + 0.1 * m_random.Uniform())});
+  }
+  const std::size_t kept = std::min(count, offers.size());
+  std::partial_sort(
+      offers.begin(), offers.begin() + static_cast<std::ptrdiff_t>(kept),
+      offers.end(),
+      [](const Offer& a, const Offer& b) { return a.m_cost < b.m_cost; });
+  std::vector<Target*> targets;
+  for (std::size_t i = 0; i < kept; ++i) {
+    targets.push_back(offers[i].m_target);
+  }
+  return targets;
+}
+
+bool TargetPool::IsMeasured(const Target& target, TimePoint now) const {
+  return target.m_load.ReadingAge(now) <= kMeasuredFor;
+}
+
+double TargetPool::MeasuredCostOf(const Target& target, TimePoint now) const {
+  const policy::TargetLoad& load = target.m_load;
+  const double in_flight =
+      load.own() + load.Others(m_parameters.m_aging, m_usual_others, now);
+  const double full = target.m_config.m_slots + kMeasuredOverflow;
+  // A target that hasn't answered its probe yet may be dark.
+  const bool unanswered = target.m_probe_in_flight && !m_all_silent;
+  if (in_flight >= full || unanswered) {
+    return std::numeric_limits<double>::max();
+  }
+  return policy::MeasuredCost(
+      {.m_load = in_flight,
+       .m_slots = static_cast<double>(target.m_config.m_slots),
+       .m_slowness = SlownessOf(target, now),
+       .m_slowdown = SlowdownOf(target, now) / Warmth(target, now),
+       .m_other_zone = target.m_other_zone});
+}
+
+double TargetPool::SlowdownOf(const Target& target, TimePoint now) const {
+  return target.m_load.Slowdown(m_usual_slowdown, now);
+}
+
+TargetPool::Offer TargetPool::BestOfSample(
+    const std::vector<std::string>& avoid,
+    TimePoint now) {
+  Offer best;
+  for (int i = 0; i < m_parameters.m_samples; ++i) {
+    Target* const target = m_targets[m_random.Below(m_targets.size())].get();
+    if (target == best.m_target || !IsEligible(*target, now) ||
+        Contains(avoid, target->m_config.m_name) ||
+        m_random.Uniform() >= Warmth(*target, now)) {
+      continue;
+    }
+    const std::optional<double> cost = CostOf(*target, now);
+    if (cost && (best.m_target == nullptr || *cost < best.m_cost)) {
+      best = {.m_target = target, .m_cost = *cost};
+    }
+  }
+  return best;
+}
+
+Choice TargetPool::BestOfAll(const std::vector<std::string>& avoid,
+                             TimePoint now) {
+  Offer best;
+  Offer best_avoided;
+  bool any_eligible = false;
+  // A random start, so that equal costs don't favour the first target.
+  const std::size_t start = m_random.Below(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    Target* const target = m_targets[(start + i) % m_targets.size()].get();
+    if (!IsEligible(*target, now)) {
+      continue;
+    }
+    const bool is_avoided = Contains(avoid, target->m_config.m_name);
+    any_eligible = any_eligible || !is_avoided;
+    const std::optional<double> cost = CostOf(*target, now);
+    Offer& offer = is_avoided ? best_avoided : best;
+    if (cost && (offer.m_target == nullptr || *cost < offer.m_cost)) {
+      offer = {.m_target = target, .m_cost = *cost};
+    }
+  }
+  if (!any_eligible) {
+    best = best_avoided;
+  }
+  const bool wait_instead =
+      best.m_cost > policy::kWaitCost && m_own_in_flight > 0;
+  if (best.m_target == nullptr || wait_instead) {
+    return {.m_worth_waiting = any_eligible || best.m_target != nullptr};
+  }
+  return {.m_target = best.m_target};
+}
+
+Choice TargetPool::ChooseBaseline() {
+  if (m_options.m_policy == ChoicePolicy::kRoundRobin) {
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+      Target* const target =
+          m_targets[m_next_in_turn++ % m_targets.size()].get();
+      if (!target->m_removed) {
+        return {.m_target = target};
+      }
+    }
+    return {};
+  }
+  const bool by_load = m_options.m_policy == ChoicePolicy::kLeastInFlight;
+  Target* best = nullptr;
+  const std::size_t start = m_random.Below(m_targets.size());
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    Target* const target = m_targets[(start + i) % m_targets.size()].get();
+    if (!target->m_removed &&
+        (best == nullptr ||
+         (by_load && target->m_load.own() < best->m_load.own()))) {
+      best = target;
+    }
+  }
+  return {.m_target = best};
+}
+
+double TargetPool::SlownessOf(const Target& target, TimePoint now) const {
+  if (!IsEnabled(Mechanism::kSlowness)) {
+    return 1;
+  }
+  double slowness = target.m_load.Slowness(m_parameters.m_aging, now);
+  for (const Attempt& attempt : target.m_attempts) {
+    if (now > attempt.m_slow_at) {
+      const double lateness = Seconds(now - attempt.m_sent_at) /
+                              Seconds(attempt.m_slow_at - attempt.m_sent_at);
+      slowness = std::max(slowness, 1 + kLateSlowness * lateness);
+    }
+  }
+  return slowness;
+}
+
+std::optional<double> TargetPool::CostOf(const Target& target,
+                                         TimePoint now) const {
+  const policy::TargetLoad& load = target.m_load;
+  const policy::LoadAging& aging = m_parameters.m_aging;
+  const double others = load.Others(aging, m_usual_others, now);
+  const policy::SlotView view{
+      .m_slots = target.m_config.m_slots,
+      .m_instances = IsEnabled(Mechanism::kSlotShares) ? m_instances : 1,
+      .m_own = load.own(),
+      .m_others = load.reported_others(),
+      .m_fresh = load.IsFresh(aging, now),
+      .m_uses = load.uses(),
+      .m_unused_by_peers = load.IsUnusedByPeers(aging, now)};
+  const policy::SlotClaim claim = policy::ClaimSlot(view);
+  if (claim == policy::SlotClaim::kNone) {
+    return std::nullopt;
+  }
+  return policy::Cost({.m_load = load.own() + others,
+                       .m_slots = static_cast<double>(target.m_config.m_slots),
+                       .m_slowness = SlownessOf(target, now),
+                       .m_slowdown = SlowdownOf(target, now),
+                       .m_other_zone = target.m_other_zone &&
+                                       IsEnabled(Mechanism::kZonePreference),
+                       .m_borrows = claim == policy::SlotClaim::kBorrowed});
+}
+
+}  // namespace guavacross::routing
--- /dev/null
+++ b/src/serve/member_views.cc
@@ -0,0 +1,66 @@
+#include "serve/member_views.h"
+
+#include <map>
+#include <utility>
+
+#include "callers/address_answer.h"
+
+namespace guavacross::serve {
+
+std::vector<ListedInstance> AddressesToAsk(
+    const std::vector<Endpoint>& addresses,
+    const Endpoint& self) {
+  std::vector<ListedInstance> listed;
+  for (const Endpoint& address : addresses) {
+    if (address != self) {
+      ListedInstance& instance = listed.emplace_back();
+      instance.m_name = ToString(address);
+      instance.m_peers = address;
+    }
+  }
+  return listed;
+}
+
+std::vector<std::string> LiveNames(const std::vector<Member>& members) {
+  std::vector<std::string> names;
+  for (const Member& member : members) {
+    if (member.m_state == MemberState::kLive) {
+      names.push_back(member.m_id.m_name);
+    }
+  }
+  return names;
+}
+
+std::vector<Endpoint> LivePeerAddresses(const std::vector<Member>& members,
+                                        const Member& self) {
+  std::map<std::string, Endpoint> live{{self.m_id.m_name, self.m_peers}};
+  for (const Member& member : members) {
+    if (member.m_state == MemberState::kLive) {
+      live.emplace(member.m_id.m_name, member.m_peers);
+    }
+  }
+  std::vector<Endpoint> addresses;
+  for (const auto& [name, address] : live) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+std::vector<Endpoint> AddressesFor(std::vector<Member> members,
+                                   const Member& self,
+                                   bool self_ready,
+                                   const std::string& region,
+                                   const std::string& zone) {
+  std::erase_if(members, [](const Member& member) {
+    return member.m_config_version == 0;
+  });
+  members = callers::MembersToOffer(std::move(members), self, !self_ready);
+  std::vector<Endpoint> addresses;
+  for (const callers::WeightedAddress& each :
+       callers::WeighAddresses(members, {.m_region = region, .m_zone = zone})) {
+    addresses.push_back(each.m_address);
+  }
+  return addresses;
+}
+
+}  // namespace guavacross::serve
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -1,13 +1,10 @@
 #include "serve/route_instance.h"
 
 #include <QJsonDocument>
-#include <algorithm>
 #include <atomic>
-#include <map>
 #include <utility>
 
 #include "backends/probe_runner.h"
-#include "callers/address_answer.h"
 #include "callers/caller_server.h"
 #include "callers/route_classifier.h"
 #include "guavacross/routing.h"
@@ -15,6 +12,7 @@
 #include "peers/peer_network.h"
 #include "serve/control_thread.h"
 #include "serve/instance_parts.h"
+#include "serve/member_views.h"
 #include "serve/peer_news.h"
 #include "serve/route_status.h"
 #include "serve/target_plans.h"
@@ -126,27 +124,11 @@
   void TellPeers() { m_peers->BeatNow(); }
 
   std::vector<std::string> LivePeers() const {
-    std::vector<std::string> names;
-    for (const Member& member : m_peers->Members()) {
-      if (member.m_state == MemberState::kLive) {
-        names.push_back(member.m_id.m_name);
-      }
-    }
-    return names;
+    return LiveNames(m_peers->Members());
   }
 
   std::vector<Endpoint> LiveAddresses() const {
-    std::map<std::string, Endpoint> live{{m_self.m_name, m_options.m_peers}};
-    for (const Member& member : m_peers->Members()) {
-      if (member.m_state == MemberState::kLive) {
-        live.emplace(member.m_id.m_name, member.m_peers);
-      }
-    }
-    std::vector<Endpoint> addresses;
-    for (const auto& [name, address] : live) {
-      addresses.push_back(address);
-    }
-    return addresses;
+    return LivePeerAddresses(m_peers->Members(), Self());
   }
 
   void SetContacts(const std::vector<Endpoint>& contacts) {
@@ -194,17 +176,7 @@
 
   std::vector<Endpoint> Addresses(const std::string& region,
                                   const std::string& zone) const {
-    std::vector<Member> members = m_peers->Members();
-    std::erase_if(members, [](const Member& member) {
-      return member.m_config_version == 0;
-    });
-    members = callers::MembersToOffer(std::move(members), Self(), !ready());
-    std::vector<Endpoint> addresses;
-    for (const callers::WeightedAddress& each : callers::WeighAddresses(
-             members, {.m_region = region, .m_zone = zone})) {
-      addresses.push_back(each.m_address);
-    }
-    return addresses;
+    return AddressesFor(m_peers->Members(), Self(), ready(), region, zone);
   }
 
  private:
@@ -325,20 +297,10 @@
     return status;
   }
 
-  // Seeds are addresses to ask; a seed is known as a member once it answers
-  // under its own name.
   std::vector<ListedInstance> Seeds() const {
     std::vector<Endpoint> seeds = m_options.m_seeds;
     seeds.insert(seeds.end(), m_contacts.begin(), m_contacts.end());
-    std::vector<ListedInstance> listed;
-    for (const Endpoint& seed : seeds) {
-      if (seed != m_options.m_peers) {
-        ListedInstance& instance = listed.emplace_back();
-        instance.m_name = ToString(seed);
-        instance.m_peers = seed;
-      }
-    }
-    return listed;
+    return AddressesToAsk(seeds, m_options.m_peers);
   }
 
   std::uint64_t version() const {
