Faults on the links between instances in the soak; instances that know each other

Cause: cases with real processes gave all instances one IP number and different ports. Seeds are asked on the port that the instance itself uses, as on the platform, so that each seed pointed back to its owner: in platform-whole-path and in the soak no instance ever met another, and nothing of the exchange between instances was under test there. The logs of both have no line of a member.

Change: each instance has an IP number of its own and the same ports. `peers_advertised` tells others of another address than the one that is listened on; in the soak it is a proxy, and faults are injected there in a line of their own. platform-whole-path and the soak check that the instances have met.

--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -88,7 +88,8 @@
   out->set_region(m_options.m_region);
   out->set_zone(m_options.m_zone);
   FromEndpoint(m_options.m_callers, out->mutable_callers());
-  FromEndpoint(m_transport->listen_address(), out->mutable_peers());
+  FromEndpoint(m_options.m_advertised.value_or(m_transport->listen_address()),
+               out->mutable_peers());
   out->set_leaving(m_leaving);
   out->set_load(static_cast<float>(local.m_load));
   out->set_config_digest(local.m_config_digest);
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -30,6 +30,8 @@
   Endpoint m_callers;
   /// Where the gRPC server listens; port 0 takes any free port.
   Endpoint m_listen;
+  /// Where other instances reach it, if that is another address.
+  std::optional<Endpoint> m_advertised;
   Clock m_clock;
   /// Outlives the network; may be null.
   util::Metrics* m_metrics = nullptr;
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -198,6 +198,8 @@
 
   void MakePeers() {
     peers::PeerOptions options = PeerOptionsOf(Self(), m_clock, &m_metrics);
+    options.m_listen = m_options.m_peers;
+    options.m_advertised = m_options.m_peers_advertised;
     options.m_heartbeat_interval = kHeartbeatInterval;
     options.m_suspect_after = kSuspectAfter;
     options.m_dead_after = kDeadAfter;
@@ -300,7 +302,7 @@
   std::vector<ListedInstance> Seeds() const {
     std::vector<Endpoint> seeds = m_options.m_seeds;
     seeds.insert(seeds.end(), m_contacts.begin(), m_contacts.end());
-    return AddressesToAsk(seeds, m_options.m_peers);
+    return AddressesToAsk(seeds, Self().m_peers);
   }
 
   std::uint64_t version() const {
@@ -338,7 +340,7 @@
     self.m_region = m_options.m_region;
     self.m_zone = m_options.m_zone;
     self.m_callers = m_options.m_callers;
-    self.m_peers = m_options.m_peers;
+    self.m_peers = m_options.m_peers_advertised.value_or(m_options.m_peers);
     return self;
   }
 
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -30,8 +30,11 @@
   std::vector<Endpoint> m_local;
   /// Where operators read metrics; nowhere if the port is 0.
   Endpoint m_operators;
-  /// Where other instances connect (gRPC).
+  /// Where it listens for other instances (gRPC).
   Endpoint m_peers;
+  /// Where other instances reach it, if not there: behind translated addresses,
+  /// or a proxy.
+  std::optional<Endpoint> m_peers_advertised;
   /// Where other instances may be found at the start.
   std::vector<Endpoint> m_seeds;
   /// Time from the order to shut down until the process is killed.
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -473,13 +473,15 @@
         return self.at(CONTROL_PORT)
 
     def start_platform(self, servers, proxied=(), slots=4, mean_ms=1,
-                       cold_ms=0, threads=2, more_links=None):
+                       cold_ms=0, threads=2, more_links=None,
+                       listening=None):
         """Starts log service, instance list, backend servers and proxies.
 
         `servers` maps a service to the number of its servers, which are called
         SERVICE-1 and so on. Services in `proxied` are reached through proxies
         called proxy-SERVICE-1. `log` and `list` in `proxied` put proxies
-        before the platform. `more_links` maps a proxy's name to its target.
+        before the platform. `more_links` maps a proxy's name to its target,
+        `listening` its name to where it listens, if that matters.
         """
         arguments = [self.build / "guavacross-standin", "platform",
                      "--control", self.control,
@@ -501,7 +503,7 @@
                     links[name] = address
         links.update(more_links or {})
         for number, (name, target) in enumerate(links.items()):
-            listen = self.at(PROXY_PORT + number)
+            listen = (listening or {}).get(name, self.at(PROXY_PORT + number))
             arguments += ["--link", f"proxy-{name}={listen}:{target}"]
             self.proxies[name] = listen
         self.platform = self._start(Process(self, "platform", arguments))
--- a/testsuite/instances-without-seeds/run.py
+++ b/testsuite/instances-without-seeds/run.py
@@ -32,7 +32,7 @@
                  standin.config(1, [("read", "/read/", "safe", "s1")], ["s1"]))
 
     with case.section("an instance that is alone is recorded"):
-        # Nobody listens at its seed.
+        # Nobody listens at its seed: it is the case's own IP number.
         first = case._start(Entry(case, 1, case.at(9900), [case.at(9993)]))
         wait_until(lambda: 'event="instances recorded"' in first.log(),
                    "the log says so")
--- a/testsuite/platform-whole-path/run.py
+++ b/testsuite/platform-whole-path/run.py
@@ -46,10 +46,10 @@
         check(first.status("/pay/2", "p2", "POST", body=b"x" * 1001) == 413,
               "a body over the limit")
 
-    # The second finds the first by a seed, whose port is another one's.
+    # The second finds the first by a seed, which names a port for outsiders.
     second = case._start(Entry(case, 2, case.at(9900)))
     wait_until(lambda: 'event="started"' in second.log(), "the second runs")
-    second.write_settings(seeds=[case.at(9013)])
+    second.write_settings(seeds=[first.directory])
     second.signal(signal.SIGHUP)
 
     with case.section("changed settings are taken with SIGHUP"):
@@ -61,6 +61,10 @@
         second.write_settings(grace_s=6)
     wait_until(second.is_ready, "the second is ready")
 
+    with case.section("the instances know each other"):
+        wait_until(lambda: 'peer="e2"' in first.log()
+                   and 'peer="e1"' in second.log(), "by their names")
+
     with case.section("a configuration that can't be read changes nothing"):
         store.append("keyed.op", "config", '{"Version": 2, "Routes":')
         wait_until(lambda: "can't be read" in first.log(), "the log says so")
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -25,7 +25,7 @@
 import platform_standin as standin
 
 from harness import check, wait_until
-from platform_entry import Entry
+from platform_entry import Entry, front_of, peers_of, peers_proxy_of
 
 CI_SEED = 1
 SECONDS = float(os.environ.get("SOAK_SECONDS", "15"))
@@ -113,11 +113,13 @@
         self._drawn = threading.local()
         self.store = standin.Store(case.at(STORE_PORT))
         links = {f"store-{n}": case.at(STORE_PORT) for n in range(INSTANCES)}
-        links |= {f"callers-{n}": case.at(9000 + 10 * n)
-                  for n in range(INSTANCES)}
+        links |= {f"callers-{n}": front_of(case, n) for n in range(INSTANCES)}
+        links |= {f"peers-{n}": peers_of(case, n) for n in range(INSTANCES)}
         links |= {f"target-{n}": case.at(TARGET_PORT + n)
                   for n in range(TARGETS)}
-        case.start_platform({}, more_links=links)
+        # Seeds are IP numbers, whose port is the one that all instances use.
+        case.start_platform({}, more_links=links, listening={
+            f"peers-{n}": peers_proxy_of(case, n) for n in range(INSTANCES)})
         self.version = 1
         self.read_paths = ["/read/"]
         self.publish()
@@ -143,8 +145,9 @@
     def start_entry(self, number):
         entry = self.case._start(Entry(
             self.case, number, self.case.proxies[f"store-{number}"],
-            seeds=[self.case.at(9003 + 10 * n)
-                   for n in range(min(3, INSTANCES))]))
+            seeds=[peers_proxy_of(self.case, n)
+                   for n in range(min(3, INSTANCES))],
+            peers_advertised=peers_proxy_of(self.case, number)))
         entry.callers_address = self.case.proxies[f"callers-{number}"]
         return entry
 
@@ -261,9 +264,9 @@
         self.told.append(f"{time.monotonic() - self.began:6.2f} s  {text}")
 
     def play(self):
-        """Runs the faults of the seed in three lines, which overlap: the store
-        and the ways to it, the other links, and the members, planned work on
-        them included."""
+        """Runs the faults of the seed in four lines, which overlap: the store
+        and the ways to it, the links to callers and targets, those between
+        instances, and the members, planned work on them included."""
         self.began = time.monotonic()
         end = self.began + SECONDS
         failures = []
@@ -290,6 +293,9 @@
             trouble([lambda s: self.proxy_fault("target", s),
                      lambda s: self.proxy_fault("callers", s)])
 
+        def peer_trouble():
+            trouble([lambda s: self.proxy_fault("peers", s)])
+
         def members():
             if self.random.random() < 0.5:
                 trouble([self.target_fault, self.entry_fault])
@@ -300,6 +306,7 @@
         threads = [
             threading.Thread(target=repeat, args=("store", store_trouble, (1, 4))),
             threading.Thread(target=repeat, args=("links", link_trouble, (1, 4))),
+            threading.Thread(target=repeat, args=("peers", peer_trouble, (1, 4))),
             threading.Thread(target=repeat, args=("members", members, (0, 1)))]
         for thread in threads:
             thread.start()
@@ -355,6 +362,14 @@
                 check(not settled or each.status != 404,
                       f"{each.request} got 404 on a route in force")
 
+    def check_members(self):
+        """The instances know each other, by the addresses of the proxies."""
+        for entry in self.entries:
+            others = [each.name for each in self.entries if each is not entry]
+            wait_until(lambda: all(f'peer="{name}"' in entry.log()
+                                   for name in others),
+                       f"{entry.name} has met the others")
+
     def check_recovery(self):
         def serves(entry):
             answer = harness.try_call(
@@ -374,6 +389,7 @@
     soak = Soak(case)
     for entry in soak.entries:
         wait_until(entry.is_ready, f"{entry.name} is ready")
+    soak.check_members()
     callers = [Caller(soak, number) for number in range(CALLERS)]
     for caller in callers:
         caller.start()
