Compare a bounded number of targets for each request

Each request looked at all targets of its service several times: to find those to ask, and at each answer to choose.

Test: PlacingAsksTargetsFirst, "as well where a request compares a part of the targets".

--- a/src/routing/measured_placing_test.cc
+++ b/src/routing/measured_placing_test.cc
@@ -204,6 +204,11 @@
       CPPUNIT_ASSERT(1 - measured.ShareInObjective() <
                      0.5 * (1 - other.ShareInObjective()));
     }
+    Section("as well where a request compares a part of the targets", [&] {
+      NoisyPool large(600, true, ChoicePolicy::kGuavacross);
+      large.Run(220, seconds(20));
+      CPPUNIT_ASSERT(large.ShareInObjective() > 0.97);
+    });
     Section("within the budget of probes", [&] {
       CPPUNIT_ASSERT(measured.probes() <= 5 * measured.requests());
     });
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -55,6 +55,9 @@
   }
   std::erase_if(m_targets, [this](const std::unique_ptr<Target>& target) {
     const bool is_gone = target->m_removed && target->m_attempts.empty();
+    if (is_gone) {
+      std::erase(m_measured, target.get());
+    }
     const auto named = m_by_name.find(target->m_config.m_name);
     if (is_gone && named != m_by_name.end() && named->second == target.get()) {
       m_by_name.erase(named);
@@ -103,6 +106,10 @@
   target->m_reported_in_flight = in_flight;
   if (IsEnabled(Mechanism::kReadings)) {
     target->m_load.Report(in_flight, at);
+    std::erase_if(m_measured, [&](const Target* each) {
+      return each == target || !IsMeasured(*each, at);
+    });
+    m_measured.push_back(target);
     m_usual_others +=
         kUsualGain * (target->m_load.reported_others() - m_usual_others);
   }
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -1,6 +1,7 @@
 #ifndef GUAVACROSS_ROUTING_TARGET_POOL_H_
 #define GUAVACROSS_ROUTING_TARGET_POOL_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -119,12 +120,19 @@
   Choice ChooseBaseline();
   double MeasuredCostOf(const Target& target, TimePoint now) const;
   bool IsMeasured(const Target& target, TimePoint now) const;
+  // Visits up to `most` targets in their order, from a random one on, until
+  // `visit` returns false.
+  void ForEachFromRandom(std::size_t most,
+                         const std::function<bool(Target*)>& visit);
 
   const RouterOptions& m_options;
   std::shared_ptr<const ServiceConfig> m_config;
   policy::ProfileParameters m_parameters;
   std::vector<std::unique_ptr<Target>> m_targets;
   std::unordered_map<std::string, Target*> m_by_name;
+  // Those that have told of their load lately, so that a request needn't look
+  // at all targets.
+  std::vector<Target*> m_measured;
   policy::Random m_random;
   std::size_t m_next_in_turn = 0;
   int m_instances = 1;
--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -25,6 +25,11 @@
 // How much a late answer counts against a target while it is still awaited.
 constexpr double kLateSlowness = 2;
 
+// Targets that are compared to find those to ask. More would cost each request
+// time in proportion, and find hardly better ones: with four availability zones
+// a quarter of these are near.
+constexpr std::size_t kMostCompared = 256;
+
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -51,23 +56,40 @@
                                   Demand demand,
                                   TimePoint now) {
   RefreshExceptions(now);
+  const auto may_take = [&](const Target& target) {
+    return IsEligible(target, now) && !Contains(avoid, target.m_config.m_name);
+  };
   Offer best;
-  bool any_eligible = false;
-  const std::size_t start =
-      m_targets.empty() ? 0 : m_random.Below(m_targets.size());
-  for (std::size_t i = 0; i < m_targets.size(); ++i) {
-    Target* const target = m_targets[(start + i) % m_targets.size()].get();
-    if (!IsEligible(*target, now) || Contains(avoid, target->m_config.m_name)) {
-      continue;
-    }
-    any_eligible = true;
-    if (demand != Demand::kAny && !IsMeasured(*target, now)) {
-      continue;
-    }
+  const auto consider = [&](Target* target) {
     const double cost = MeasuredCostOf(*target, now);
     if (best.m_target == nullptr || cost < best.m_cost) {
       best = {.m_target = target, .m_cost = cost};
     }
+  };
+  bool any_eligible = false;
+  if (demand == Demand::kAny) {
+    ForEachFromRandom(m_targets.size(), [&](Target* target) {
+      if (may_take(*target)) {
+        any_eligible = true;
+        consider(target);
+      }
+      return true;
+    });
+  } else {
+    // From a random one on, so that equal costs don't favour the first.
+    const std::size_t start =
+        m_measured.empty() ? 0 : m_random.Below(m_measured.size());
+    for (std::size_t i = 0; i < m_measured.size(); ++i) {
+      Target* const target = m_measured[(start + i) % m_measured.size()];
+      if (IsMeasured(*target, now) && may_take(*target)) {
+        consider(target);
+      }
+    }
+    // Whether there is one at all, measured or not.
+    ForEachFromRandom(m_targets.size(), [&](Target* target) {
+      any_eligible = may_take(*target);
+      return !any_eligible;
+    });
   }
   const double limit =
       demand == Demand::kGood ? policy::kGoodCost : policy::kWaitCost;
@@ -82,18 +104,19 @@
 
 std::vector<Target*> TargetPool::ToMeasure(std::size_t count, TimePoint now) {
   std::vector<Offer> offers;
-  for (const auto& target : m_targets) {
-    if (target->m_removed || target->m_replaced || target->m_probe_in_flight ||
-        target->m_draining.is_draining() || IsMeasured(*target, now) ||
-        (target->m_silent &&
-         now - target->m_probed_at < kSilentProbeInterval)) {
-      continue;
+  ForEachFromRandom(kMostCompared, [&](Target* target) {
+    const bool asked_in_vain =
+        target->m_silent && now - target->m_probed_at < kSilentProbeInterval;
+    if (!target->m_removed && !target->m_replaced && !asked_in_vain &&
+        !target->m_probe_in_flight && !target->m_draining.is_draining() &&
+        !IsMeasured(*target, now)) {
+      // A random part, so that the instances don't all ask the same ones.
+      offers.push_back({.m_target = target,
+                        .m_cost = MeasuredCostOf(*target, now) *
+                                  (1 + 0.1 * m_random.Uniform())});
     }
-    // A random part, so that the instances don't all ask the same ones.
-    offers.push_back({.m_target = target.get(),
-                      .m_cost = MeasuredCostOf(*target, now) *
-                                (1 + 0.1 * m_random.Uniform())});
-  }
+    return true;
+  });
   const std::size_t kept = std::min(count, offers.size());
   std::partial_sort(
       offers.begin(), offers.begin() + static_cast<std::ptrdiff_t>(kept),
@@ -106,6 +129,17 @@
   return targets;
 }
 
+void TargetPool::ForEachFromRandom(std::size_t most,
+                                   const std::function<bool(Target*)>& visit) {
+  const std::size_t count = std::min(most, m_targets.size());
+  const std::size_t start = count == 0 ? 0 : m_random.Below(m_targets.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    if (!visit(m_targets[(start + i) % m_targets.size()].get())) {
+      return;
+    }
+  }
+}
+
 bool TargetPool::IsMeasured(const Target& target, TimePoint now) const {
   return target.m_load.ReadingAge(now) <= kMeasuredFor;
 }
