Place requests although all health checks go unanswered

Targets that leave a health check unanswered are left out, unless all do. A draining target, which isn't asked any more and so never counts as silent, kept that exception from being made: with every other target's check lost or late, as on a machine that is short of processor time, requests were refused at once as "no target". And while the checks were still out, no target could be taken at all, so that requests waited until they were refused.

Ruled out: the draining target itself (it ran nothing in the failed run).

Change: the exception is made when every target that may be used is silent, or has left a check unanswered for 50 ms. Which targets are gone for good or ejected is decided in one place each.

Tests: PlacingWithEveryTargetSilent, whose second and third section fail before; platform-whole-path, "nor when the others' health checks go unanswered", which failed before with 503 (queue-timeout, no slot became free in time).

--- a/src/routing/measured_placing_test.cc
+++ b/src/routing/measured_placing_test.cc
@@ -231,6 +231,81 @@
       });
 }
 
+GUAVACROSS_STORY(PlacingWithEveryTargetSilent) {
+  util::ManualClock clock;
+  std::vector<ProbeOrder> asked;
+  RouterHooks hooks;
+  hooks.m_on_probes = [&](std::vector<ProbeOrder> orders) {
+    asked.insert(asked.end(), orders.begin(), orders.end());
+  };
+  Router router({.m_clock = clock.clock()}, std::move(hooks));
+  ServiceConfig service;
+  service.m_name = "shop";
+  service.m_targets = {{.m_name = "t0", .m_incarnation = 1},
+                       {.m_name = "t1", .m_incarnation = 1},
+                       {.m_name = "t2", .m_incarnation = 1}};
+  service.m_classes = {{.m_name = "read"}};
+  service.m_probe.m_probes_per_second = 1000;
+  service.m_probe.m_probe_cost = Duration::zero();
+  service.m_probe.m_path = "/health";
+  service.m_probe.m_before_placing = true;
+  router.Configure(service);
+  const RequestTraits traits{.m_service = "shop", .m_class_name = "read"};
+  std::optional<util::Expected<Grant>> decision;
+  bool gives_up = true;
+  // Asks for a target; nobody answers the probes, which are given up or not.
+  const auto acquire = [&] {
+    decision.reset();
+    router.Acquire(traits, {}, [&](const util::Expected<Grant>& grant) {
+      decision = grant;
+    });
+    for (int i = 0; i < 20 && !decision.has_value(); ++i) {
+      clock.Advance(milliseconds(10));
+      for (const ProbeOrder& order :
+           gives_up ? std::exchange(asked, {}) : std::vector<ProbeOrder>()) {
+        router.ReportProbe(
+            {.m_service = order.m_service, .m_target = order.m_target});
+      }
+      router.ExpireWaiters();
+    }
+    CPPUNIT_ASSERT(decision.has_value());
+  };
+  const auto granted = [&] {
+    if (decision->m_value.has_value()) {
+      router.Release(*decision->m_value, traits, {});
+    }
+    return decision->m_value.has_value();
+  };
+
+  Section("goes on, since it may be the probes that are lost", [&] {
+    acquire();
+    CPPUNIT_ASSERT(granted());
+  });
+  Section("also while the probes are still out", [&] {
+    gives_up = false;
+    acquire();
+    CPPUNIT_ASSERT(granted());
+    clock.Advance(milliseconds(100));
+    acquire();
+    CPPUNIT_ASSERT(granted());
+    gives_up = true;
+  });
+  Section("also while another target, once heard of, is draining", [&] {
+    router.ReportProbe({.m_service = "shop",
+                        .m_target = "t0",
+                        .m_load = LoadReport{.m_in_flight = 0},
+                        .m_answered = true});
+    router.LearnDrain({.m_service = "shop", .m_target = "t0"});
+    for (int i = 0; i < 3; ++i) {
+      acquire();
+      CPPUNIT_ASSERT(decision->m_value.has_value());
+      CPPUNIT_ASSERT(decision->m_value->m_target != "t0");
+      CPPUNIT_ASSERT(granted());
+      clock.Advance(milliseconds(100));
+    }
+  });
+}
+
 GUAVACROSS_STORY(PlacingLeavesOutReplacedTargets) {
   util::ManualClock clock;
   Router router({.m_clock = clock.clock()}, {});
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -17,6 +17,10 @@
 // ones to carry the load meanwhile.
 constexpr double kMaxColdShare = 0.5;
 
+// A probe that is unanswered for this long is late: many round trips between
+// availability zones.
+constexpr Duration kLateAnswer = std::chrono::milliseconds(50);
+
 }  // namespace
 
 TargetPool::TargetPool(const RouterOptions& options, std::uint64_t seed)
@@ -199,8 +203,12 @@
 void TargetPool::RefreshExceptions(TimePoint now) {
   m_panic = now < m_ejections_until && IsPanic(now);
   m_all_silent = std::all_of(
-      m_targets.begin(), m_targets.end(),
-      [](const auto& target) { return target->m_silent || target->m_removed; });
+      m_targets.begin(), m_targets.end(), [this, now](const auto& target) {
+        const bool is_late = target->m_probe_in_flight &&
+                             now - target->m_probed_at >= kLateAnswer;
+        return target->m_silent || is_late || IsGone(*target) ||
+               IsEjected(*target, now);
+      });
   if (now >= m_cold_until) {
     m_all_cold = false;
     return;
@@ -218,15 +226,18 @@
 }
 
 bool TargetPool::IsEligible(const Target& target, TimePoint now) const {
-  if (target.m_removed || target.m_replaced ||
-      target.m_draining.is_draining()) {
-    return false;
-  }
-  if (target.m_silent && !m_all_silent) {
-    return false;
-  }
-  return m_panic || now >= m_ejections_until ||
-         !IsEnabled(Mechanism::kEjection) || !target.m_ejection.IsEjected(now);
+  const bool is_silent = target.m_silent && !m_all_silent;
+  return !is_silent && !IsGone(target) && !IsEjected(target, now);
+}
+
+bool TargetPool::IsGone(const Target& target) {
+  return target.m_removed || target.m_replaced ||
+         target.m_draining.is_draining();
+}
+
+bool TargetPool::IsEjected(const Target& target, TimePoint now) const {
+  return !m_panic && now < m_ejections_until &&
+         IsEnabled(Mechanism::kEjection) && target.m_ejection.IsEjected(now);
 }
 
 double TargetPool::Warmth(const Target& target, TimePoint now) const {
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -110,6 +110,10 @@
   bool IsEnabled(Mechanism mechanism) const;
   void RefreshExceptions(TimePoint now);
   bool IsEligible(const Target& target, TimePoint now) const;
+  // Whether it takes nothing more, for good.
+  static bool IsGone(const Target& target);
+  // Whether it is left out for a while after errors.
+  bool IsEjected(const Target& target, TimePoint now) const;
   Duration ColdTime(const Target& target) const;
   double Warmth(const Target& target, TimePoint now) const;
   double SlownessOf(const Target& target, TimePoint now) const;
@@ -147,7 +151,7 @@
   TimePoint m_ejections_until = TimePoint::min();
   TimePoint m_cold_until = TimePoint::min();
   bool m_panic = false;
-  // No target answers probes, so that silence is overlooked.
+  // No target that may be used answers probes, so that silence is overlooked.
   bool m_all_silent = false;
   bool m_all_cold = false;
 };
--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -107,8 +107,7 @@
   ForEachFromRandom(kMostCompared, [&](Target* target) {
     const bool asked_in_vain =
         target->m_silent && now - target->m_probed_at < kSilentProbeInterval;
-    if (!target->m_removed && !target->m_replaced && !asked_in_vain &&
-        !target->m_probe_in_flight && !target->m_draining.is_draining() &&
+    if (!IsGone(*target) && !asked_in_vain && !target->m_probe_in_flight &&
         !IsMeasured(*target, now)) {
       // A random part, so that the instances don't all ask the same ones.
       offers.push_back({.m_target = target,
--- a/testsuite/platform-whole-path/run.py
+++ b/testsuite/platform-whole-path/run.py
@@ -86,6 +86,16 @@
             check(answer.status == 200, f"{answer}: {answer.body}")
         check(len(targets[0].runs) == ran, "none ran on the draining target")
 
+    with case.section("nor when the others' health checks go unanswered"):
+        for target in targets[1:]:
+            target.fault = "deaf"
+        for number in range(10):
+            answer = first.call("GET", f"/read/6{number}", f"u{number}")
+            check(answer.status == 200, f"{answer}: {answer.body}")
+        check(len(targets[0].runs) == ran, "none ran on the draining target")
+        for target in targets[1:]:
+            target.fault = ""
+
     with case.section("with the store silent all goes on"):
         store.down = True
         wait_until(lambda: "the store is lost" in first.log(), "it is noticed")
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -179,7 +179,7 @@
 
     `fault` is empty or one of `mute` (runs and never answers), `lost` (runs and
     closes without an answer), `full` (refuses as not run), `extra` (sends an
-    answer to another request first)."""
+    answer to another request first), `deaf` (doesn't answer health checks)."""
 
     def __init__(self, store, address, name, service, work_s=0.0,
                  registered_address=None):
@@ -226,6 +226,11 @@
         length = int(handler.headers.get("Content-Length") or 0)
         handler.rfile.read(length)
         load = [("X-Server-Load", "1,0,4,100"), ("X-Instance-Id", self.name)]
+        if handler.path == "/health" and self.fault == "deaf":
+            # Longer than anyone waits for it.
+            time.sleep(3)
+            handler.close_connection = True
+            return
         if handler.path == "/health":
             handler.answer(200, b"", load)
             return
