Choose among measured targets in short functions

Read again: ChooseMeasured had grown to fifty lines with two ways through it, and two comments of target_pool.h stood at the wrong functions.

--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -90,9 +90,9 @@
   }
   const policy::ProfileParameters& parameters() const { return m_parameters; }
 
-  /// This instance's attempts in flight on all targets.
   /// Attempts in flight that were sent after `time`.
   int CountSentAfter(TimePoint time) const;
+  /// This instance's attempts in flight on all targets.
   int own_in_flight() const { return m_own_in_flight; }
   int total_slots() const { return m_total_slots; }
   /// The estimate of all instances' attempts in flight over all slots.
@@ -122,6 +122,16 @@
   Offer BestOfSample(const std::vector<std::string>& avoid, TimePoint now);
   Choice BestOfAll(const std::vector<std::string>& avoid, TimePoint now);
   Choice ChooseBaseline();
+  // The cheapest target by what targets have told, of all or of those that have
+  // told lately.
+  Offer CheapestOfAll(const std::vector<std::string>& avoid, TimePoint now);
+  Offer CheapestMeasured(const std::vector<std::string>& avoid, TimePoint now);
+  // Takes `target` in place of `best` if it is cheaper.
+  void Improve(Target* target, TimePoint now, Offer* best) const;
+  bool MayTake(const Target& target,
+               const std::vector<std::string>& avoid,
+               TimePoint now) const;
+  bool AnyEligible(const std::vector<std::string>& avoid, TimePoint now);
   double MeasuredCostOf(const Target& target, TimePoint now) const;
   bool IsMeasured(const Target& target, TimePoint now) const;
   // Visits up to `most` targets in their order, from a random one on, until
--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -56,52 +56,72 @@
                                   Demand demand,
                                   TimePoint now) {
   RefreshExceptions(now);
-  const auto may_take = [&](const Target& target) {
-    return IsEligible(target, now) && !Contains(avoid, target.m_config.m_name);
-  };
-  Offer best;
-  const auto consider = [&](Target* target) {
-    const double cost = MeasuredCostOf(*target, now);
-    if (best.m_target == nullptr || cost < best.m_cost) {
-      best = {.m_target = target, .m_cost = cost};
-    }
-  };
-  bool any_eligible = false;
-  if (demand == Demand::kAny) {
-    ForEachFromRandom(m_targets.size(), [&](Target* target) {
-      if (may_take(*target)) {
-        any_eligible = true;
-        consider(target);
-      }
-      return true;
-    });
-  } else {
-    // From a random one on, so that equal costs don't favour the first.
-    const std::size_t start =
-        m_measured.empty() ? 0 : m_random.Below(m_measured.size());
-    for (std::size_t i = 0; i < m_measured.size(); ++i) {
-      Target* const target = m_measured[(start + i) % m_measured.size()];
-      if (IsMeasured(*target, now) && may_take(*target)) {
-        consider(target);
-      }
-    }
-    // Whether there is one at all, measured or not.
-    ForEachFromRandom(m_targets.size(), [&](Target* target) {
-      any_eligible = may_take(*target);
-      return !any_eligible;
-    });
-  }
+  const Offer best = demand == Demand::kAny ? CheapestOfAll(avoid, now)
+                                            : CheapestMeasured(avoid, now);
   const double limit =
       demand == Demand::kGood ? policy::kGoodCost : policy::kWaitCost;
   if (best.m_target != nullptr && best.m_cost <= limit) {
     return {.m_target = best.m_target};
   }
+  const bool any_eligible = AnyEligible(avoid, now);
   if (!any_eligible && !avoid.empty() && demand == Demand::kAny) {
     return ChooseMeasured({}, demand, now);
   }
   return {.m_worth_waiting = any_eligible || !avoid.empty()};
 }
 
+TargetPool::Offer TargetPool::CheapestOfAll(
+    const std::vector<std::string>& avoid,
+    TimePoint now) {
+  Offer best;
+  ForEachFromRandom(m_targets.size(), [&](Target* target) {
+    if (MayTake(*target, avoid, now)) {
+      Improve(target, now, &best);
+    }
+    return true;
+  });
+  return best;
+}
+
+TargetPool::Offer TargetPool::CheapestMeasured(
+    const std::vector<std::string>& avoid,
+    TimePoint now) {
+  Offer best;
+  // From a random one on, so that equal costs don't favour the first.
+  const std::size_t start =
+      m_measured.empty() ? 0 : m_random.Below(m_measured.size());
+  for (std::size_t i = 0; i < m_measured.size(); ++i) {
+    Target* const target = m_measured[(start + i) % m_measured.size()];
+    if (IsMeasured(*target, now) && MayTake(*target, avoid, now)) {
+      Improve(target, now, &best);
+    }
+  }
+  return best;
+}
+
+void TargetPool::Improve(Target* target, TimePoint now, Offer* best) const {
+  const double cost = MeasuredCostOf(*target, now);
+  if (best->m_target == nullptr || cost < best->m_cost) {
+    *best = {.m_target = target, .m_cost = cost};
+  }
+}
+
+bool TargetPool::MayTake(const Target& target,
+                         const std::vector<std::string>& avoid,
+                         TimePoint now) const {
+  return IsEligible(target, now) && !Contains(avoid, target.m_config.m_name);
+}
+
+bool TargetPool::AnyEligible(const std::vector<std::string>& avoid,
+                             TimePoint now) {
+  bool any = false;
+  ForEachFromRandom(m_targets.size(), [&](Target* target) {
+    any = MayTake(*target, avoid, now);
+    return !any;
+  });
+  return any;
+}
+
 std::vector<Target*> TargetPool::ToMeasure(std::size_t count, TimePoint now) {
   std::vector<Offer> offers;
   ForEachFromRandom(kMostCompared, [&](Target* target) {
