A flag left out takes the default that its help shows

The README's first command ended with `--control must be IP:PORT`. Cause: the flag library counts a flag that takes its default as not given, and EndpointFlag took a count of 0 for a missing value. Ruled out: other programs; the stand-ins and the load command count only flags without defaults.

HasValue tells whether a flag is given or has a default. A missing flag and a malformed one have different messages.

--- a/src/guavacross/command_line.cc
+++ b/src/guavacross/command_line.cc
@@ -49,12 +49,20 @@
                      });
 }
 
+bool HasValue(const cxxopts::ParseResult& flags, const std::string& name) {
+  return flags.count(name) > 0 || flags[name].has_default();
+}
+
 Result<Endpoint> EndpointFlag(const cxxopts::ParseResult& flags,
                               const std::string& name) {
+  if (!HasValue(flags, name)) {
+    return Fail(ErrorKind::kBadSettings, "--" + name + " is missing");
+  }
+  const auto& text = flags[name].as<std::string>();
   Endpoint endpoint;
-  if (flags.count(name) == 0 ||
-      !ParseEndpoint(flags[name].as<std::string>(), &endpoint)) {
-    return Fail(ErrorKind::kBadSettings, "--" + name + " must be IP:PORT");
+  if (!ParseEndpoint(text, &endpoint)) {
+    return Fail(ErrorKind::kBadSettings,
+                "--" + name + " must be IP:PORT, not " + text);
   }
   return endpoint;
 }
@@ -66,7 +74,7 @@
     Endpoint endpoint;
     if (!ParseEndpoint(text, &endpoint)) {
       return Fail(ErrorKind::kBadSettings,
-                  "--" + name + " must be IP:PORT,IP:PORT,...");
+                  "--" + name + " must be IP:PORT,IP:PORT,..., not " + text);
     }
     endpoints.push_back(endpoint);
   }
@@ -75,7 +83,7 @@
 
 std::vector<std::string> ListFlag(const cxxopts::ParseResult& flags,
                                   const std::string& name) {
-  if (flags.count(name) == 0) {
+  if (!HasValue(flags, name)) {
     return {};
   }
   return flags[name].as<std::vector<std::string>>();
--- a/src/guavacross/command_line.h
+++ b/src/guavacross/command_line.h
@@ -28,17 +28,24 @@
     char** argv,
     const std::function<Result<int>(const cxxopts::ParseResult&)>& run);
 
-/// Returns the address given by a flag. Errors: `kBadSettings` if the flag is
-/// missing or isn't `IP:PORT`.
+/// Returns whether a flag that takes a value is given or has a default. The
+/// library counts a flag that takes its default as not given.
+bool HasValue(const cxxopts::ParseResult& flags, const std::string& name);
+
+/// Returns the address given by a flag or by its default. Errors:
+/// `kBadSettings`, with different texts for a flag that is missing and for one
+/// that isn't `IP:PORT`.
 Result<Endpoint> EndpointFlag(const cxxopts::ParseResult& flags,
                               const std::string& name);
 
-/// Returns the comma-separated addresses given by a flag; empty if the flag is
-/// missing. Errors: `kBadSettings` if one of them isn't `IP:PORT`.
+/// Returns the comma-separated addresses given by a flag or by its default;
+/// empty if there are none. Errors: `kBadSettings` if one of them isn't
+/// `IP:PORT`.
 Result<std::vector<Endpoint>> EndpointsFlag(const cxxopts::ParseResult& flags,
                                             const std::string& name);
 
-/// Returns the values of a repeatable flag; empty if the flag is missing.
+/// Returns the values of a repeatable flag or its default; empty if there are
+/// none.
 std::vector<std::string> ListFlag(const cxxopts::ParseResult& flags,
                                   const std::string& name);
 
--- a/src/guavacross/operator_commands.cc
+++ b/src/guavacross/operator_commands.cc
@@ -53,8 +53,7 @@
   options.m_timeout = SecondsFlag(flags, "timeout");
   BOOST_LEAF_ASSIGN(options.m_instances, EndpointsFlag(flags, "instances"));
   if (options.m_instances.empty()) {
-    return Fail(ErrorKind::kBadSettings,
-                "--instances must be IP:PORT,IP:PORT,...");
+    return Fail(ErrorKind::kBadSettings, "--instances is missing");
   }
   return operators::RunStatus(options, std::cout, std::cerr);
 }
--- a/testsuite/platform_entry.py
+++ b/testsuite/platform_entry.py
@@ -35,24 +35,37 @@
     return f"{ip_of(case, number, FIRST_PROXY_IP_PART)}:{PEERS_PORT}"
 
 
+def default_settings(case, number, store, seeds=()):
+    """The settings of an instance as the platform sets them."""
+    ip = ip_of(case, number)
+    front, ready, directory, peers, operators = (
+        f"{ip}:{port}" for port in (FRONT_PORT, READY_PORT, DIRECTORY_PORT,
+                                    PEERS_PORT, OPERATORS_PORT))
+    return {
+        "name": f"e{number}", "region": "r", "zone": "zone-a",
+        "callers": front, "ready": ready, "directory": directory,
+        "peers": peers, "operators": operators,
+        "seeds": list(seeds), "store": store, "drain_ms": 2000,
+        "grace_s": 6, "address_lifetime_s": 2, "max_descriptors": 1024,
+        "retry_share": 0.2, "retry_extra": 62,
+        "probes_per_target_second": 60}
+
+
+def write_settings(path, settings):
+    """Writes a settings file in TOML."""
+    path.write_text("".join(f"{key} = {json.dumps(value)}\n"
+                            for key, value in settings.items()))
+
+
 class Entry(harness.Process):
-    """An instance in platform mode, with settings as the platform sets them."""
+    """An instance in platform mode."""
 
     def __init__(self, case, number, store, seeds=(), **changes):
-        ip = ip_of(case, number)
-        self.front, self.ready, self.directory, self.peers, operators = (
-            f"{ip}:{port}" for port in (FRONT_PORT, READY_PORT, DIRECTORY_PORT,
-                                        PEERS_PORT, OPERATORS_PORT))
         self.settings_path = case.out / f"e{number}.toml"
-        self.settings = {
-            "name": f"e{number}", "region": "r", "zone": "zone-a",
-            "callers": self.front, "ready": self.ready,
-            "directory": self.directory, "peers": self.peers,
-            "operators": operators,
-            "seeds": list(seeds), "store": store, "drain_ms": 2000,
-            "grace_s": 6, "address_lifetime_s": 2, "max_descriptors": 1024,
-            "retry_share": 0.2, "retry_extra": 62,
-            "probes_per_target_second": 60}
+        self.settings = default_settings(case, number, store, seeds)
+        self.front, self.ready, self.directory, self.peers = (
+            self.settings[key]
+            for key in ("callers", "ready", "directory", "peers"))
         self.write_settings(**changes)
         super().__init__(case, f"e{number}", [
             case.build / "guavacross", "platform", "--settings",
@@ -60,9 +73,7 @@
 
     def write_settings(self, **changes):
         self.settings.update(changes)
-        self.settings_path.write_text("".join(
-            f"{key} = {json.dumps(value)}\n"
-            for key, value in self.settings.items()))
+        write_settings(self.settings_path, self.settings)
 
     def is_ready(self):
         answer = harness.try_call(self.ready, "GET", "/ready", timeout_s=2)
