Numbers of the settings may be fractions, absent or out of range

The small twins of the large site didn't start: the platform writes a bound as a fraction there (`retry_extra: must be a whole number`). Every number that the platform fills in is now given as text and limited to a meaningful range; an absent one takes its default, negative ones and text are refused with their line.

--- a/src/util/toml_reader.cc
+++ b/src/util/toml_reader.cc
@@ -3,6 +3,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <optional>
 #include <set>
@@ -19,6 +20,16 @@
   return text.str();
 }
 
+std::optional<double> ParseFinite(const std::string& text) {
+  double number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [parsed_end, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || parsed_end != end || !std::isfinite(number)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 // Formats a number without the trailing zeros of std::to_string.
 std::string FormatNumber(double value) {
   std::ostringstream text;
@@ -183,6 +194,27 @@
   *out = number;
 }
 
+void TomlReader::ReadLimited(const std::string& key,
+                             Presence presence,
+                             double min,
+                             double max,
+                             double* out) {
+  GUAVACROSS_FIND_OR_RETURN(value, );
+  const toml::value<std::string>* const text = value->as_string();
+  if (text != nullptr && text->get().empty()) {
+    return;
+  }
+  const std::optional<double> number =
+      text != nullptr ? ParseFinite(text->get()) : value->value<double>();
+  if (!number.has_value() || std::isnan(*number)) {
+    FailAt(key, "must be a number");
+  } else if (*number < 0 && min >= 0) {
+    FailAt(key, "must not be negative");
+  } else {
+    *out = std::clamp(*number, min, max);
+  }
+}
+
 void TomlReader::ReadBool(const std::string& key,
                           Presence presence,
                           bool* out) {
--- a/src/util/toml_reader.h
+++ b/src/util/toml_reader.h
@@ -50,6 +50,14 @@
                   double min,
                   double max,
                   double* out);
+  /// Also accepts a finite number written as a string. An empty string leaves
+  /// `out` unchanged. Numbers out of range are limited to it, except that a
+  /// negative number is an error if `min` isn't negative.
+  void ReadLimited(const std::string& key,
+                   Presence presence,
+                   double min,
+                   double max,
+                   double* out);
   void ReadBool(const std::string& key, Presence presence, bool* out);
   /// An integer in milliseconds; the key should end in `_ms`.
   void ReadMilliseconds(const std::string& key,
