Divide the targets of a service among the instances

policy/target_subset assigns each target to a few instances by rendezvous hashing, near zones first; targets outside an instance's subset are probed once those inside are slower, full or being probed. Ruled out: a ring of apertures, which moves many pairs when an instance comes or goes; preferring open connections, which leaves the balance over targets to chance.

--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -208,10 +208,21 @@
   kEarlyRefusal,
   kObjectiveWaits,
   kProbes,
+  kSubsets,
+};
+
+/// The name and the availability zone of an instance.
+struct InstancePlace {
+  std::string m_name;
+  std::string m_zone;
+
+  auto operator<=>(const InstancePlace&) const = default;
 };
 
 /// Construction parameters of a router.
 struct RouterOptions {
+  /// The instance's name; empty if targets aren't divided among instances.
+  std::string m_name;
   std::string m_zone;
   ChoicePolicy m_policy = ChoicePolicy::kGuavacross;
   /// Disabled mechanisms; none in production.
@@ -312,6 +323,10 @@
   /// list or the peers, including this one.
   void SetInstanceCount(int live_instances);
 
+  /// Sets the live instances, this one included, among which the targets of
+  /// each service are divided.
+  void SetInstances(const std::vector<InstancePlace>& instances);
+
   /// Sets a peer's attempts in flight on a service's targets, as it reported
   /// them.
   void SetPeerInFlight(const std::string& peer,
--- a/src/routing/measured_placing_test.cc
+++ b/src/routing/measured_placing_test.cc
@@ -33,15 +33,21 @@
 // The instances that share the probe budget.
 constexpr int kInstances = 6;
 constexpr Duration kProbeRoundTrip = milliseconds(7);
+// Targets close connections after this time without a request.
+constexpr Duration kConnectionIdleTime = seconds(10);
 
 // Simulates targets on machines that are slow at random times. The duration of
 // a request depends on the machine's speed at its start; probes report the
 // current load and speed.
 class NoisyPool {
  public:
-  NoisyPool(int targets, bool probe_before_placing, ChoicePolicy policy)
+  NoisyPool(int targets,
+            bool probe_before_placing,
+            ChoicePolicy policy,
+            int zones = 1)
       : m_random(kSeed),
-        m_router({.m_zone = "z",
+        m_router({.m_name = InstanceName(0),
+                  .m_zone = ZoneName(0),
                   .m_policy = policy,
                   .m_seed = kSeed,
                   .m_clock = m_clock.clock()},
@@ -50,8 +56,10 @@
     service.m_name = "shop";
     for (int i = 0; i < targets; ++i) {
       const std::string name = "t" + std::to_string(i);
-      service.m_targets.push_back(
-          {.m_name = name, .m_zone = "z", .m_slots = 4, .m_incarnation = 1});
+      service.m_targets.push_back({.m_name = name,
+                                   .m_zone = ZoneName(i % zones),
+                                   .m_slots = 4,
+                                   .m_incarnation = 1});
       m_machines[name] = {};
     }
     service.m_classes = {{.m_name = "read", .m_claims = false}};
@@ -79,6 +87,22 @@
     }
   }
 
+  // Tells the router of the live instances, in as many zones as its targets.
+  void SetInstances(int instances, int zones) {
+    std::vector<InstancePlace> places;
+    for (int i = 0; i < instances; ++i) {
+      places.push_back(
+          {.m_name = InstanceName(i), .m_zone = ZoneName(i % zones)});
+    }
+    m_router.SetInstances(places);
+  }
+
+  // Connections that targets would have seen for 1,000 requests, with one
+  // connection for the probes and one for the requests to each target.
+  double ConnectionsPerThousand() const {
+    return 1000.0 * m_connections / std::max(1, m_requests);
+  }
+
   void MakeUnresponsive(const std::string& target) {
     m_machines[target].m_unresponsive = true;
   }
@@ -99,8 +123,26 @@
     bool m_unresponsive = false;
     int m_running = 0;
     int m_sent = 0;
+    TimePoint m_last_probe = TimePoint::min();
+    TimePoint m_last_request = TimePoint::min();
   };
 
+  static std::string InstanceName(int number) {
+    return "entry-" + std::to_string(number);
+  }
+  static std::string ZoneName(int number) {
+    return "z" + std::to_string(number);
+  }
+
+  // Counts a connection unless the last use of the existing one was recent.
+  void UseConnection(TimePoint* last_use) {
+    const TimePoint now = m_clock.now();
+    const bool is_open =
+        *last_use != TimePoint::min() && now - *last_use < kConnectionIdleTime;
+    m_connections += is_open ? 0 : 1;
+    *last_use = now;
+  }
+
   RouterHooks Hooks() {
     RouterHooks hooks;
     hooks.m_on_probes = [this](std::vector<ProbeOrder> orders) {
@@ -130,6 +172,7 @@
 
   void Probe(ProbeOrder order) {
     const bool unresponsive = m_machines[order.m_target].m_unresponsive;
+    UseConnection(&m_machines[order.m_target].m_last_probe);
     After(unresponsive ? order.m_timeout : kProbeRoundTrip,
           [this, unresponsive, order = std::move(order)] {
             ProbeReport report{.m_service = order.m_service,
@@ -162,6 +205,7 @@
             TimePoint arrived) {
     Machine& machine = m_machines[grant.m_target];
     ++machine.m_sent;
+    UseConnection(&machine.m_last_request);
     if (machine.m_unresponsive) {
       After(seconds(2), [this, grant, traits] {
         m_router.Release(grant, traits, {.m_end = AttemptEnd::kTimeout});
@@ -188,6 +232,7 @@
   int m_requests = 0;
   int m_in_objective = 0;
   int m_probes = 0;
+  int m_connections = 0;
   Router m_router;
 };
 
@@ -366,4 +411,44 @@
           });
 }
 
+// An instance that used all 412 targets met each of them less often than they
+// close idle connections: nearly every request opened a connection.
+GUAVACROSS_TEST_CASE(ManyInstancesShareManyTargets) {
+  constexpr int kManyTargets = 412;
+  constexpr int kManyInstances = 123;
+  constexpr int kZones = 6;
+  constexpr double kRequestsPerSecond = 8;
+  const auto run = [&](bool with_instances) {
+    auto pool = std::make_unique<NoisyPool>(kManyTargets, true,
+                                            ChoicePolicy::kGuavacross, kZones);
+    if (with_instances) {
+      pool->SetInstances(kManyInstances, kZones);
+    }
+    pool->Run(kRequestsPerSecond, seconds(120));
+    return pool;
+  };
+  const auto all = run(false);
+  const auto subset = run(true);
+  const std::string figures =
+      "all: " + std::to_string(all->ConnectionsPerThousand()) + ", " +
+      std::to_string(all->ShareInObjective()) +
+      "; subset: " + std::to_string(subset->ConnectionsPerThousand()) + ", " +
+      std::to_string(subset->ShareInObjective());
+  Section("at most 100 connections for 1,000 requests", [&] {
+    CPPUNIT_ASSERT_MESSAGE(figures, subset->ConnectionsPerThousand() <= 100);
+  });
+  Section("requests meet their objective as often", [&] {
+    CPPUNIT_ASSERT_MESSAGE(
+        figures, subset->ShareInObjective() >= all->ShareInObjective() - 0.01);
+  });
+  Section("a burst spreads beyond the subset", [&] {
+    NoisyPool pool(kManyTargets, true, ChoicePolicy::kGuavacross, kZones);
+    pool.SetInstances(kManyInstances, kZones);
+    // Five times what the slots of an average subset can serve.
+    pool.Run(1000, seconds(4));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(pool.ShareInObjective()),
+                           pool.ShareInObjective() >= 0.9);
+  });
+}
+
 }  // namespace guavacross::routing
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -13,6 +13,7 @@
 #include "routing/due_times.h"
 #include "routing/effects.h"
 #include "routing/service_router.h"
+#include "util/hash.h"
 
 namespace guavacross {
 
@@ -186,6 +187,25 @@
     m_largest_instances = m_instances.Largest(now);
   }
 
+  /// Sets the live instances and returns whether that is a change.
+  bool SetSubsetInstances(std::vector<policy::SubsetInstance> instances) {
+    std::sort(instances.begin(), instances.end());
+    const std::lock_guard lock(m_instances_mutex);
+    if (m_subset_instances != nullptr && *m_subset_instances == instances) {
+      return false;
+    }
+    m_subset_instances =
+        std::make_shared<const std::vector<policy::SubsetInstance>>(
+            std::move(instances));
+    return true;
+  }
+
+  std::shared_ptr<const std::vector<policy::SubsetInstance>> subset_instances()
+      const {
+    const std::lock_guard lock(m_instances_mutex);
+    return m_subset_instances;
+  }
+
   const RouterOptions m_options;
   const RouterHooks m_hooks;
   mutable std::shared_mutex m_services_mutex;
@@ -198,7 +218,8 @@
   // No other lock is taken while it is held.
   mutable std::mutex m_drains_mutex;
   std::set<std::string> m_services_with_drains;
-  std::mutex m_instances_mutex;
+  mutable std::mutex m_instances_mutex;
+  std::shared_ptr<const std::vector<policy::SubsetInstance>> m_subset_instances;
   policy::InstanceCountWindow m_instances;
   std::atomic<int> m_largest_instances{1};
   mutable std::mutex m_quarantine_mutex;
@@ -221,6 +242,7 @@
   std::shared_ptr<ServiceRouter> service = m_impl->Find(config.m_name);
   if (service == nullptr) {
     service = std::make_shared<ServiceRouter>(shared, m_impl->m_options);
+    service->SetSubsetInstances(m_impl->subset_instances());
     const std::unique_lock lock(m_impl->m_services_mutex);
     m_impl->m_services[config.m_name] = service;
   } else {
@@ -368,6 +390,21 @@
   m_impl->RefreshInstances();
 }
 
+void Router::SetInstances(const std::vector<InstancePlace>& instances) {
+  std::vector<policy::SubsetInstance> hashed;
+  hashed.reserve(instances.size());
+  for (const InstancePlace& instance : instances) {
+    hashed.push_back(
+        {.m_hash = util::Hash(instance.m_name), .m_zone = instance.m_zone});
+  }
+  if (!m_impl->SetSubsetInstances(std::move(hashed))) {
+    return;
+  }
+  for (const auto& service : m_impl->AllServices()) {
+    service->SetSubsetInstances(m_impl->subset_instances());
+  }
+}
+
 void Router::SetPeerInFlight(
     const std::string& peer,
     const std::string& service,
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -47,6 +47,12 @@
   ServeWaiters(now, effects);
 }
 
+void ServiceRouter::SetSubsetInstances(
+    std::shared_ptr<const std::vector<policy::SubsetInstance>> instances) {
+  const std::lock_guard lock(m_mutex);
+  m_pool.SetSubsetInstances(std::move(instances));
+}
+
 std::shared_ptr<const ServiceConfig> ServiceRouter::config() const {
   const std::lock_guard lock(m_mutex);
   return m_config;
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -34,6 +34,9 @@
   void Configure(std::shared_ptr<const ServiceConfig> config,
                  TimePoint now,
                  Effects* effects);
+  /// Sets the live instances among which the targets are divided.
+  void SetSubsetInstances(
+      std::shared_ptr<const std::vector<policy::SubsetInstance>> instances);
   std::shared_ptr<const ServiceConfig> config() const;
 
   /// Refuses all waiting requests because the service has been removed.
--- a/src/routing/target.h
+++ b/src/routing/target.h
@@ -11,6 +11,7 @@
 #include "policy/latency_window.h"
 #include "policy/quarantine.h"
 #include "policy/target_load.h"
+#include "policy/target_subset.h"
 #include "policy/waiting.h"
 
 namespace guavacross::routing {
@@ -46,6 +47,8 @@
 struct Target {
   TargetConfig m_config;
   bool m_other_zone = false;
+  /// How this instance ranks the target among those of the service.
+  policy::SubsetTier m_tier = policy::SubsetTier::kOutside;
   /// No longer in the configuration; kept until its attempts have ended.
   bool m_removed = false;
   /// Another backend server answered at its address.
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "util/hash.h"
+
 namespace guavacross::routing {
 
 namespace {
@@ -70,6 +72,37 @@
     }
     return is_finished;
   });
+  UpdateSubset();
+}
+
+void TargetPool::SetSubsetInstances(
+    std::shared_ptr<const std::vector<policy::SubsetInstance>> instances) {
+  m_subset_instances = std::move(instances);
+  UpdateSubset();
+}
+
+void TargetPool::UpdateSubset() {
+  m_subset.clear();
+  if (m_subset_instances == nullptr || !IsEnabled(Mechanism::kSubsets)) {
+    return;
+  }
+  std::vector<policy::SubsetTarget> places;
+  places.reserve(m_targets.size());
+  for (const auto& target : m_targets) {
+    places.push_back({.m_hash = util::Hash(target->m_config.m_name),
+                      .m_zone = target->m_config.m_zone,
+                      .m_slots = target->m_config.m_slots});
+  }
+  const policy::SubsetInstance self{.m_hash = util::Hash(m_options.m_name),
+                                    .m_zone = m_options.m_zone};
+  const std::vector<policy::SubsetTier> tiers =
+      policy::RankTargets(self, *m_subset_instances, places);
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    m_targets[i]->m_tier = tiers[i];
+    if (tiers[i] != policy::SubsetTier::kOutside) {
+      m_subset.push_back(m_targets[i].get());
+    }
+  }
 }
 
 void TargetPool::ReportSlowdown(Target* target, double slowdown, TimePoint at) {
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -11,6 +11,7 @@
 #include "policy/profile.h"
 #include "policy/random.h"
 #include "policy/target_choice.h"
+#include "policy/target_subset.h"
 #include "routing/target.h"
 
 namespace guavacross::routing {
@@ -37,6 +38,11 @@
   /// Sets the number of live instances, this one included.
   void SetInstances(int instances) { m_instances = instances; }
 
+  /// Sets the live instances, this one included, among which the targets are
+  /// divided. Without them no target is preferred.
+  void SetSubsetInstances(
+      std::shared_ptr<const std::vector<policy::SubsetInstance>> instances);
+
   /// Chooses a target for an attempt. Targets in `avoid` are used only if no
   /// other is eligible.
   Choice Choose(const std::vector<std::string>& avoid, TimePoint now);
@@ -116,6 +122,10 @@
   };
 
   bool IsEnabled(Mechanism mechanism) const;
+  // Ranks the targets anew after a change of targets or instances.
+  void UpdateSubset();
+  // The cost of the best target outside the subset that could be probed.
+  double CheapestOutsideCost() const;
   void UpdateExclusionOverrides(TimePoint now);
   bool IsEligible(const Target& target, TimePoint now) const;
   // Whether the target gets no new attempts any more: it has been removed or
@@ -148,6 +158,7 @@
   bool AnyEligible(const std::vector<std::string>& avoid, TimePoint now);
   double MeasuredCostOf(const Target& target, TimePoint now) const;
   bool IsMeasured(const Target& target, TimePoint now) const;
+  bool CanBeProbed(const Target& target, TimePoint now) const;
   // Visits up to `max_targets` targets in order from a random one on, until
   // `visit` returns false.
   void VisitFromRandomStart(std::size_t max_targets,
@@ -161,6 +172,9 @@
   // Targets with a recent load report; spares a request the search through all
   // targets.
   std::vector<Target*> m_recently_measured;
+  // Targets of the tiers `kNear` and `kFar`.
+  std::vector<Target*> m_subset;
+  std::shared_ptr<const std::vector<policy::SubsetInstance>> m_subset_instances;
   policy::Random m_random;
   std::size_t m_next_round_robin = 0;
   int m_instances = 1;
--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -131,20 +131,31 @@
 std::vector<Target*> TargetPool::TargetsToProbe(std::size_t count,
                                                 TimePoint now) {
   std::vector<RankedTarget> ranked_targets;
-  VisitFromRandomStart(kMaxCompared, [&](Target* target) {
-    const bool recently_unanswered =
-        target->m_unresponsive &&
-        now - target->m_probed_at < kUnresponsiveProbeInterval;
-    if (!IsRetired(*target) && !recently_unanswered &&
-        !target->m_probe_in_flight && !IsMeasured(*target, now)) {
+  const auto rank = [&](Target* target) {
+    if (CanBeProbed(*target, now)) {
       // Random noise of up to 10 %, so that the instances don't all probe the
       // same targets.
-      ranked_targets.push_back({.m_target = target,
-                                .m_cost = MeasuredCostOf(*target, now) *
-                                          (1 + 0.1 * m_random.Uniform())});
+      ranked_targets.push_back(
+          {.m_target = target,
+           .m_cost = MeasuredCostOf(*target, now) *
+                     policy::TierCostFactor(target->m_tier) *
+                     (1 + 0.1 * m_random.Uniform())});
     }
-    return true;
-  });
+  };
+  std::for_each(m_subset.begin(), m_subset.end(), rank);
+  const auto good_count = static_cast<std::size_t>(
+      std::count_if(ranked_targets.begin(), ranked_targets.end(),
+                    [limit = CheapestOutsideCost()](const RankedTarget& each) {
+                      return each.m_cost <= limit;
+                    }));
+  if (good_count < count) {
+    VisitFromRandomStart(kMaxCompared, [&](Target* target) {
+      if (target->m_tier == policy::SubsetTier::kOutside) {
+        rank(target);
+      }
+      return true;
+    });
+  }
   const std::size_t kept = std::min(count, ranked_targets.size());
   std::partial_sort(ranked_targets.begin(),
                     ranked_targets.begin() + static_cast<std::ptrdiff_t>(kept),
@@ -159,6 +170,21 @@
   return targets;
 }
 
+bool TargetPool::CanBeProbed(const Target& target, TimePoint now) const {
+  const bool recently_unanswered =
+      target.m_unresponsive &&
+      now - target.m_probed_at < kUnresponsiveProbeInterval;
+  return !IsRetired(target) && !recently_unanswered &&
+         !target.m_probe_in_flight && !IsMeasured(target, now);
+}
+
+double TargetPool::CheapestOutsideCost() const {
+  return policy::TierCostFactor(policy::SubsetTier::kOutside) *
+         policy::MeasuredCost({.m_slots = static_cast<double>(m_total_slots) /
+                                          static_cast<double>(m_targets.size()),
+                               .m_slowdown = m_average_slowdown});
+}
+
 void TargetPool::VisitFromRandomStart(
     std::size_t max_targets,
     const std::function<bool(Target*)>& visit) {
--- a/src/serve/member_views.cc
+++ b/src/serve/member_views.cc
@@ -46,6 +46,20 @@
   return addresses;
 }
 
+std::vector<InstancePlace> LivePlaces(const std::vector<Member>& members,
+                                      const Member& self) {
+  std::vector<InstancePlace> places{
+      {.m_name = self.m_id.m_name, .m_zone = self.m_zone}};
+  for (const Member& member : members) {
+    // A suspect member is usually only slow; its targets stay assigned to it.
+    if (member.m_state == MemberState::kLive ||
+        member.m_state == MemberState::kSuspect) {
+      places.push_back({.m_name = member.m_id.m_name, .m_zone = member.m_zone});
+    }
+  }
+  return places;
+}
+
 std::vector<Endpoint> CallerAddresses(std::vector<Member> members,
                                       const Member& self,
                                       bool self_ready,
--- a/src/serve/member_views.h
+++ b/src/serve/member_views.h
@@ -6,6 +6,7 @@
 
 #include "guavacross/identity.h"
 #include "guavacross/membership.h"
+#include "guavacross/routing.h"
 
 /// Lists of names and addresses that a route instance derives from its members.
 /// All functions are pure.
@@ -27,6 +28,11 @@
 std::vector<Endpoint> LivePeerAddresses(const std::vector<Member>& members,
                                         const Member& self);
 
+/// Names and availability zones of `self` and of the members that aren't dead
+/// or leaving.
+std::vector<InstancePlace> LivePlaces(const std::vector<Member>& members,
+                                      const Member& self);
+
 /// Addresses to give to a caller in the given region and zone: those of
 /// instances that have a configuration and aren't leaving. `self_ready` says
 /// whether `self` is one of them.
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -184,6 +184,7 @@
  private:
   void MakeRouter() {
     RouterOptions options;
+    options.m_name = m_options.m_name;
     options.m_zone = m_options.m_zone;
     options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
     options.m_clock = m_clock;
@@ -321,6 +322,7 @@
 
   void UpdateInstanceCount() {
     m_router->SetInstanceCount(m_peers->LiveCount());
+    m_router->SetInstances(LivePlaces(m_peers->Members(), Self()));
     m_instance_count_timer = m_clock.m_call_after(
         kInstanceCountInterval, [this] { UpdateInstanceCount(); });
   }
--- a/src/util/settings.cc
+++ b/src/util/settings.cc
@@ -21,7 +21,7 @@
      {"round-robin", ChoicePolicy::kRoundRobin},
      {"least-in-flight", ChoicePolicy::kLeastInFlight}}};
 
-constexpr std::array<std::pair<std::string_view, Mechanism>, 11> kMechanisms = {
+constexpr std::array<std::pair<std::string_view, Mechanism>, 12> kMechanisms = {
     {{"readings", Mechanism::kReadings},
      {"slowness", Mechanism::kSlowness},
      {"zone-preference", Mechanism::kZonePreference},
@@ -32,7 +32,8 @@
      {"fair-queue", Mechanism::kFairQueue},
      {"early-refusal", Mechanism::kEarlyRefusal},
      {"objective-waits", Mechanism::kObjectiveWaits},
-     {"probes", Mechanism::kProbes}}};
+     {"probes", Mechanism::kProbes},
+     {"subsets", Mechanism::kSubsets}}};
 
 // Blanks the lines of `toml` whose key is also set by an override and appends
 // the overrides, so that the text has each key once. Compares only the first
