Reserve retries for callers that came back, and send others back at once

It was spent on first attempts too, whose callers could have come back at no cost, and refused callers were told to wait 200 ms of an objective of 400 ms although slots were free. Ruled out: load (utilization was low), the limit of attempts.

Half of the saved retries are kept for requests of callers that have come back, while there are such callers; a refusal by targets with room tells to return within 5 to 10 ms, one without room 150 ms or more.

--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -201,6 +201,10 @@
   if (MayResend(not_run ? AttemptEnd::kRefusedNotRun : AttemptEnd::kReset)) {
     Acquire();
   } else {
+    if (m_last_error->m_kind == ErrorKind::kBackendRefused) {
+      m_last_error->m_retry_after =
+          context().m_router->RetryAfterRefusal(m_traits->m_service);
+    }
     FailRequest(*m_last_error);
   }
 }
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -299,6 +299,10 @@
                       int attempts_so_far,
                       AttemptEnd last_end = AttemptEnd::kReset);
 
+  /// How long the caller of a request that targets refused should wait before
+  /// it retries; zero if the service is unknown.
+  Duration RetryAfterRefusal(const std::string& service);
+
   /// Delay from sending an attempt to sending its hedge, or nothing if the
   /// class isn't hedged.
   std::optional<Duration> HedgeDelay(const RequestTraits& traits) const;
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -39,9 +39,18 @@
   void Deposit(double share);
 
   /// Withdraws the cost of one extra attempt of a request that has passed
-  /// `hops` load balancers before this one. Returns false and withdraws nothing
-  /// if the balance is too low.
-  bool TryWithdraw(AttemptProgress progress, int hops);
+  /// `hops` load balancers before this one, if at least `reserve` then remains.
+  /// Returns false and withdraws nothing otherwise.
+  bool TryWithdraw(AttemptProgress progress, int hops, double reserve = 0);
+
+  /// The part of the largest balance that is kept for requests whose callers
+  /// have come back after a refusal.
+  ///
+  /// When the targets refuse many requests, such as when all of them shed 40 %,
+  /// the budget covers only a part of the retries. A caller that is refused can
+  /// come back once at no cost to the budget; one that has already done so has
+  /// no other chance left than a retry here.
+  double ReserveForReturned() const;
 
  private:
   double m_balance = 0;
--- a/src/policy/waiting.cc
+++ b/src/policy/waiting.cc
@@ -26,6 +26,15 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 
+// Time before a retry while there is room, without jitter.
+constexpr Duration kRetryAfterWithRoom = std::chrono::milliseconds(5);
+
+// Above this utilization targets refuse requests because of their load.
+constexpr double kRoomUtilization = 0.8;
+
+// Differences in what callers ask for that aren't due to an earlier attempt.
+constexpr Duration kAskedWaitTolerance = std::chrono::milliseconds(4);
+
 }  // namespace
 
 bool IsPastObjective(const WaitBounds& bounds) {
@@ -55,6 +64,19 @@
   return FromSeconds(Seconds(base_delay) * (1 + random->Uniform()));
 }
 
+Duration RetryAfterWithRoom(Random* random) {
+  return FromSeconds(Seconds(kRetryAfterWithRoom) * (1 + random->Uniform()));
+}
+
+bool HasRoom(double utilization, int waiting_requests) {
+  return utilization < kRoomUtilization && waiting_requests == 0;
+}
+
+bool HasReturned(Duration asked_wait, Duration longest_asked_wait) {
+  return asked_wait > Duration::zero() &&
+         longest_asked_wait - asked_wait > kAskedWaitTolerance;
+}
+
 void RecentMaximum::Record(Duration value, TimePoint now) {
   if (m_span_start == TimePoint::min() || now - m_span_start >= kSpan) {
     const bool is_previous_recent =
--- a/src/policy/waiting.h
+++ b/src/policy/waiting.h
@@ -52,6 +52,24 @@
 /// together would retry together. Pure but for `random`.
 Duration RetryAfter(Duration excess, Random* random);
 
+/// How long a caller should wait before it retries a request that targets
+/// refused although the service has free slots, such as when targets fail or
+/// shed a part of their requests regardless of load.
+///
+/// Waiting brings nothing then: any other target may take the request. The
+/// short random time only keeps callers from returning in one moment. Pure but
+/// for `random`.
+Duration RetryAfterWithRoom(Random* random);
+
+/// Whether a service has so much room that a refusal isn't due to its load.
+/// `utilization` is the share of its slots in use.
+bool HasRoom(double utilization, int waiting_requests);
+
+/// Whether a caller that asks for `asked_wait`, where others of its class ask
+/// for up to `longest_asked_wait`, has sent the request before. Callers ask for
+/// what is left of their time.
+bool HasReturned(Duration asked_wait, Duration longest_asked_wait);
+
 /// The maximum of the recent values of a quantity, such as the deadlines that
 /// the callers of a class set on their first attempts. Not thread safe.
 class RecentMaximum {
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -329,8 +329,13 @@
                             int attempts_so_far,
                             AttemptEnd last_end) {
   const auto service = m_impl->Find(traits.m_service);
-  return service != nullptr &&
-         service->TryChargeRetry(traits, attempts_so_far, last_end);
+  return service != nullptr && service->TryChargeRetry(traits, attempts_so_far,
+                                                       last_end, m_impl->Now());
+}
+
+Duration Router::RetryAfterRefusal(const std::string& service) {
+  const auto found = m_impl->Find(service);
+  return found == nullptr ? Duration::zero() : found->RetryAfterRefusal();
 }
 
 std::optional<Duration> Router::HedgeDelay(const RequestTraits& traits) const {
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -14,6 +14,9 @@
 constexpr double kBusyUtilization = 0.8;
 constexpr double kBusyHedgePercentile = 99;
 
+// Refused callers come back for this long after one has done so.
+constexpr Duration kReturnedRecently = std::chrono::seconds(1);
+
 }  // namespace
 
 ServiceRouter::ServiceRouter(std::shared_ptr<const ServiceConfig> config,
@@ -101,6 +104,9 @@
   if (traits.m_caller_timeout > Duration::zero()) {
     state->m_longest_asked_wait.Record(traits.m_caller_timeout, now);
   }
+  if (targets_to_avoid.empty() && HasReturned(traits)) {
+    m_last_returned = now;
+  }
   const policy::WaitBounds bounds = WaitBoundsOf(*state, traits, now);
   Waiter waiter{.m_class = state,
                 .m_flow = FlowOf(traits, bounds),
@@ -116,7 +122,8 @@
 
 bool ServiceRouter::TryChargeRetry(const RequestTraits& traits,
                                    int attempts_so_far,
-                                   AttemptEnd last_end) {
+                                   AttemptEnd last_end,
+                                   TimePoint now) {
   const std::lock_guard lock(m_mutex);
   if (attempts_so_far >= MaxAttempts(traits)) {
     return false;
@@ -124,14 +131,33 @@
   const bool not_run = last_end == AttemptEnd::kConnectFailed ||
                        last_end == AttemptEnd::kRefusedNotRun ||
                        last_end == AttemptEnd::kWrongTarget;
+  const bool callers_return = m_last_returned != TimePoint::min() &&
+                              now - m_last_returned < kReturnedRecently;
+  const double reserve = callers_return && !HasReturned(traits)
+                             ? m_retry_budget.ReserveForReturned()
+                             : 0;
   const bool allowed =
       m_retry_budget.TryWithdraw(not_run ? policy::AttemptProgress::kNotRun
                                          : policy::AttemptProgress::kMayHaveRun,
-                                 traits.m_hops);
+                                 traits.m_hops, reserve);
   m_retries += allowed ? 1 : 0;
   return allowed;
 }
 
+bool ServiceRouter::HasReturned(const RequestTraits& traits) const {
+  const ClassState* const state = FindClassState(traits.m_class_name);
+  return state != nullptr &&
+         policy::HasReturned(traits.m_caller_timeout,
+                             state->m_longest_asked_wait.value());
+}
+
+Duration ServiceRouter::RetryAfterRefusal() {
+  const std::lock_guard lock(m_mutex);
+  return policy::HasRoom(m_pool.Utilization(), m_queue.size())
+             ? policy::RetryAfterWithRoom(&m_random)
+             : policy::RetryAfter(Duration::zero(), &m_random);
+}
+
 std::optional<Duration> ServiceRouter::HedgeDelay(
     const RequestTraits& traits) const {
   const std::lock_guard lock(m_mutex);
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -64,7 +64,9 @@
 
   bool TryChargeRetry(const RequestTraits& traits,
                       int attempts_so_far,
-                      AttemptEnd last_end);
+                      AttemptEnd last_end,
+                      TimePoint now);
+  Duration RetryAfterRefusal();
   std::optional<Duration> HedgeDelay(const RequestTraits& traits) const;
   bool TryChargeHedge(const RequestTraits& traits, int attempts_so_far);
 
@@ -107,6 +109,7 @@
 
   bool IsEnabled(Mechanism mechanism) const;
   int MaxAttempts(const RequestTraits& traits) const;
+  bool HasReturned(const RequestTraits& traits) const;
   void LimitSavedRetries();
   ClassState* FindOrAddClass(const std::string& name);
   const ClassState* FindClassState(const std::string& name) const;
@@ -194,6 +197,8 @@
   Duration m_slot_time{};
   policy::Random m_random;
   policy::RetryBudget m_retry_budget;
+  // When the last request of a caller that had been refused before arrived.
+  TimePoint m_last_returned = TimePoint::min();
   policy::ProbeBudget m_probe_budget;
   bool m_probes_scheduled = false;
   // Probes sent before placement that are still in flight.
