--- a/src/callers/caller_server.cc
+++ b/src/callers/caller_server.cc
@@ -7,6 +7,7 @@
 #include <QTcpServer>
 #include <QThread>
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <utility>
 
@@ -178,6 +179,14 @@
     }
   }
 
+  void SendProbes(std::vector<ProbeOrder> orders) {
+    CallerWorker* const worker =
+        m_workers[m_next_probing_worker++ % m_workers.size()];
+    worker->tasks().Post([worker, orders = std::move(orders)]() mutable {
+      worker->SendProbes(std::move(orders));
+    });
+  }
+
   void SetLimits(const CallerLimits& limits) {
     for (CallerWorker* const worker : m_workers) {
       worker->tasks().Post([worker, limits] { worker->SetLimits(limits); });
@@ -211,6 +220,7 @@
   std::vector<std::unique_ptr<WorkerThread>> m_threads;
   // Each is owned by its thread.
   std::vector<CallerWorker*> m_workers;
+  std::atomic<std::size_t> m_next_probing_worker{0};
   std::function<void()> m_on_done;
   std::unique_ptr<Timer> m_shutdown_timer;
   int m_unfinished_workers = 0;
@@ -237,6 +247,10 @@
   m_impl->SetLimits(limits);
 }
 
+void CallerServer::SendProbes(std::vector<ProbeOrder> orders) {
+  m_impl->SendProbes(std::move(orders));
+}
+
 void CallerServer::BeginLeaving() {
   m_impl->m_state.m_leaving = true;
 }
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -133,6 +133,11 @@
   /// Replaces the limits of the callers' connections.
   void SetLimits(const CallerLimits& limits);
 
+  /// Sends probes on a worker's connections to backend servers; a request for a
+  /// target is then sent on the connection of its probe. Thread safe, also
+  /// while the server is being destroyed by another thread.
+  void SendProbes(std::vector<ProbeOrder> orders);
+
   /// Leaves this instance out of its address responses; requests are still
   /// accepted.
   void BeginLeaving();
--- a/src/callers/caller_worker.cc
+++ b/src/callers/caller_worker.cc
@@ -32,6 +32,12 @@
       m_hooks(hooks),
       m_state(state),
       m_pool(&m_sockets, hooks->m_clock, PoolOptions(options)),
+      m_probes({.m_router = hooks->m_router,
+                .m_pool = &m_pool,
+                .m_set = &m_sockets,
+                .m_clock = hooks->m_clock,
+                .m_metrics = hooks->m_metrics,
+                .m_dialect = hooks->m_target_dialect}),
       m_metrics(hooks->m_metrics),
       m_log(hooks->m_clock, options.m_log_requests),
       m_forwarder(forwarding::ForwardContext{
@@ -56,7 +62,8 @@
   m_on_done = nullptr;
   m_tasks.Stop();
   AbortAll();
-  // The aborted connections and requests refer to members of this worker.
+  m_probes.Stop();
+  // What was aborted refers to members of this worker.
   m_sockets.DeleteDeferred();
 }
 
--- a/src/callers/caller_worker.h
+++ b/src/callers/caller_worker.h
@@ -5,8 +5,11 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "backends/backend_pool.h"
+#include "backends/probe_sender.h"
 #include "callers/caller_connection.h"
 #include "callers/caller_server.h"
 #include "forwarding/forward_metrics.h"
@@ -43,6 +46,11 @@
   /// forwarded.
   void Accept(int descriptor, bool refuse, bool local_only = false);
 
+  /// Sends probes on the connections that requests use.
+  void SendProbes(std::vector<ProbeOrder> orders) {
+    m_probes.Send(std::move(orders));
+  }
+
   void SetLimits(const CallerLimits& limits) { m_options.m_limits = limits; }
 
   /// Calls `on_done` once no connection and no request is open.
@@ -78,6 +86,7 @@
   forwarding::WorkerTaskQueue m_tasks;
   net::SocketSet m_sockets;
   backends::BackendPool m_pool;
+  backends::ProbeSender m_probes;
   forwarding::ForwardMetrics m_metrics;
   forwarding::RequestLog m_log;
   forwarding::RequestForwarder m_forwarder;
--- a/src/routes/service_plan.cc
+++ b/src/routes/service_plan.cc
@@ -11,6 +11,12 @@
 // overlap two of the spans in which they account for their own use.
 constexpr double kPlannedBudgetShare = 0.85;
 
+// The same for retries. Each is paid for by earlier requests, and what may be
+// saved is the part of the budget that doesn't depend on the requests, so that
+// no window holds more; the rest is for instances that don't know of each
+// other.
+constexpr double kPlannedRetryShare = 0.95;
+
 // Each step of priority halves a class's weight under contention.
 constexpr int kMaxWeight = 64;
 constexpr int kMaxPrioritySteps = 6;
@@ -73,9 +79,9 @@
           std::max(plan.m_retry.m_max_attempts, route.m_max_attempts);
     }
   }
-  plan.m_retry.m_budget_share = budgets.m_retry_share * kPlannedBudgetShare;
+  plan.m_retry.m_budget_share = budgets.m_retry_share * kPlannedRetryShare;
   plan.m_retry.m_shared_max_balance =
-      budgets.m_retry_extra * kPlannedBudgetShare;
+      budgets.m_retry_extra * kPlannedRetryShare;
   plan.m_probe.m_path = service.m_health_path;
   plan.m_probe.m_probes_per_second = budgets.m_probes_per_target_second *
                                      kPlannedBudgetShare *
--- a/src/routing/measured_placing_test.cc
+++ b/src/routing/measured_placing_test.cc
@@ -97,8 +97,7 @@
     m_router.SetInstances(places);
   }
 
-  // Connections that targets would have seen for 1,000 requests, with one
-  // connection for the probes and one for the requests to each target.
+  // Connections that targets would have seen for 1,000 requests.
   double ConnectionsPerThousand() const {
     return 1000.0 * m_connections / std::max(1, m_requests);
   }
@@ -123,8 +122,8 @@
     bool m_unresponsive = false;
     int m_running = 0;
     int m_sent = 0;
-    TimePoint m_last_probe = TimePoint::min();
-    TimePoint m_last_request = TimePoint::min();
+    // When each idle connection to it was last used, the latest at the end.
+    std::vector<TimePoint> m_idle_connections;
   };
 
   static std::string InstanceName(int number) {
@@ -134,13 +133,20 @@
     return "z" + std::to_string(number);
   }
 
-  // Counts a connection unless the last use of the existing one was recent.
-  void UseConnection(TimePoint* last_use) {
-    const TimePoint now = m_clock.now();
-    const bool is_open =
-        *last_use != TimePoint::min() && now - *last_use < kConnectionIdleTime;
-    m_connections += is_open ? 0 : 1;
-    *last_use = now;
+  // Takes the connection that was used last, or opens one if the target has
+  // closed all.
+  void TakeConnection(Machine* machine) {
+    std::vector<TimePoint>* const idle = &machine->m_idle_connections;
+    if (!idle->empty() && m_clock.now() - idle->back() < kConnectionIdleTime) {
+      idle->pop_back();
+    } else {
+      idle->clear();
+      ++m_connections;
+    }
+  }
+
+  void ReturnConnection(Machine* machine) {
+    machine->m_idle_connections.push_back(m_clock.now());
   }
 
   RouterHooks Hooks() {
@@ -172,12 +178,13 @@
 
   void Probe(ProbeOrder order) {
     const bool unresponsive = m_machines[order.m_target].m_unresponsive;
-    UseConnection(&m_machines[order.m_target].m_last_probe);
+    TakeConnection(&m_machines[order.m_target]);
     After(unresponsive ? order.m_timeout : kProbeRoundTrip,
           [this, unresponsive, order = std::move(order)] {
             ProbeReport report{.m_service = order.m_service,
                                .m_target = order.m_target,
                                .m_answered = !unresponsive};
+            ReturnConnection(&m_machines[order.m_target]);
             if (!unresponsive) {
               report.m_load = Load(m_machines[order.m_target]);
             }
@@ -205,7 +212,7 @@
             TimePoint arrived) {
     Machine& machine = m_machines[grant.m_target];
     ++machine.m_sent;
-    UseConnection(&machine.m_last_request);
+    TakeConnection(&machine);
     if (machine.m_unresponsive) {
       After(seconds(2), [this, grant, traits] {
         m_router.Release(grant, traits, {.m_end = AttemptEnd::kTimeout});
@@ -217,6 +224,7 @@
         kServiceTime * static_cast<int>(machine.m_slow ? kNoiseSlowdown : 1);
     After(service_time, [this, grant, traits, arrived, service_time, &machine] {
       --machine.m_running;
+      ReturnConnection(&machine);
       m_in_objective += m_clock.now() - arrived <= kObjective ? 1 : 0;
       m_router.Release(grant, traits,
                        {.m_latency = service_time,
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -75,12 +75,15 @@
   ~Impl() {
     // Components with their own threads stop first, so that they call nothing
     // that is already destroyed.
+    // Its threads use the hooks of the router until they have been joined.
+    m_probing_callers = nullptr;
     m_callers.reset();
     m_peers->Stop();
   }
 
   Result<bool> Start() {
     BOOST_LEAF_CHECK(m_callers->Start());
+    m_probing_callers = m_callers.get();
     if (!m_peers->Start()) {
       return Fail(ErrorKind::kBadSettings,
                   "peers: cannot listen on " + ToString(m_options.m_peers));
@@ -191,10 +194,10 @@
     const auto post = m_control.poster();
     RouterHooks hooks =
         serve::MakeBroadcastHooks(post, [this] { return m_peers.get(); });
-    hooks.m_on_probes = [this, post](std::vector<ProbeOrder> orders) {
-      post([this, orders = std::move(orders)]() mutable {
-        m_probes->Send(std::move(orders));
-      });
+    hooks.m_on_probes = [this](std::vector<ProbeOrder> orders) {
+      if (callers::CallerServer* const callers = m_probing_callers) {
+        callers->SendProbes(std::move(orders));
+      }
     };
     m_router = std::make_unique<Router>(std::move(options), std::move(hooks));
   }
@@ -381,6 +384,9 @@
   std::unique_ptr<callers::RouteClassifier> m_classifier;
   std::unique_ptr<backends::ProbeRunner> m_probes;
   std::unique_ptr<callers::CallerServer> m_callers;
+  // Where probes before placement are sent; null before the start and while
+  // this object is destroyed.
+  std::atomic<callers::CallerServer*> m_probing_callers{nullptr};
   std::unique_ptr<operators::MetricsServer> m_operators;
   std::unique_ptr<Timer> m_instance_count_timer;
   std::unique_ptr<Timer> m_shutdown_timer;
--- a/testsuite/platform-whole-path/run.py
+++ b/testsuite/platform-whole-path/run.py
@@ -61,7 +61,7 @@
     with case.section("SIGHUP applies changed settings"):
         wait_until(lambda: "changed settings in force" in second.log(),
                    "the log reports the changed settings")
-        second.write_settings(grace_s=0)
+        second.write_settings(grace_s="soon")
         wait_until(lambda: "the last settings stay in force" in second.log(),
                    "an invalid file is reported, without a signal")
         second.write_settings(grace_s=6)
