Targets that announce their leaving or ask for a pause

- Leaving holds for the run of the target, by its incarnation: no later answer, probe, failed connection or re-registration of that run ends it, a notice may come before the entry, and one of an earlier run doesn't drain a later one.
Other instances are told as of any drain.
What a 421 says of load or leaving is another backend server's and is left out.
- A pause (policy/pause) keeps requests and probes from the target until it ends or another run registers.
With all targets pausing a request waits if that ends in time, and is refused at once otherwise, with a Retry-After that spreads the returns.
Other instances aren't told. /status.json shows it.

Not built: use of leaving targets while all targets of a service leave at once (they are refused at once); taking back requests that wait for a connection to a target that then pauses.

--- a/src/backends/probe_sender.cc
+++ b/src/backends/probe_sender.cc
@@ -74,7 +74,7 @@
     const bool load_is_valid =
         head.m_status == kOkStatus || !m_order.m_path.empty();
     if (load_is_valid && !from_other_target) {
-      m_load = m_dialect->m_read_load(head.m_fields);
+      m_load = m_dialect->m_read_load(head);
     }
   }
 
--- a/src/backends/target_dialect.cc
+++ b/src/backends/target_dialect.cc
@@ -9,7 +9,10 @@
   static const TargetDialect kDialect{
       .m_deadline_header = kDeadlineHeader,
       .m_hops_header = kHopsHeader,
-      .m_read_load = ReadLoad,
+      .m_read_load =
+          [](const http::ResponseHead& head) {
+            return ReadLoad(head.m_fields);
+          },
       .m_read_refusal =
           [](const http::ResponseHead& head) {
             return IsNotRunRefusal(head) ? Refusal::kNotRun : Refusal::kNone;
--- a/src/backends/target_dialect.h
+++ b/src/backends/target_dialect.h
@@ -33,7 +33,7 @@
   std::string m_request_id_header;
 
   /// Parses the load that the sender of a response reports.
-  std::function<LoadReport(const http::Fields&)> m_read_load;
+  std::function<LoadReport(const http::ResponseHead&)> m_read_load;
   std::function<Refusal(const http::ResponseHead&)> m_read_refusal;
   /// Whether a response comes from a backend server, judged by its header, and
   /// not from something in between.
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -31,8 +31,12 @@
   attempt->m_answer_status = head.m_status;
   attempt->m_report.m_latency = now() - attempt->m_sent_at;
   const backends::TargetDialect& dialect = *context().m_target_dialect;
-  attempt->m_report.m_load = dialect.m_read_load(head.m_fields);
+  attempt->m_report.m_load = dialect.m_read_load(head);
   const backends::Refusal refusal = dialect.m_read_refusal(head);
+  if (refusal == backends::Refusal::kWrongTarget) {
+    // What another backend server says of itself isn't the target's.
+    attempt->m_report.m_load = {};
+  }
   if (refusal != backends::Refusal::kNone) {
     OnRefused(attempt, refusal == backends::Refusal::kNotRun
                            ? AttemptEnd::kRefusedNotRun
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -82,6 +82,9 @@
   /// by other load on the same machine.
   std::optional<double> m_slowdown;
   bool m_draining = false;
+  /// How long the backend server wants no further request from this instance;
+  /// zero if it didn't ask for a pause.
+  Duration m_pause{};
   /// Identifies one run of the backend server; empty if unknown.
   std::string m_incarnation;
 
@@ -166,6 +169,8 @@
   bool m_ejected = false;
   bool m_draining = false;
   bool m_slow_start = false;
+  /// Time that remains of a pause that the backend server asked for.
+  Duration m_pause_left{};
 
   bool operator==(const TargetStatus&) const = default;
 };
@@ -338,7 +343,9 @@
                        const std::vector<std::pair<std::string, int>>& counts);
 
   /// Apply notices from peers. They don't call the hooks.
-  void LearnDrain(const DrainNotice& notice);
+  ///
+  /// `LearnDrain` returns whether the target wasn't known to drain.
+  bool LearnDrain(const DrainNotice& notice);
   void LearnQuarantine(const QuarantineNotice& notice);
   void LearnSuspect(const SuspectNotice& notice);
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -421,11 +421,14 @@
   }
 }
 
-void Router::LearnDrain(const DrainNotice& notice) {
-  if (const auto service = m_impl->Find(notice.m_service)) {
-    service->LearnDrain(notice);
-    m_impl->AddServiceWithDrains(notice.m_service);
+bool Router::LearnDrain(const DrainNotice& notice) {
+  const auto service = m_impl->Find(notice.m_service);
+  if (service == nullptr) {
+    return false;
   }
+  const bool is_new = service->LearnDrain(notice);
+  m_impl->AddServiceWithDrains(notice.m_service);
+  return is_new;
 }
 
 void Router::LearnQuarantine(const QuarantineNotice& notice) {
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -169,11 +169,9 @@
   ServeWaiters(now, effects);
 }
 
-void ServiceRouter::LearnDrain(const DrainNotice& notice) {
+bool ServiceRouter::LearnDrain(const DrainNotice& notice) {
   const std::lock_guard lock(m_mutex);
-  if (Target* const target = m_pool.Find(notice.m_target)) {
-    target->m_draining.UpdateFromPeer(notice.m_incarnation);
-  }
+  return m_pool.LearnDrain(notice.m_target, notice.m_incarnation);
 }
 
 std::vector<DrainNotice> ServiceRouter::Drains() const {
@@ -214,6 +212,9 @@
   if (load.m_slowdown.has_value()) {
     m_pool.ReportSlowdown(target, *load.m_slowdown, reported_at);
   }
+  if (load.m_pause > Duration::zero()) {
+    target->m_pause.Request(load.m_pause, now);
+  }
   const bool has_run_state = load.m_in_flight.has_value() || load.m_draining ||
                              !load.m_incarnation.empty();
   if (has_run_state && m_pool.UpdateRunState(target, load, now)) {
@@ -328,7 +329,7 @@
   for (const auto& target : m_pool.targets()) {
     const bool is_probed =
         target->m_probe_in_flight && now < target->m_probed_at + lost_after;
-    if (target->m_removed || is_probed) {
+    if (target->m_removed || is_probed || target->m_pause.IsActive(now)) {
       continue;
     }
     const TimePoint known_at =
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -227,7 +227,10 @@
          .m_reported_in_flight = target->m_reported_in_flight,
          .m_ejected = target->m_ejection.IsEjected(now),
          .m_draining = target->m_draining.is_draining(),
-         .m_slow_start = m_pool.IsSlowStart(*target, now)});
+         .m_slow_start = m_pool.IsSlowStart(*target, now),
+         .m_pause_left = target->m_pause.IsActive(now)
+                             ? target->m_pause.until() - now
+                             : Duration::zero()});
   }
   return status;
 }
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -81,7 +81,7 @@
                        const std::vector<std::pair<std::string, int>>& counts,
                        TimePoint now,
                        Effects* effects);
-  void LearnDrain(const DrainNotice& notice);
+  bool LearnDrain(const DrainNotice& notice);
   std::vector<DrainNotice> Drains() const;
   std::vector<std::pair<std::string, int>> InFlight() const;
 
@@ -149,6 +149,9 @@
   /// `excess`, with a randomized retry delay.
   util::Expected<Grant> RefuseWithRetryDelay(Duration excess,
                                              const std::string& text);
+  /// Makes a refusal for a request without a target.
+  util::Expected<Grant> RefuseWithoutTarget(const Choice& choice,
+                                            TimePoint now);
   void RefuseWaiter(std::uint64_t ticket,
                     util::Expected<Grant> refusal,
                     Effects* effects);
@@ -163,6 +166,7 @@
   /// Whether targets are probed before a request is placed on one.
   bool ProbesBeforePlacing() const;
   Choice Choose(const Waiter& waiter, TimePoint now);
+  Choice ChooseMeasured(const Waiter& waiter, TimePoint now);
   /// Adds probe orders on behalf of the waiting requests to `effects`.
   void OrderProbes(TimePoint now, Effects* effects);
   ProbeOrder OrderProbe(Target* target, TimePoint now);
--- a/src/routing/service_waiting.cc
+++ b/src/routing/service_waiting.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "policy/pause.h"
 #include "policy/slot_shares.h"
 #include "policy/waiting.h"
 #include "routing/service_router.h"
@@ -127,8 +128,7 @@
   }
   if (choice.m_target == nullptr) {
     effects->m_decisions.push_back(
-        {std::move(waiter->m_on_grant),
-         Refuse(ErrorKind::kNoTarget, "no target takes new requests")});
+        {std::move(waiter->m_on_grant), RefuseWithoutTarget(choice, now)});
     return true;
   }
   m_queue.Charge(waiter->m_flow, WeightOf(waiter->m_flow),
@@ -224,6 +224,18 @@
   return refusal;
 }
 
+util::Expected<Grant> ServiceRouter::RefuseWithoutTarget(const Choice& choice,
+                                                         TimePoint now) {
+  if (!choice.m_paused_until.has_value()) {
+    return Refuse(ErrorKind::kNoTarget, "no target takes new requests");
+  }
+  util::Expected<Grant> refusal =
+      Refuse(ErrorKind::kNoTarget, "all targets asked for a pause");
+  refusal.m_error.m_retry_after = policy::RetryAfterPause(
+      std::max(Duration::zero(), *choice.m_paused_until - now), &m_random);
+  return refusal;
+}
+
 void ServiceRouter::RefuseWaiter(std::uint64_t ticket,
                                  util::Expected<Grant> refusal,
                                  Effects* effects) {
@@ -252,9 +264,7 @@
       break;
     }
     if (choice.m_target == nullptr) {
-      RefuseWaiter(next->m_ticket,
-                   Refuse(ErrorKind::kNoTarget, "no target takes new requests"),
-                   effects);
+      RefuseWaiter(next->m_ticket, RefuseWithoutTarget(choice, now), effects);
       continue;
     }
     effects->m_decisions.push_back(
@@ -284,9 +294,16 @@
 }
 
 Choice ServiceRouter::Choose(const Waiter& waiter, TimePoint now) {
-  if (!ProbesBeforePlacing()) {
-    return m_pool.Choose(waiter.m_avoid, now);
+  Choice choice = ProbesBeforePlacing() ? ChooseMeasured(waiter, now)
+                                        : m_pool.Choose(waiter.m_avoid, now);
+  if (choice.m_paused_until.has_value() &&
+      *choice.m_paused_until <= waiter.m_arrived + LongestWait(waiter)) {
+    choice.m_worth_waiting = true;
   }
+  return choice;
+}
+
+Choice ServiceRouter::ChooseMeasured(const Waiter& waiter, TimePoint now) {
   const Duration waited = now - waiter.m_arrived;
   const TargetPool::Requirement requirement =
       waited < kGoodTargetWait       ? TargetPool::Requirement::kGood
--- a/src/routing/target.h
+++ b/src/routing/target.h
@@ -9,6 +9,7 @@
 #include "policy/draining.h"
 #include "policy/ejection.h"
 #include "policy/latency_window.h"
+#include "policy/pause.h"
 #include "policy/quarantine.h"
 #include "policy/target_load.h"
 #include "policy/target_subset.h"
@@ -56,6 +57,7 @@
   policy::TargetLoad m_load;
   policy::Ejection m_ejection;
   policy::Draining m_draining;
+  policy::Pause m_pause;
   policy::ResetHistory m_resets;
   std::vector<Attempt> m_attempts;
   /// When slow start began; `TimePoint::min()` if the target needs none.
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -23,6 +23,16 @@
 // between availability zones.
 constexpr Duration kLateProbeAfter = std::chrono::milliseconds(50);
 
+// Most runs of a service's targets that are remembered as draining. Runs end
+// within seconds of the drain, so that the oldest are of no use any more.
+constexpr std::size_t kMaxDrainedRuns = 1024;
+
+// The run of a target that registers itself; empty if unknown.
+std::string RunOf(const TargetConfig& target) {
+  return target.m_incarnation == 0 ? std::string()
+                                   : std::to_string(target.m_incarnation);
+}
+
 }  // namespace
 
 TargetPool::TargetPool(const RouterOptions& options, std::uint64_t seed)
@@ -53,6 +63,11 @@
       target->m_slow_start_duration = wanted.m_warm_up_left;
       m_slow_start_until = is_warm ? m_slow_start_until : TimePoint::max();
       m_by_name[wanted.m_name] = target;
+      if (std::find(m_drained_runs.begin(), m_drained_runs.end(),
+                    std::pair(wanted.m_name, RunOf(wanted))) !=
+          m_drained_runs.end()) {
+        target->m_draining.UpdateFromPeer(RunOf(wanted));
+      }
     }
     target->m_config = wanted;
     target->m_removed = false;
@@ -158,8 +173,13 @@
 bool TargetPool::UpdateRunState(Target* target,
                                 const LoadReport& load,
                                 TimePoint now) {
+  const std::string incarnation =
+      load.m_incarnation.empty() ? RunOf(target->m_config) : load.m_incarnation;
   const policy::Draining::Change change =
-      target->m_draining.UpdateFromTarget(load.m_draining, load.m_incarnation);
+      target->m_draining.UpdateFromTarget(load.m_draining, incarnation);
+  if (change.m_started_draining) {
+    RememberDrain(target->m_config.m_name, incarnation);
+  }
   if (change.m_restarted) {
     target->m_ejection.Reset();
     target->m_slow_start_since = now;
@@ -168,6 +188,34 @@
   return change.m_started_draining;
 }
 
+bool TargetPool::LearnDrain(const std::string& name,
+                            const std::string& incarnation) {
+  RememberDrain(name, incarnation);
+  Target* const target = Find(name);
+  if (target == nullptr) {
+    return false;
+  }
+  const std::string current = RunOf(target->m_config);
+  const bool is_other_run =
+      !current.empty() && !incarnation.empty() && current != incarnation;
+  return !is_other_run &&
+         target->m_draining.UpdateFromPeer(incarnation).m_started_draining;
+}
+
+void TargetPool::RememberDrain(const std::string& name,
+                               const std::string& incarnation) {
+  const std::pair run(name, incarnation);
+  if (incarnation.empty() ||
+      std::find(m_drained_runs.begin(), m_drained_runs.end(), run) !=
+          m_drained_runs.end()) {
+    return;
+  }
+  m_drained_runs.push_back(run);
+  if (m_drained_runs.size() > kMaxDrainedRuns) {
+    m_drained_runs.pop_front();
+  }
+}
+
 void TargetPool::PeersReport(Target* target, int in_flight, TimePoint now) {
   if (IsEnabled(Mechanism::kReadings)) {
     target->m_load.PeersReport(in_flight, now);
@@ -247,7 +295,7 @@
         const bool is_late = target->m_probe_in_flight &&
                              now - target->m_probed_at >= kLateProbeAfter;
         return target->m_unresponsive || is_late || IsRetired(*target) ||
-               IsEjected(*target, now);
+               IsEjected(*target, now) || target->m_pause.IsActive(now);
       });
   if (now >= m_slow_start_until) {
     m_ignore_slow_start = false;
@@ -270,7 +318,20 @@
 
 bool TargetPool::IsEligible(const Target& target, TimePoint now) const {
   const bool is_unresponsive = target.m_unresponsive && !m_all_unresponsive;
-  return !is_unresponsive && !IsRetired(target) && !IsEjected(target, now);
+  return !is_unresponsive && !IsRetired(target) && !IsEjected(target, now) &&
+         !target.m_pause.IsActive(now);
+}
+
+std::optional<TimePoint> TargetPool::FirstPauseEnd(TimePoint now) const {
+  std::optional<TimePoint> first;
+  for (const auto& target : m_targets) {
+    if (!IsRetired(*target) && !IsEjected(*target, now) &&
+        target->m_pause.IsActive(now)) {
+      first =
+          std::min(first.value_or(TimePoint::max()), target->m_pause.until());
+    }
+  }
+  return first;
 }
 
 bool TargetPool::IsRetired(const Target& target) {
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -1,10 +1,13 @@
 #ifndef GUAVACROSS_ROUTING_TARGET_POOL_H_
 #define GUAVACROSS_ROUTING_TARGET_POOL_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "guavacross/routing.h"
@@ -22,6 +25,9 @@
   Target* m_target = nullptr;
   /// If there is no target: whether one may become available.
   bool m_worth_waiting = false;
+  /// If no target takes requests because of pauses that targets asked for: when
+  /// the first of these ends.
+  std::optional<TimePoint> m_paused_until;
 };
 
 /// The targets of one service, and the choice between them. Not thread safe.
@@ -83,6 +89,12 @@
   /// @return whether the target has started draining.
   bool UpdateRunState(Target* target, const LoadReport& load, TimePoint now);
 
+  /// Records a peer's notice that a run of a target drains. The run need not be
+  /// known here yet.
+  ///
+  /// @return whether the target has started draining.
+  bool LearnDrain(const std::string& name, const std::string& incarnation);
+
   /// Records that peers have `in_flight` attempts on a target.
   void PeersReport(Target* target, int in_flight, TimePoint now);
 
@@ -158,6 +170,11 @@
   bool AnyEligible(const std::vector<std::string>& avoid, TimePoint now);
   double MeasuredCostOf(const Target& target, TimePoint now) const;
   bool IsMeasured(const Target& target, TimePoint now) const;
+  // When the first pause of a target that is usable otherwise ends, if any.
+  std::optional<TimePoint> FirstPauseEnd(TimePoint now) const;
+  // Remembers that a run of a target drains, also if its entry is removed and
+  // comes back.
+  void RememberDrain(const std::string& name, const std::string& incarnation);
   bool CanBeProbed(const Target& target, TimePoint now) const;
   // Visits up to `max_targets` targets in order from a random one on, until
   // `visit` returns false.
@@ -175,6 +192,8 @@
   // Targets of the tiers `kNear` and `kFar`.
   std::vector<Target*> m_subset;
   std::shared_ptr<const std::vector<policy::SubsetInstance>> m_subset_instances;
+  // Names and incarnations of runs that drain, oldest first.
+  std::deque<std::pair<std::string, std::string>> m_drained_runs;
   policy::Random m_random;
   std::size_t m_next_round_robin = 0;
   int m_instances = 1;
--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -69,7 +69,10 @@
   if (!any_eligible && !avoid.empty() && requirement == Requirement::kAny) {
     return ChooseMeasured({}, requirement, now);
   }
-  return {.m_worth_waiting = any_eligible || !avoid.empty()};
+  if (any_eligible || !avoid.empty()) {
+    return {.m_worth_waiting = true};
+  }
+  return {.m_paused_until = FirstPauseEnd(now)};
 }
 
 TargetPool::RankedTarget TargetPool::CheapestOfAll(
@@ -174,8 +177,9 @@
   const bool recently_unanswered =
       target.m_unresponsive &&
       now - target.m_probed_at < kUnresponsiveProbeInterval;
-  return !IsRetired(target) && !recently_unanswered &&
-         !target.m_probe_in_flight && !IsMeasured(target, now);
+  return !IsRetired(target) && !target.m_pause.IsActive(now) &&
+         !recently_unanswered && !target.m_probe_in_flight &&
+         !IsMeasured(target, now);
 }
 
 double TargetPool::CheapestOutsideCost() const {
@@ -270,7 +274,10 @@
   const bool wait_instead =
       best.m_cost > policy::kWaitCost && m_own_in_flight > 0;
   if (best.m_target == nullptr || wait_instead) {
-    return {.m_worth_waiting = any_eligible || best.m_target != nullptr};
+    if (any_eligible || best.m_target != nullptr) {
+      return {.m_worth_waiting = true};
+    }
+    return {.m_paused_until = FirstPauseEnd(now)};
   }
   return {.m_target = best.m_target};
 }
--- a/src/serve/route_status.cc
+++ b/src/serve/route_status.cc
@@ -36,6 +36,9 @@
       {"state", QString::fromStdString(StateName(target))},
       {"in_flight", target.m_in_flight},
       {"slots", target.m_slots}};
+  if (target.m_pause_left > Duration::zero()) {
+    json["pause_left_s"] = Seconds(target.m_pause_left);
+  }
   const auto age = status.m_entry_ages.find(target.m_name);
   if (age != status.m_entry_ages.end()) {
     json["entry_age_s"] = Seconds(age->second);
--- a/src/serve/router_peer_hooks.cc
+++ b/src/serve/router_peer_hooks.cc
@@ -1,14 +1,30 @@
 #include "serve/router_peer_hooks.h"
 
+#include <string>
 #include <utility>
 
+#include "util/log.h"
+
 namespace guavacross::serve {
 
+namespace {
+
+void LogDrain(const DrainNotice& notice, const std::string& told_by) {
+  util::LogChange("targets", "target is leaving",
+                  {{"target", notice.m_target},
+                   {"service", notice.m_service},
+                   {"incarnation", notice.m_incarnation},
+                   {"told_by", told_by}});
+}
+
+}  // namespace
+
 RouterHooks MakeBroadcastHooks(std::function<void(std::function<void()>)> post,
                                std::function<peers::PeerNetwork*()> peers) {
   // The router calls these hooks on the thread that detected the event.
   RouterHooks hooks;
   hooks.m_on_drain = [post, peers](const DrainNotice& notice) {
+    LogDrain(notice, "target");
     post([peers, notice] { peers()->PushDrain(notice); });
   };
   hooks.m_on_quarantine = [post, peers](const QuarantineNotice& notice) {
@@ -24,7 +40,9 @@
   hooks->m_drains = [router] { return router->Drains(); };
   hooks->m_quarantines = [router] { return router->Quarantines(); };
   hooks->m_on_drain = [router](const DrainNotice& notice) {
-    router->LearnDrain(notice);
+    if (router->LearnDrain(notice)) {
+      LogDrain(notice, "peer");
+    }
   };
   hooks->m_on_quarantine = [router](const QuarantineNotice& notice) {
     router->LearnQuarantine(notice);
