--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -12,10 +12,16 @@
   for (const KeyedRecord& record : records) {
     const auto [place, added] = m_known.try_emplace(record.m_key);
     Known& known = place->second;
-    if (!added && record.m_offset <= known.m_newest) {
+    const int order = added ? 1 : AgeOrder(known, record);
+    if (order < 0 && record.m_offset > known.m_newest) {
+      known.m_newest = record.m_offset;
+      known.m_record.m_offset = record.m_offset;
+      m_changed_to = std::max(m_changed_to, record.m_offset + 1);
+    }
+    if (order < 0 || (order == 0 && record.m_offset <= known.m_newest)) {
       continue;
     }
-    known.m_newest = record.m_offset;
+    known.m_newest = std::max(known.m_newest, record.m_offset);
     if (m_is_significant(added ? nullptr : &known.m_record, record)) {
       known.m_record = record;
       m_changed_to = std::max(m_changed_to, record.m_offset + 1);
@@ -25,6 +31,11 @@
   return newer;
 }
 
+int SharedRecords::AgeOrder(const Known& known,
+                            const KeyedRecord& record) const {
+  return m_compare_age ? m_compare_age(known.m_record, record) : 0;
+}
+
 std::vector<KeyedRecord> SharedRecords::MergeFromPeer(
     const std::vector<KeyedRecord>& records) {
   std::vector<KeyedRecord> newer = Merge(records);
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -25,8 +25,19 @@
   using IsSignificant =
       std::function<bool(const KeyedRecord* before, const KeyedRecord& now)>;
 
-  explicit SharedRecords(IsSignificant is_significant)
-      : m_is_significant(std::move(is_significant)) {}
+  /// Compares the contents of two records of a key: negative if `now` is older
+  /// than `before`, positive if it is newer, and 0 if the contents don't tell.
+  ///
+  /// A store that was restored from a copy lists older contents at higher
+  /// offsets. The contents known here then stay, and take the offset of the
+  /// older ones.
+  using CompareAge =
+      std::function<int(const KeyedRecord& before, const KeyedRecord& now)>;
+
+  explicit SharedRecords(IsSignificant is_significant,
+                         CompareAge compare_age = nullptr)
+      : m_is_significant(std::move(is_significant)),
+        m_compare_age(std::move(compare_age)) {}
 
   /// Merges records that this instance has read from the store.
   ///
@@ -62,7 +73,10 @@
     std::uint64_t m_newest = 0;
   };
 
+  int AgeOrder(const Known& known, const KeyedRecord& record) const;
+
   IsSignificant m_is_significant;
+  CompareAge m_compare_age;
   std::map<std::string, Known> m_known;
   std::uint64_t m_changed_to = 0;
 };
@@ -72,6 +86,8 @@
   std::string m_stream;
   /// The offset after the last significant record.
   std::uint64_t m_changed_to = 0;
+  /// The offset from which on it requests records of its peers. Not sent.
+  std::uint64_t m_fetch_from = 0;
   /// The offset up to which it has read, or knows that no record is
   /// significant.
   std::uint64_t m_read_to = 0;
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -23,11 +23,12 @@
 SharedStream::SharedStream(SharedStreamOptions options,
                            Clock clock,
                            SharedRecords::IsSignificant is_significant,
+                           SharedRecords::CompareAge compare_age,
                            SharedStreamHooks hooks)
     : m_options(std::move(options)),
       m_clock(std::move(clock)),
       m_hooks(std::move(hooks)),
-      m_records(std::move(is_significant)),
+      m_records(std::move(is_significant), std::move(compare_age)),
       m_feed(m_options.m_feed, m_clock, MakeFeedHooks()) {}
 
 void SharedStream::Start() {
@@ -70,6 +71,9 @@
 StreamState SharedStream::state() const {
   return {.m_stream = m_options.m_name,
           .m_changed_to = m_records.changed_to(),
+          .m_fetch_from = m_options.m_first_fetch_is_full && !m_fetched
+                              ? 0
+                              : m_records.changed_to(),
           .m_read_to = m_feed.offset(),
           .m_complete_from = m_complete_from,
           .m_read_at = m_read_at,
@@ -112,6 +116,7 @@
 }
 
 void SharedStream::MergeFromPeer(const std::vector<KeyedRecord>& records) {
+  m_fetched = true;
   m_hooks.m_on_records(m_records.MergeFromPeer(records));
 }
 
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -22,6 +22,10 @@
   /// When this instance reads if others don't; see `ReadFailover`. The rank is
   /// ignored.
   policy::ReadFailover m_duty;
+  /// Whether the first request to a peer is for all records. The store may
+  /// have been restored from a copy whose records are older than the peers'.
+  /// For streams of few keys.
+  bool m_first_fetch_is_full = false;
   /// The store counts as lost if no instance has read the stream for this long.
   Duration m_lost_after = std::chrono::milliseconds(1500);
 };
@@ -50,6 +54,7 @@
   SharedStream(SharedStreamOptions options,
                Clock clock,
                SharedRecords::IsSignificant is_significant,
+               SharedRecords::CompareAge compare_age,
                SharedStreamHooks hooks);
   SharedStream(const SharedStream&) = delete;
   SharedStream& operator=(const SharedStream&) = delete;
@@ -95,6 +100,8 @@
   bool m_reachable = true;
   std::string m_lost_reason;
   std::uint64_t m_complete_from = 0;
+  // Whether a peer's records have been merged.
+  bool m_fetched = false;
   // The offset up to which peers may lack records that this instance lacks too,
   // and the time since when this gap has existed.
   std::uint64_t m_gap_to = 0;
--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -27,13 +27,39 @@
   return before == nullptr || before->m_value != now.m_value;
 }
 
+// Compares values like `v7`; others don't tell their age.
+int CompareVersions(const KeyedRecord& before, const KeyedRecord& now) {
+  const std::string old_value = before.m_value.value_or("");
+  const std::string new_value = now.m_value.value_or("");
+  const bool comparable =
+      old_value.starts_with('v') && new_value.starts_with('v');
+  return comparable
+             ? std::stoi(new_value.substr(1)) - std::stoi(old_value.substr(1))
+             : 0;
+}
+
 // A store that retains the records of its log from offset `m_first` on.
 struct Store {
   explicit Store(util::ManualClock* clock) : m_clock(clock->clock()) {}
 
   void Append(const std::string& key, std::optional<std::string> value) {
-    m_log.push_back(
-        {.m_key = key, .m_value = std::move(value), .m_offset = m_log.size()});
+    m_log.push_back({.m_key = key,
+                     .m_value = std::move(value),
+                     .m_offset = Position(m_log.size())});
+  }
+
+  // Positions of a later era are greater than all of an earlier one.
+  std::uint64_t Position(std::uint64_t offset) const {
+    return (m_era << 40U) + offset;
+  }
+
+  // Comes back from a copy that has only the first `records`.
+  void Restore(std::size_t records) {
+    m_log.resize(records);
+    ++m_era;
+    for (std::size_t i = 0; i < records; ++i) {
+      m_log[i].m_offset = Position(i);
+    }
   }
 
   FeedPage Listing() const {
@@ -41,7 +67,8 @@
     for (const KeyedRecord& record : m_log) {
       newest[record.m_key] = record;
     }
-    FeedPage page{.m_status = FeedPage::Status::kOk, .m_end = m_log.size()};
+    FeedPage page{.m_status = FeedPage::Status::kOk,
+                  .m_end = Position(m_log.size())};
     for (const auto& [key, record] : newest) {
       if (record.m_value.has_value()) {
         page.m_records.push_back(record);
@@ -51,11 +78,12 @@
   }
 
   FeedPage From(std::uint64_t from) const {
-    if (from < m_first) {
+    if (from < Position(m_first)) {
       return {.m_status = FeedPage::Status::kExpired};
     }
-    FeedPage page{.m_status = FeedPage::Status::kOk, .m_end = m_log.size()};
-    for (std::uint64_t i = from; i < m_log.size(); ++i) {
+    FeedPage page{.m_status = FeedPage::Status::kOk,
+                  .m_end = Position(m_log.size())};
+    for (std::uint64_t i = from - Position(0); i < m_log.size(); ++i) {
       page.m_records.push_back(m_log[i]);
     }
     return page;
@@ -65,13 +93,14 @@
   std::vector<KeyedRecord> m_log;
   // The first offset that is retained.
   std::uint64_t m_first = 0;
+  std::uint64_t m_era = 0;
   int m_calls = 0;
 };
 
 // The stream of one instance. Its calls are answered after a round trip of 4
 // ms, or time out if the instance is cut off from the store.
 struct Reader {
-  Reader(Store* store, std::string name)
+  Reader(Store* store, std::string name, bool first_fetch_is_full = false)
       : m_store(store), m_name(std::move(name)) {
     SharedStreamOptions options;
     options.m_name = "targets";
@@ -80,6 +109,7 @@
                       .m_min_interval = milliseconds(400)};
     options.m_duty = {.m_failover_delay = milliseconds(780),
                       .m_delay_per_rank = milliseconds(150)};
+    options.m_first_fetch_is_full = first_fetch_is_full;
     SharedStreamHooks hooks;
     hooks.m_calls.m_list = [this](const std::string&, Duration timeout,
                                   PageDone done) {
@@ -98,8 +128,8 @@
     hooks.m_on_reachable = [this](bool reachable, const std::string&) {
       m_reachable = reachable;
     };
-    m_stream = std::make_unique<SharedStream>(options, store->m_clock,
-                                              AnyChange, std::move(hooks));
+    m_stream = std::make_unique<SharedStream>(
+        options, store->m_clock, AnyChange, CompareVersions, std::move(hooks));
   }
 
   void Answer(std::function<FeedPage()> page, Duration timeout, PageDone done) {
@@ -167,8 +197,9 @@
   }
 
   // Starts one more instance.
-  Reader& Join(const std::string& name) {
-    m_readers.push_back(std::make_unique<Reader>(&m_store, name));
+  Reader& Join(const std::string& name, bool first_fetch_is_full = false) {
+    m_readers.push_back(
+        std::make_unique<Reader>(&m_store, name, first_fetch_is_full));
     ConnectAll();
     m_readers.back()->m_stream->Start();
     return *m_readers.back();
@@ -197,7 +228,7 @@
           continue;
         }
         const bool follow = to->m_stream->OnPeerState(from->m_name, state);
-        const std::uint64_t known = to->m_stream->state().m_changed_to;
+        const std::uint64_t known = to->m_stream->state().m_fetch_from;
         if (follow && state.m_changed_to > known) {
           to->m_stream->MergeFromPeer(from->m_stream->Since(known, 1 << 20));
         }
@@ -377,4 +408,70 @@
   });
 }
 
+// A read from an old position succeeds once the restored store has given out
+// the offsets again, and the records that were rewritten below it are never
+// seen.
+GUAVACROSS_TEST_CASE(SharedStreamOfARestoredStore) {
+  Cluster cluster(4);
+  Store& store = cluster.m_store;
+  for (int i = 0; i < 10; ++i) {
+    store.Append("t" + std::to_string(i), "ready");
+  }
+  store.Append("config", "v5");
+  store.Append("late", "ready");
+  store.Append("config", "v7");
+  cluster.Run(seconds(2));
+
+  Section("every instance sees what was written again below its position", [&] {
+    store.Restore(11);
+    for (int i = 0; i < 6; ++i) {
+      store.Append("again" + std::to_string(i), "ready");
+    }
+    cluster.Run(seconds(3));
+    for (const auto& reader : cluster.m_readers) {
+      for (int i = 0; i < 6; ++i) {
+        CPPUNIT_ASSERT_MESSAGE(
+            reader->m_name,
+            reader->Knows("again" + std::to_string(i), "ready"));
+      }
+    }
+  });
+  Section("what is missing in the copy is told as removed", [&] {
+    for (const auto& reader : cluster.m_readers) {
+      CPPUNIT_ASSERT_MESSAGE(reader->m_name, reader->KnowsDropped("late"));
+    }
+  });
+  Section("older contents of the copy are not taken", [&] {
+    for (const auto& reader : cluster.m_readers) {
+      const auto last = std::find_if(
+          reader->m_seen.rbegin(), reader->m_seen.rend(),
+          [](const KeyedRecord& each) { return each.m_key == "config"; });
+      CPPUNIT_ASSERT(last->m_value == "v7");
+    }
+  });
+  Section("an instance that starts now learns the newer ones from peers", [&] {
+    Reader& joined = cluster.Join("z", true);
+    cluster.Run(seconds(2));
+    CPPUNIT_ASSERT(joined.Knows("config", "v7"));
+    Section("and the next one from the store", [&] {
+      store.Append("config", "v8");
+      cluster.Run(seconds(2));
+      for (const auto& reader : cluster.m_readers) {
+        CPPUNIT_ASSERT_MESSAGE(reader->m_name, reader->Knows("config", "v8"));
+      }
+    });
+  });
+  Section("restorations may follow each other", [&] {
+    store.Restore(11);
+    cluster.Run(milliseconds(300));
+    store.Restore(5);
+    store.Append("last", "ready");
+    cluster.Run(seconds(3));
+    for (const auto& reader : cluster.m_readers) {
+      CPPUNIT_ASSERT_MESSAGE(reader->m_name, reader->Knows("last", "ready"));
+      CPPUNIT_ASSERT_MESSAGE(reader->m_name, reader->KnowsDropped("t9"));
+    }
+  });
+}
+
 }  // namespace guavacross::feed
--- a/src/net/http_fetcher.cc
+++ b/src/net/http_fetcher.cc
@@ -31,6 +31,9 @@
   if (error == QNetworkReply::NoError || (status != 0 && is_http_error)) {
     result.m_status = status;
     result.m_body = reply.readAll().toStdString();
+    for (const auto& [name, value] : reply.rawHeaderPairs()) {
+      result.m_headers.emplace_back(name.toStdString(), value.toStdString());
+    }
     return result;
   }
   result.m_error =
@@ -42,6 +45,16 @@
 
 }  // namespace
 
+std::string FetchResult::Header(std::string_view name) const {
+  const QByteArrayView wanted(name.data(), static_cast<qsizetype>(name.size()));
+  for (const auto& [each, value] : m_headers) {
+    if (wanted.compare(QByteArrayView(each), Qt::CaseInsensitive) == 0) {
+      return value;
+    }
+  }
+  return {};
+}
+
 class HttpFetcher::Impl {
  public:
   explicit Impl(Clock clock) : m_clock(std::move(clock)) {
--- a/src/net/http_fetcher.h
+++ b/src/net/http_fetcher.h
@@ -4,6 +4,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "guavacross/identity.h"
 #include "guavacross/time.h"
@@ -15,6 +18,8 @@
   /// HTTP status of the response; 0 if there was no complete response.
   int m_status = 0;
   std::string m_body;
+  /// Names, as received, and values of the response's header fields.
+  std::vector<std::pair<std::string, std::string>> m_headers;
   /// Why there was no complete response.
   std::string m_error;
   /// Whether connecting to the server failed.
@@ -23,6 +28,9 @@
   /// even a POST, if the connection closes before the response arrives.
   int m_times_sent = 0;
 
+  /// The value of a header field, by its name in any case; empty if missing.
+  std::string Header(std::string_view name) const;
+
   bool operator==(const FetchResult&) const = default;
 };
 
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -134,10 +134,11 @@
                const std::vector<feed::KeyedRecord>& records) {
           m_received_records.insert(m_received_records.end(), records.begin(),
                                     records.end());
-          m_local.m_streams = {
-              {.m_stream = stream,
-               .m_changed_to =
-                   records.empty() ? 0 : records.back().m_offset + 1}};
+          const std::uint64_t read_to =
+              records.empty() ? 0 : records.back().m_offset + 1;
+          m_local.m_streams = {{.m_stream = stream,
+                                .m_changed_to = read_to,
+                                .m_fetch_from = read_to}};
         };
     hooks.m_streams.m_on_stream =
         [this](const std::string&, const feed::StreamState& stream_state) {
@@ -451,8 +452,10 @@
   TestInstance b(&loop, "b", 1);
   const Clock clock = loop.clock();
   const TimePoint read_at = clock.m_now();
-  a.m_local.m_streams = {
-      {.m_stream = "targets", .m_changed_to = 2, .m_read_at = read_at}};
+  a.m_local.m_streams = {{.m_stream = "targets",
+                          .m_changed_to = 2,
+                          .m_fetch_from = 2,
+                          .m_read_at = read_at}};
   a.m_records = {{.m_key = "t1", .m_value = "ready", .m_offset = 0},
                  {.m_key = "t2", .m_offset = 1}};
   b.SetListedPeer(a, "a");
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -13,12 +13,12 @@
 // Maximum bytes of records in one reply; the rest takes further requests.
 constexpr std::size_t kMaxRecordBytes = std::size_t{512} << 10;
 
-std::uint64_t ChangedTo(const std::vector<feed::StreamState>& streams,
+std::uint64_t FetchFrom(const std::vector<feed::StreamState>& streams,
                         const std::string& name) {
   const auto found = std::find_if(
       streams.begin(), streams.end(),
       [&name](const auto& stream) { return stream.m_stream == name; });
-  return found == streams.end() ? 0 : found->m_changed_to;
+  return found == streams.end() ? 0 : found->m_fetch_from;
 }
 
 feed::StreamState ToStreamState(const proto::StreamState& message,
@@ -46,10 +46,10 @@
   for (const proto::StreamState& stream : heartbeat.streams()) {
     const bool should_fetch = m_hooks.m_streams.m_on_stream(
         from.m_name, ToStreamState(stream, m_options.m_clock.m_now()));
-    const std::uint64_t known =
-        ChangedTo(CachedLocalState().m_streams, stream.stream());
-    if (should_fetch && stream.changed_to() > known) {
-      FetchRecords(from, stream.stream(), known);
+    const std::uint64_t fetch_from =
+        FetchFrom(CachedLocalState().m_streams, stream.stream());
+    if (should_fetch && stream.changed_to() > fetch_from) {
+      FetchRecords(from, stream.stream(), fetch_from);
     }
   }
 }
--- a/src/routes/target_registry.cc
+++ b/src/routes/target_registry.cc
@@ -83,6 +83,10 @@
   if (!reachable) {
     return;
   }
+  NoteStoreRestored(now);
+}
+
+void TargetRegistry::NoteStoreRestored(TimePoint now) {
   m_reregistration_until = now + kReregistrationTime;
   for (auto& [id, entry] : m_entries) {
     if (entry.m_lapses_at.has_value()) {
--- a/src/routes/target_registry.h
+++ b/src/routes/target_registry.h
@@ -51,6 +51,10 @@
   /// Records that the store has become reachable or unreachable.
   void SetStoreReachable(bool reachable, TimePoint now);
 
+  /// Records that the store has come back from an older copy. Entries that are
+  /// missing there are kept until the targets have had time to write again.
+  void NoteStoreRestored(TimePoint now);
+
   /// Removes the lapsed targets whose grace period is over, and returns their
   /// ids.
   std::vector<std::string> Expire(TimePoint now);
--- a/src/routes/target_registry_test.cc
+++ b/src/routes/target_registry_test.cc
@@ -109,4 +109,33 @@
   });
 }
 
+GUAVACROSS_TEST_CASE(TargetRegistryAfterStoreRestoration) {
+  TargetRegistry registry;
+  TimePoint now{};
+  registry.Put(Target(10, 5));
+  registry.NoteStoreRestored(now);
+
+  Section("an entry that the copy lacks is kept for about two seconds", [&] {
+    CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kLapsed);
+    now += milliseconds(1900);
+    CPPUNIT_ASSERT(registry.Expire(now).empty());
+    Section("and stays if the target writes it again", [&] {
+      registry.Put(Target(10, 6));
+      now += seconds(5);
+      CPPUNIT_ASSERT(registry.Expire(now).empty());
+    });
+  });
+
+  Section("an entry as it was before the copy's age changes nothing", [&] {
+    registry.Put(Draining(10, 8));
+    CPPUNIT_ASSERT(registry.Put(Target(10, 7)) == Change::kNone);
+    CPPUNIT_ASSERT(registry.Targets()[0].m_draining);
+    Section("also if the target has left", [&] {
+      CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kRemoved);
+      CPPUNIT_ASSERT(registry.Put(Target(10, 7)) == Change::kNone);
+      CPPUNIT_ASSERT(registry.Targets().empty());
+    });
+  });
+}
+
 }  // namespace guavacross::routes
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -152,6 +152,8 @@
     }
   }
 
+  void NoteStoreRestored() { m_plans->NoteStoreRestored(); }
+
   void Reload(const RouteInstanceOptions& options) {
     m_options.m_seeds = options.m_seeds;
     m_options.m_budgets = options.m_budgets;
@@ -444,6 +446,10 @@
   m_impl->SetStoreReachable(reachable, why);
 }
 
+void RouteInstance::NoteStoreRestored() {
+  m_impl->NoteStoreRestored();
+}
+
 void RouteInstance::Reload(const RouteInstanceOptions& options) {
   m_impl->Reload(options);
 }
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -104,6 +104,10 @@
   /// gives the reason if it isn't.
   void SetStoreReachable(bool reachable, const std::string& why);
 
+  /// The store has come back from an older copy: entries of targets that are
+  /// missing may only not have been written again yet.
+  void NoteStoreRestored();
+
   /// Applies changed seeds, budgets and grace time. Addresses, name, region and
   /// zone keep the values from the start.
   void Reload(const RouteInstanceOptions& options);
--- a/src/serve/service_plans.cc
+++ b/src/serve/service_plans.cc
@@ -60,6 +60,11 @@
   ScheduleExpiry();
 }
 
+void ServicePlans::NoteStoreRestored() {
+  m_registry.NoteStoreRestored(m_clock.m_now());
+  ScheduleExpiry();
+}
+
 std::map<std::string, Duration> ServicePlans::EntryAges() const {
   std::map<std::string, Duration> ages;
   for (const auto& [id, info] : m_entries) {
--- a/src/serve/service_plans.h
+++ b/src/serve/service_plans.h
@@ -52,6 +52,7 @@
   /// Sets whether the store is reachable. An entry that disappears during an
   /// outage may only have expired, so it is kept for a while.
   void SetStoreReachable(bool reachable);
+  void NoteStoreRestored();
 
   /// Time since each target's entry was last updated, by target name.
   std::map<std::string, Duration> EntryAges() const;
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -70,11 +70,13 @@
 
     Faults: `refusing` answers all calls with 503 (all or none, since the store
     can't tell which instance calls), `down` leaves calls without an answer,
-    `forget` drops the history of a topic."""
+    `forget` drops the history of a topic, `restore` brings back a copy."""
 
     def __init__(self, address):
         self._topics = {}
         self._first = {}
+        # Rises with each restoration; sent with all answers.
+        self.era = 1
         self._changed = threading.Condition()
         self.down = False
         self.refusing = False
@@ -85,6 +87,10 @@
             def do_GET(self):
                 store._answer(self)
 
+            def end_headers(self):
+                self.send_header("Store-Era", str(store.era))
+                super().end_headers()
+
             do_POST = do_GET
 
         self._server = _serve(address, Handler)
@@ -100,6 +106,20 @@
         with self._changed:
             self._first[topic] = len(self._topics.get(topic, []))
 
+    def copy(self):
+        """The records of all topics, for `restore`."""
+        with self._changed:
+            return {topic: list(log) for topic, log in self._topics.items()}
+
+    def restore(self, copy):
+        """Comes back from an older copy: offsets go back and are given out
+        again, and the era rises."""
+        with self._changed:
+            self._topics = {topic: list(log) for topic, log in copy.items()}
+            self._first = {}
+            self.era += 1
+            self._changed.notify_all()
+
     def newest(self, topic):
         """The newest value of each key."""
         with self._changed:
@@ -165,7 +185,7 @@
                 self._changed.wait(end - time.monotonic())
             log = self._topics.get(topic, [])
             retained = self._first.get(topic, 0)
-            if first < retained:
+            if first < retained or first > len(log):
                 return 410, json.dumps({"First": retained}).encode()
             body = struct.pack(">QQ", len(log), retained)
             for key, value in log[first:]:
@@ -181,7 +201,8 @@
     `fault` is empty or one of `mute` (runs the request, never answers), `lost`
     (runs it, closes without an answer), `full` (refuses it as not executed),
     `extra` (first sends an answer to another request), `deaf` (doesn't answer
-    health checks)."""
+    health checks). With `leaving` it says so in all its answers; with `pause_s`
+    it refuses requests and asks for a pause of that length."""
 
     def __init__(self, store, address, name, service, work_s=0.0,
                  registered_address=None):
@@ -189,6 +210,10 @@
         self.name, self.service = name, service
         self.work_s = work_s
         self.fault = ""
+        self.leaving = False
+        self.pause_s = 0
+        # Times in s at which requests were refused for a pause.
+        self.refused_at = []
         # (monotonic time in s, request id) of each run, added at its start.
         self.started = []
         self.misdirected = 0
@@ -229,6 +254,8 @@
         length = int(handler.headers.get("Content-Length") or 0)
         handler.rfile.read(length)
         load = [("X-Server-Load", "1,0,4,100"), ("X-Instance-Id", self.name)]
+        if self.leaving:
+            load.append(("Server-Leaving", "1"))
         if handler.path == "/health" and self.fault == "deaf":
             # Longer than the time-out of a health check.
             time.sleep(3)
@@ -242,6 +269,12 @@
             handler.answer(421, b"", load)
             return
         request = handler.headers["X-Request-Id"]
+        if self.pause_s > 0:
+            self.refused_at.append(time.monotonic())
+            handler.answer(503, b"", load + [("X-Not-Executed", "1"),
+                                             ("Retry-After",
+                                              str(self.pause_s))])
+            return
         if self.fault == "full":
             handler.answer(503, b"", load + [("X-Not-Executed", "1")])
             return
@@ -256,8 +289,9 @@
         self._answer_as(handler, request)
 
     def _answer_as(self, handler, request):
+        leaving = [("Server-Leaving", "1")] if self.leaving else []
         handler.answer(200, f"{self.name} ran {request}".encode(),
-                       [("X-Request-Id", request),
+                       [*leaving, ("X-Request-Id", request),
                         ("X-Response-Signature", f"s.{self.name}")])
 
 
