Probe near targets more readily than far ones

Far targets are probed at 1.4 and targets outside the subset at 1.55 of the cost of a near one (1.15 and 1.35 before).

--- a/src/policy/target_subset.cc
+++ b/src/policy/target_subset.cc
@@ -9,8 +9,8 @@
 
 // A target known to be slow or nearly full costs more than these, so that an
 // unprobed target outside the subset is tried before it.
-constexpr double kFarCostFactor = 1.15;
-constexpr double kOutsideCostFactor = 1.35;
+constexpr double kFarCostFactor = 1.4;
+constexpr double kOutsideCostFactor = 1.55;
 
 // The finalizer of SplitMix64: mixes the bits of a pair's hashes.
 std::uint64_t PairHash(std::uint64_t instance, std::uint64_t target) {
