--- a/src/forwarding/exchange_log.cc
+++ b/src/forwarding/exchange_log.cc
@@ -63,6 +63,7 @@
        {"told_slowdown", ended.m_report.m_load.m_slowdown.has_value()
                              ? std::to_string(*ended.m_report.m_load.m_slowdown)
                              : "none"},
+       {"asked_pause_ms", FormatMilliseconds(ended.m_report.m_load.m_pause)},
        {"sent_ms_ago", FormatMilliseconds(now() - ended.m_sent_at)},
        {"attempt", std::to_string(m_targets_tried.size())}});
 }
--- a/src/policy/pause.h
+++ b/src/policy/pause.h
@@ -33,6 +33,10 @@
   TimePoint m_until = TimePoint::min();
 };
 
+/// Limits of the time over which callers return after a pause.
+inline constexpr Duration kMinReturnSpread = std::chrono::milliseconds(50);
+inline constexpr Duration kMaxReturnSpread = std::chrono::seconds(1);
+
 /// How long a caller should wait before it retries a request that was refused
 /// because all targets pause for at least `remaining`.
 ///
@@ -40,9 +44,8 @@
 /// the targets aren't met by all callers at the moment at which they take
 /// requests again. Pure but for `random`.
 inline Duration RetryAfterPause(Duration remaining, Random* random) {
-  constexpr Duration kMinSpread = std::chrono::milliseconds(50);
-  constexpr Duration kMaxSpread = std::chrono::seconds(1);
-  const Duration spread = std::clamp(remaining, kMinSpread, kMaxSpread);
+  const Duration spread =
+      std::clamp(remaining, kMinReturnSpread, kMaxReturnSpread);
   return remaining + FromSeconds(Seconds(spread) * random->Uniform());
 }
 
--- a/src/policy/target_subset.h
+++ b/src/policy/target_subset.h
@@ -35,7 +35,7 @@
   std::uint64_t m_hash = 0;
   std::string m_zone;
 
-  auto operator<=>(const SubsetInstance&) const = default;
+  bool operator==(const SubsetInstance&) const = default;
 };
 
 struct SubsetTarget {
--- a/src/policy/target_subset_test.cc
+++ b/src/policy/target_subset_test.cc
@@ -14,6 +14,8 @@
 
 using util::Section;
 
+constexpr int kZones = 6;
+
 std::vector<SubsetInstance> Instances(int count, int zones) {
   std::vector<SubsetInstance> instances;
   for (int i = 0; i < count; ++i) {
@@ -67,7 +69,6 @@
 }  // namespace
 
 GUAVACROSS_TEST_CASE(SubsetsOfTargets) {
-  constexpr int kZones = 6;
   const std::vector<SubsetInstance> instances = Instances(123, kZones);
   const std::vector<SubsetTarget> targets = Targets(412, kZones);
   const Ranks ranks = RankAll(instances, targets);
--- a/src/routing/leaving_targets_test.cc
+++ b/src/routing/leaving_targets_test.cc
@@ -23,6 +23,9 @@
 constexpr Duration kDeadline = seconds(5);
 constexpr Duration kObjective = milliseconds(600);
 
+// Requests by which `Entry::Reached` finds the targets in use.
+constexpr int kRequests = 40;
+
 // A router whose probes are answered at once.
 class Entry {
  public:
@@ -77,7 +80,6 @@
 
   // The targets that 40 requests reach in `duration`.
   std::set<std::string> Reached(Duration duration = seconds(2)) {
-    constexpr int kRequests = 40;
     std::set<std::string> reached;
     for (int i = 0; i < kRequests; ++i) {
       reached.insert(Send(Answered()));
--- a/src/routing/measured_placing_test.cc
+++ b/src/routing/measured_placing_test.cc
@@ -33,6 +33,12 @@
 // The instances that share the probe budget.
 constexpr int kInstances = 6;
 constexpr Duration kProbeRoundTrip = milliseconds(7);
+// One of many instances: all of them, their targets and zones, and its
+// requests.
+constexpr int kManyInstances = 123;
+constexpr int kManyTargets = 412;
+constexpr int kZones = 6;
+constexpr double kRequestsPerSecond = 8;
 // Targets close connections after this time without a request.
 constexpr Duration kConnectionIdleTime = seconds(10);
 
@@ -422,10 +428,6 @@
 // An instance that used all 412 targets met each of them less often than they
 // close idle connections: nearly every request opened a connection.
 GUAVACROSS_TEST_CASE(ManyInstancesShareManyTargets) {
-  constexpr int kManyTargets = 412;
-  constexpr int kManyInstances = 123;
-  constexpr int kZones = 6;
-  constexpr double kRequestsPerSecond = 8;
   const auto run = [&](bool with_instances) {
     auto pool = std::make_unique<NoisyPool>(kManyTargets, true,
                                             ChoicePolicy::kGuavacross, kZones);
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -189,7 +189,11 @@
 
   /// Sets the live instances and returns whether that is a change.
   bool SetSubsetInstances(std::vector<policy::SubsetInstance> instances) {
-    std::sort(instances.begin(), instances.end());
+    std::sort(
+        instances.begin(), instances.end(),
+        [](const policy::SubsetInstance& a, const policy::SubsetInstance& b) {
+          return a.m_hash < b.m_hash;
+        });
     const std::lock_guard lock(m_instances_mutex);
     if (m_subset_instances != nullptr && *m_subset_instances == instances) {
       return false;
