--- a/src/routing/leaving_targets_test.cc
+++ b/src/routing/leaving_targets_test.cc
@@ -243,9 +243,9 @@
     entry.SendTo("a", Entry::Pausing(std::chrono::hours(1)));
     CPPUNIT_ASSERT(entry.Reached() == std::set<std::string>{"b"});
     Section("and until then the status shows it", [&] {
+      const std::vector<ServiceStatus> status = entry.router().Status();
       Duration longest{};
-      for (const TargetStatus& target :
-           entry.router().Status().front().m_targets) {
+      for (const TargetStatus& target : status.front().m_targets) {
         longest = std::max(longest, target.m_pause_left);
       }
       CPPUNIT_ASSERT(longest > std::chrono::minutes(59));
