Remove a function of the probe runner that nothing calls

Probes before placement go to the workers since they share the requests' connections; ProbeRunner::Send had no caller left. No behaviour changes.

--- a/src/backends/probe_runner.cc
+++ b/src/backends/probe_runner.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "backends/backend_pool.h"
 #include "backends/probe_sender.h"
@@ -50,7 +49,7 @@
   void Tick() {
     m_router->ExpireWaiters();
     if (m_clock.m_now() >= m_first_probe_at) {
-      Send(m_router->TakeDueProbes());
+      m_sender.Send(m_router->TakeDueProbes());
     }
     const TimePoint now = m_clock.m_now();
     if (now - m_swept_at >= kSweepInterval) {
@@ -60,10 +59,6 @@
     m_timer = m_clock.m_call_after(UntilNextTick(), [this] { Tick(); });
   }
 
-  void Send(std::vector<ProbeOrder> orders) {
-    m_sender.Send(std::move(orders));
-  }
-
   Duration UntilNextTick() const {
     const std::optional<TimePoint> next = m_router->NextDue();
     if (!next.has_value()) {
@@ -103,10 +98,6 @@
   m_impl->Start(first_probe_after);
 }
 
-void ProbeRunner::Send(std::vector<ProbeOrder> orders) {
-  m_impl->Send(std::move(orders));
-}
-
 void ProbeRunner::Stop() {
   m_impl->Stop();
 }
--- a/src/backends/probe_runner.h
+++ b/src/backends/probe_runner.h
@@ -2,7 +2,6 @@
 #define GUAVACROSS_BACKENDS_PROBE_RUNNER_H_
 
 #include <memory>
-#include <vector>
 
 #include "backends/target_dialect.h"
 #include "guavacross/routing.h"
@@ -35,8 +34,6 @@
 
   /// Probes that become due are sent only once `first_probe_after` has passed.
   void Start(Duration first_probe_after = Duration::zero());
-  /// Sends probes that the router requested in addition to the due ones.
-  void Send(std::vector<ProbeOrder> orders);
   /// Cancels the probes in flight and reports them as failed.
   void Stop();
 
