--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "feed/testing/store_model.h"
 #include "util/manual_clock.h"
 #include "util/test_case.h"
 
@@ -15,92 +16,16 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::AnyChange;
+using testing::CompareVersions;
+using testing::Record;
+using testing::StoreModel;
 using util::Section;
 
-KeyedRecord Record(const std::string& key,
-                   const std::string& value,
-                   std::uint64_t offset) {
-  return {.m_key = key, .m_value = value, .m_offset = offset};
-}
-
-bool AnyChange(const KeyedRecord* before, const KeyedRecord& now) {
-  return before == nullptr || before->m_value != now.m_value;
-}
-
-// Compares values like `v7`; others don't tell their age.
-int CompareVersions(const KeyedRecord& before, const KeyedRecord& now) {
-  const std::string old_value = before.m_value.value_or("");
-  const std::string new_value = now.m_value.value_or("");
-  const bool comparable =
-      old_value.starts_with('v') && new_value.starts_with('v');
-  return comparable
-             ? std::stoi(new_value.substr(1)) - std::stoi(old_value.substr(1))
-             : 0;
-}
-
-// A store that retains the records of its log from offset `m_first` on.
-struct Store {
-  explicit Store(util::ManualClock* clock) : m_clock(clock->clock()) {}
-
-  void Append(const std::string& key, std::optional<std::string> value) {
-    m_log.push_back({.m_key = key,
-                     .m_value = std::move(value),
-                     .m_offset = Position(m_log.size())});
-  }
-
-  // Positions of a later era are greater than all of an earlier one.
-  std::uint64_t Position(std::uint64_t offset) const {
-    return (m_era << 40U) + offset;
-  }
-
-  // Comes back from a copy that has only the first `records`.
-  void Restore(std::size_t records) {
-    m_log.resize(records);
-    ++m_era;
-    for (std::size_t i = 0; i < records; ++i) {
-      m_log[i].m_offset = Position(i);
-    }
-  }
-
-  FeedPage Listing() const {
-    std::map<std::string, KeyedRecord> newest;
-    for (const KeyedRecord& record : m_log) {
-      newest[record.m_key] = record;
-    }
-    FeedPage page{.m_status = FeedPage::Status::kOk,
-                  .m_end = Position(m_log.size())};
-    for (const auto& [key, record] : newest) {
-      if (record.m_value.has_value()) {
-        page.m_records.push_back(record);
-      }
-    }
-    return page;
-  }
-
-  FeedPage From(std::uint64_t from) const {
-    if (from < Position(m_first)) {
-      return {.m_status = FeedPage::Status::kExpired};
-    }
-    FeedPage page{.m_status = FeedPage::Status::kOk,
-                  .m_end = Position(m_log.size())};
-    for (std::uint64_t i = from - Position(0); i < m_log.size(); ++i) {
-      page.m_records.push_back(m_log[i]);
-    }
-    return page;
-  }
-
-  Clock m_clock;
-  std::vector<KeyedRecord> m_log;
-  // The first offset that is retained.
-  std::uint64_t m_first = 0;
-  std::uint64_t m_era = 0;
-  int m_calls = 0;
-};
-
 // The stream of one instance. Its calls are answered after a round trip of 4
 // ms, or time out if the instance is cut off from the store.
 struct Reader {
-  Reader(Store* store, std::string name, bool first_fetch_is_full = false)
+  Reader(StoreModel* store, std::string name, bool first_fetch_is_full = false)
       : m_store(store), m_name(std::move(name)) {
     SharedStreamOptions options;
     options.m_name = "targets";
@@ -158,7 +83,7 @@
     return false;
   }
 
-  Store* m_store;
+  StoreModel* m_store;
   std::string m_name;
   bool m_cut_off = false;
   bool m_reachable = true;
@@ -246,7 +171,7 @@
   Reader& operator[](std::size_t index) { return *m_readers[index]; }
 
   util::ManualClock m_clock;
-  Store m_store;
+  StoreModel m_store;
   std::vector<std::unique_ptr<Reader>> m_readers;
   int m_steps = 0;
 };
@@ -413,7 +338,7 @@
 // seen.
 GUAVACROSS_TEST_CASE(SharedStreamOfARestoredStore) {
   Cluster cluster(4);
-  Store& store = cluster.m_store;
+  StoreModel& store = cluster.m_store;
   for (int i = 0; i < 10; ++i) {
     store.Append("t" + std::to_string(i), "ready");
   }
