Instances take over reading in time when a whole zone has lost power

Callers saw, in a test: requests handled by version 1 more than 2 s after version 2 was acknowledged (ConfigAfterAZoneLostPower, red before; also read from the same code for targets that leave).

Cause: an instance waits 150 ms for each instance before it by name that counts as live and reaches the store. A member that is silent counts as live for 0.9 s times the heartbeat rounds, 9 s among 51 instances and 22 s among 123, so that after the loss of the first zone the next reader waits 13 or 31 turns.

Change: ranks 1 to 4 as before, then groups of doubling size, half a turn apart (rank 122: 825 ms after rank 1; before, 18 s).

Ruled out: ranking by the age of each peer's last message. Among 51 instances a peer is heard directly once in 2.5 s.

The drawn histories now write the configuration again up to 6 s after a restoration, and count a lost version only while a running instance has it.

--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -111,7 +111,11 @@
   }
   int required = 0;
   for (const auto& [version, acked_at] : m_acked) {
-    required = m_clock.now() - acked_at > bound ? version : required;
+    const auto lost = m_lost_until.find(version);
+    const TimePoint since = lost == m_lost_until.end()
+                                ? acked_at
+                                : std::max(acked_at, lost->second);
+    required = m_clock.now() - since > bound ? version : required;
   }
   for (const auto& instance : m_instances) {
     const bool in_touch = m_clock.now() - instance->m_disturbed_at >= stable;
@@ -164,6 +168,7 @@
   if (m_store_away) {
     m_store_disturbed_at = m_clock.now();
   }
+  NoteLostVersions();
   AnswerCalls();
   for (std::size_t i = 0; i < m_instances.size(); ++i) {
     Instance& instance = *m_instances[i];
@@ -185,6 +190,24 @@
   }
 }
 
+void InstanceGroup::NoteLostVersions() {
+  int available = 0;
+  if (!m_store_away) {
+    for (const KeyedRecord& record : m_store.m_log) {
+      available = std::max(available, VersionIn(record));
+    }
+  }
+  for (const auto& instance : m_instances) {
+    if (instance->m_running && !instance->m_cut_from_peers) {
+      available = std::max(available, instance->m_version);
+    }
+  }
+  for (auto each = m_acked.upper_bound(available); each != m_acked.end();
+       ++each) {
+    m_lost_until[each->first] = m_clock.now();
+  }
+}
+
 void InstanceGroup::AnswerCalls() {
   std::vector<PendingCall> pending = std::exchange(m_pending, {});
   for (PendingCall& call : pending) {
--- a/src/feed/testing/instance_group.h
+++ b/src/feed/testing/instance_group.h
@@ -62,7 +62,8 @@
   void Run(Duration duration, const std::function<void()>& each = nullptr);
 
   /// Why an instance that has been in touch for `stable` is behind a version
-  /// that was acknowledged more than `bound` ago; empty if none is.
+  /// that was acknowledged more than `bound` ago; empty if none is. A version
+  /// that the store has lost counts only while a running instance has it.
   std::string Violation(Duration bound, Duration stable) const;
 
   TimePoint now() const { return m_clock.now(); }
@@ -88,6 +89,7 @@
   SharedStreamHooks Hooks(std::size_t index);
   void Step();
   void AnswerCalls();
+  void NoteLostVersions();
   bool IsCurrent(std::size_t index, int run) const;
   bool Reaches(std::size_t from, std::size_t to) const;
   void SendHeartbeats(std::size_t index);
@@ -107,6 +109,8 @@
   std::map<TimePoint, std::size_t> m_log_sizes;
   // When each version was acknowledged.
   std::map<int, TimePoint> m_acked;
+  // When each version that was lost was last nowhere to be had.
+  std::map<int, TimePoint> m_lost_until;
   int m_published = 0;
   bool m_store_away = false;
   TimePoint m_store_disturbed_at;
--- a/src/policy/split_picker_test.cc
+++ b/src/policy/split_picker_test.cc
@@ -49,6 +49,18 @@
                    read_at + milliseconds(780 + 3 * 150));
   });
 
+  Section("many silent instances before it delay an instance little", [&] {
+    failover.m_rank = 5;
+    CPPUNIT_ASSERT(NextReadTime(failover, read_at, now) ==
+                   read_at + milliseconds(780 + 525));
+    failover.m_rank = 9;
+    CPPUNIT_ASSERT(NextReadTime(failover, read_at, now) ==
+                   read_at + milliseconds(780 + 600));
+    failover.m_rank = 122;
+    CPPUNIT_ASSERT(NextReadTime(failover, read_at, now) ==
+                   read_at + milliseconds(780 + 825));
+  });
+
   Section("without a known read, all instances read", [&] {
     CPPUNIT_ASSERT(NextReadTime(failover, std::nullopt, now) == now);
   });
