Instances compare the version of the configuration, not only how far they read

Cause: peers exchange how far they have read, and records are fetched from that position on. After a restoration an instance that knows only the copy may have read exactly as far as one that knows more; neither fetches. Newer contents that came from a peer kept their lower position and weren't passed on. The full first fetch helped only if the first peer to answer was one that knows more.

Change: a state carries the highest version of the stream's contents (absent, so 0, from older builds); a higher one makes an instance fetch all records, also while it otherwise reads a gap by itself. Newer contents take the highest known position of their key. The full first fetch has no purpose any more and is removed, and so is its test parameter; the section that used it stays. Whether to fetch is decided in SharedStream alone, which the model and the peer network share; the test of the peer network now offers records by position as well.

--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -22,9 +22,15 @@
       continue;
     }
     known.m_newest = std::max(known.m_newest, record.m_offset);
-    if (m_is_significant(added ? nullptr : &known.m_record, record)) {
+    if (m_rules.m_is_significant(added ? nullptr : &known.m_record, record)) {
       known.m_record = record;
-      m_changed_to = std::max(m_changed_to, record.m_offset + 1);
+      // Newer contents may come at a lower offset, from a peer that knew them
+      // before the store was restored.
+      known.m_record.m_offset = known.m_newest;
+      m_changed_to = std::max(m_changed_to, known.m_newest + 1);
+      if (m_rules.m_version_of) {
+        m_version = std::max(m_version, m_rules.m_version_of(record));
+      }
     }
     newer.push_back(record);
   }
@@ -33,7 +39,8 @@
 
 int SharedRecords::AgeOrder(const Known& known,
                             const KeyedRecord& record) const {
-  return m_compare_age ? m_compare_age(known.m_record, record) : 0;
+  return m_rules.m_compare_age ? m_rules.m_compare_age(known.m_record, record)
+                               : 0;
 }
 
 std::vector<KeyedRecord> SharedRecords::MergeFromPeer(
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,15 +12,8 @@
 
 namespace guavacross::feed {
 
-/// The newest record of each key of a stream, whichever instance has read it.
-///
-/// Instances read the same stream and pass the records on to each other, so
-/// that an instance that the store refuses gets them as well. Of two records
-/// for a key, the one with the higher store offset counts, from whichever
-/// source. Insignificant records, such as heartbeats of targets, are accepted
-/// but not passed on to peers. No I/O; not thread safe.
-class SharedRecords {
- public:
+/// What the records of a stream mean.
+struct RecordRules {
   /// Whether `now` is a significant change from `before`, which is null for a
   /// new key.
   using IsSignificant =
@@ -34,10 +28,27 @@
   using CompareAge =
       std::function<int(const KeyedRecord& before, const KeyedRecord& now)>;
 
-  explicit SharedRecords(IsSignificant is_significant,
-                         CompareAge compare_age = nullptr)
-      : m_is_significant(std::move(is_significant)),
-        m_compare_age(std::move(compare_age)) {}
+  /// The version of a record's contents, which rises with each change of the
+  /// stream; 0 if it has none.
+  using VersionOf = std::function<std::uint64_t(const KeyedRecord&)>;
+
+  IsSignificant m_is_significant;
+  /// May be empty: offsets alone tell the age then.
+  CompareAge m_compare_age;
+  /// May be empty: the contents have no version then.
+  VersionOf m_version_of;
+};
+
+/// The newest record of each key of a stream, whichever instance has read it.
+///
+/// Instances read the same stream and pass the records on to each other, so
+/// that an instance that the store refuses gets them as well. Of two records
+/// for a key, the one with the higher store offset counts, from whichever
+/// source. Insignificant records, such as heartbeats of targets, are accepted
+/// but not passed on to peers. No I/O; not thread safe.
+class SharedRecords {
+ public:
+  explicit SharedRecords(RecordRules rules) : m_rules(std::move(rules)) {}
 
   /// Merges records that this instance has read from the store.
   ///
@@ -60,6 +71,10 @@
   /// The offset after the last significant record; 0 if there is none.
   std::uint64_t changed_to() const { return m_changed_to; }
 
+  /// The highest version of a significant record's contents; 0 if they have
+  /// none.
+  std::uint64_t version() const { return m_version; }
+
   /// The last significant record of each key, if its offset is `from` or
   /// higher, in order of offset. Limited to `max_bytes`, but at least one if
   /// there is any.
@@ -75,10 +90,10 @@
 
   int AgeOrder(const Known& known, const KeyedRecord& record) const;
 
-  IsSignificant m_is_significant;
-  CompareAge m_compare_age;
+  RecordRules m_rules;
   std::map<std::string, Known> m_known;
   std::uint64_t m_changed_to = 0;
+  std::uint64_t m_version = 0;
 };
 
 /// An instance's state of a stream, as sent to the other instances.
@@ -86,8 +101,9 @@
   std::string m_stream;
   /// The offset after the last significant record.
   std::uint64_t m_changed_to = 0;
-  /// The offset from which on it requests records of its peers. Not sent.
-  std::uint64_t m_fetch_from = 0;
+  /// See `SharedRecords::version`. Two instances with the same offsets may have
+  /// different contents if one of them started from an older copy of the store.
+  std::uint64_t m_version = 0;
   /// The offset up to which it has read, or knows that no record is
   /// significant.
   std::uint64_t m_read_to = 0;
@@ -115,8 +131,11 @@
   std::function<void(const std::string& stream,
                      const std::vector<KeyedRecord>& records)>
       m_on_records;
-  /// Receives a peer's state of a stream. Returns whether to take its records.
-  std::function<bool(const std::string& peer, const StreamState&)> m_on_stream;
+  /// Receives a peer's state of a stream. Returns from which offset on to fetch
+  /// its records, or nothing if it has none to offer.
+  std::function<std::optional<std::uint64_t>(const std::string& peer,
+                                             const StreamState&)>
+      m_on_stream;
 };
 
 }  // namespace guavacross::feed
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -22,13 +22,12 @@
 
 SharedStream::SharedStream(SharedStreamOptions options,
                            Clock clock,
-                           SharedRecords::IsSignificant is_significant,
-                           SharedRecords::CompareAge compare_age,
+                           RecordRules rules,
                            SharedStreamHooks hooks)
     : m_options(std::move(options)),
       m_clock(std::move(clock)),
       m_hooks(std::move(hooks)),
-      m_records(std::move(is_significant), std::move(compare_age)),
+      m_records(std::move(rules)),
       m_feed(m_options.m_feed, m_clock, MakeFeedHooks()) {}
 
 void SharedStream::Start() {
@@ -71,9 +70,7 @@
 StreamState SharedStream::state() const {
   return {.m_stream = m_options.m_name,
           .m_changed_to = m_records.changed_to(),
-          .m_fetch_from = m_options.m_first_fetch_is_full && !m_fetched
-                              ? 0
-                              : m_records.changed_to(),
+          .m_version = m_records.version(),
           .m_read_to = m_feed.offset(),
           .m_complete_from = m_complete_from,
           .m_read_at = m_read_at,
@@ -85,17 +82,22 @@
   return m_records.Since(from, max_bytes);
 }
 
-bool SharedStream::OnPeerState(const std::string& peer,
-                               const StreamState& peer_state) {
+std::optional<std::uint64_t> SharedStream::OnPeerState(
+    const std::string& peer,
+    const StreamState& peer_state) {
   m_peer_reaches_store[peer] = peer_state.m_reaches_store;
   if (peer_state.m_read_at.has_value()) {
     RecordRead(*peer_state.m_read_at - kAssumedTransitTime);
   }
+  std::optional<std::uint64_t> fetch_from;
+  if (peer_state.m_version > m_records.version()) {
+    fetch_from = 0;
+  }
   const bool lacks_records = m_feed.offset() < peer_state.m_complete_from;
   if (lacks_records && m_feed.listed() && m_feed.reachable()) {
     m_gap_to = std::max(m_gap_to, peer_state.m_complete_from);
     m_gap_since = m_gap_since.value_or(m_clock.m_now());
-    return false;
+    return fetch_from;
   }
   if (lacks_records) {
     m_complete_from = std::max(m_complete_from, peer_state.m_complete_from);
@@ -103,8 +105,9 @@
   if (peer_state.m_changed_to <= m_records.changed_to()) {
     // There is no significant record up to there.
     m_feed.SkipTo(peer_state.m_read_to);
+    return fetch_from;
   }
-  return true;
+  return fetch_from.value_or(m_records.changed_to());
 }
 
 bool SharedStream::HasPersistentGap() {
@@ -116,7 +119,6 @@
 }
 
 void SharedStream::MergeFromPeer(const std::vector<KeyedRecord>& records) {
-  m_fetched = true;
   m_hooks.m_on_records(m_records.MergeFromPeer(records));
 }
 
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -22,10 +22,6 @@
   /// When this instance reads if others don't; see `ReadFailover`. The rank is
   /// ignored.
   policy::ReadFailover m_duty;
-  /// Whether the first request to a peer is for all records. The store may
-  /// have been restored from a copy whose records are older than the peers'.
-  /// For streams of few keys.
-  bool m_first_fetch_is_full = false;
   /// The store counts as lost if no instance has read the stream for this long.
   Duration m_lost_after = std::chrono::milliseconds(1500);
 };
@@ -53,8 +49,7 @@
  public:
   SharedStream(SharedStreamOptions options,
                Clock clock,
-               SharedRecords::IsSignificant is_significant,
-               SharedRecords::CompareAge compare_age,
+               RecordRules rules,
                SharedStreamHooks hooks);
   SharedStream(const SharedStream&) = delete;
   SharedStream& operator=(const SharedStream&) = delete;
@@ -69,9 +64,12 @@
 
   /// Processes a peer's state.
   ///
-  /// @return whether to take the peer's records. False if the peer may lack
-  /// records that this instance lacks too but can read from the store.
-  bool OnPeerState(const std::string& peer, const StreamState& peer_state);
+  /// @return from which offset on to fetch the peer's records: all of them if
+  /// its contents are newer by their version. Nothing if it has no newer ones,
+  /// or if it may lack records that this instance lacks too but can read from
+  /// the store.
+  std::optional<std::uint64_t> OnPeerState(const std::string& peer,
+                                           const StreamState& peer_state);
   void MergeFromPeer(const std::vector<KeyedRecord>& records);
 
   /// Checks whether the store counts as lost.
@@ -100,8 +98,6 @@
   bool m_reachable = true;
   std::string m_lost_reason;
   std::uint64_t m_complete_from = 0;
-  // Whether a peer's records have been merged.
-  bool m_fetched = false;
   // The offset up to which peers may lack records that this instance lacks too,
   // and the time since when this gap has existed.
   std::uint64_t m_gap_to = 0;
--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -17,7 +17,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::AnyChange;
-using testing::CompareVersions;
 using testing::Record;
 using testing::StoreModel;
 using util::Section;
@@ -25,7 +24,7 @@
 // The stream of one instance. Its calls are answered after a round trip of 4
 // ms, or time out if the instance is cut off from the store.
 struct Reader {
-  Reader(StoreModel* store, std::string name, bool first_fetch_is_full = false)
+  Reader(StoreModel* store, std::string name)
       : m_store(store), m_name(std::move(name)) {
     SharedStreamOptions options;
     options.m_name = "targets";
@@ -34,7 +33,6 @@
                       .m_min_interval = milliseconds(400)};
     options.m_duty = {.m_failover_delay = milliseconds(780),
                       .m_delay_per_rank = milliseconds(150)};
-    options.m_first_fetch_is_full = first_fetch_is_full;
     SharedStreamHooks hooks;
     hooks.m_calls.m_list = [this](const std::string&, Duration timeout,
                                   PageDone done) {
@@ -54,7 +52,7 @@
       m_reachable = reachable;
     };
     m_stream = std::make_unique<SharedStream>(
-        options, store->m_clock, AnyChange, CompareVersions, std::move(hooks));
+        options, store->m_clock, testing::Rules(), std::move(hooks));
   }
 
   void Answer(std::function<FeedPage()> page, Duration timeout, PageDone done) {
@@ -122,9 +120,8 @@
   }
 
   // Starts one more instance.
-  Reader& Join(const std::string& name, bool first_fetch_is_full = false) {
-    m_readers.push_back(
-        std::make_unique<Reader>(&m_store, name, first_fetch_is_full));
+  Reader& Join(const std::string& name) {
+    m_readers.push_back(std::make_unique<Reader>(&m_store, name));
     ConnectAll();
     m_readers.back()->m_stream->Start();
     return *m_readers.back();
@@ -152,10 +149,11 @@
         if (to == from) {
           continue;
         }
-        const bool follow = to->m_stream->OnPeerState(from->m_name, state);
-        const std::uint64_t known = to->m_stream->state().m_fetch_from;
-        if (follow && state.m_changed_to > known) {
-          to->m_stream->MergeFromPeer(from->m_stream->Since(known, 1 << 20));
+        const std::optional<std::uint64_t> fetch_from =
+            to->m_stream->OnPeerState(from->m_name, state);
+        if (fetch_from.has_value()) {
+          to->m_stream->MergeFromPeer(
+              from->m_stream->Since(*fetch_from, 1 << 20));
         }
         to->m_stream->Tick();
       }
@@ -179,7 +177,7 @@
 }  // namespace
 
 GUAVACROSS_TEST_CASE(SharedRecordsByOffset) {
-  SharedRecords records(AnyChange);
+  SharedRecords records({.m_is_significant = AnyChange});
 
   Section("the record with the higher offset counts, in any order of arrival",
           [&] {
@@ -375,7 +373,7 @@
     }
   });
   Section("an instance that starts now learns the newer ones from peers", [&] {
-    Reader& joined = cluster.Join("z", true);
+    Reader& joined = cluster.Join("z");
     cluster.Run(seconds(2));
     CPPUNIT_ASSERT(joined.Knows("config", "v7"));
     Section("and the next one from the store", [&] {
--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -58,9 +58,8 @@
       m_clock.now() + kHeartbeatInterval * static_cast<int>(index % 25) / 25;
   instance.m_next_recipient = index;
   const Clock clock = m_clock.clock();
-  instance.m_stream =
-      std::make_unique<SharedStream>(m_make_options(instance.m_name), clock,
-                                     AnyChange, CompareVersions, Hooks(index));
+  instance.m_stream = std::make_unique<SharedStream>(
+      m_make_options(instance.m_name), clock, Rules(), Hooks(index));
   instance.m_stream->Start();
 }
 
@@ -286,11 +285,10 @@
                             std::size_t to,
                             const StreamState& state) {
   Instance& receiver = *m_instances[to];
-  const bool follow =
+  const std::optional<std::uint64_t> fetch_from =
       receiver.m_stream->OnPeerState(m_instances[from]->m_name, state);
-  const std::uint64_t known = receiver.m_stream->state().m_fetch_from;
-  if (follow && state.m_changed_to > known) {
-    Fetch(from, to, known);
+  if (fetch_from.has_value()) {
+    Fetch(from, to, *fetch_from);
   }
 }
 
--- a/src/feed/testing/store_model.h
+++ b/src/feed/testing/store_model.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "feed/keyed_feed.h"
+#include "feed/shared_records.h"
 #include "util/manual_clock.h"
 
 namespace guavacross::feed::testing {
@@ -36,6 +37,15 @@
   return old_version > 0 && new_version > 0 ? new_version - old_version : 0;
 }
 
+/// Rules for records whose values are like `v7` or tell no version.
+inline RecordRules Rules() {
+  return {.m_is_significant = AnyChange,
+          .m_compare_age = CompareVersions,
+          .m_version_of = [](const KeyedRecord& record) {
+            return static_cast<std::uint64_t>(VersionIn(record));
+          }};
+}
+
 /// The log of a store that retains its records from offset `m_first` on.
 struct StoreModel {
   explicit StoreModel(util::ManualClock* clock) : m_clock(clock->clock()) {}
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -102,6 +102,7 @@
     proto::StreamState* const message = out->add_streams();
     message->set_stream(stream.m_stream);
     message->set_changed_to(stream.m_changed_to);
+    message->set_version(stream.m_version);
     message->set_read_to(stream.m_read_to);
     message->set_reads(stream.m_reaches_store);
     message->set_complete_from(stream.m_complete_from);
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -136,17 +136,19 @@
                                     records.end());
           const std::uint64_t read_to =
               records.empty() ? 0 : records.back().m_offset + 1;
-          m_local.m_streams = {{.m_stream = stream,
-                                .m_changed_to = read_to,
-                                .m_fetch_from = read_to}};
-        };
-    hooks.m_streams.m_on_stream =
-        [this](const std::string&, const feed::StreamState& stream_state) {
-          if (stream_state.m_read_at.has_value()) {
-            m_reported_reads.push_back(*stream_state.m_read_at);
-          }
-          return true;
+          m_local.m_streams = {{.m_stream = stream, .m_changed_to = read_to}};
         };
+    hooks.m_streams.m_on_stream = [this](const std::string&,
+                                         const feed::StreamState& stream_state)
+        -> std::optional<std::uint64_t> {
+      if (stream_state.m_read_at.has_value()) {
+        m_reported_reads.push_back(*stream_state.m_read_at);
+      }
+      const std::uint64_t own =
+          m_local.m_streams.empty() ? 0 : m_local.m_streams[0].m_changed_to;
+      return stream_state.m_changed_to > own ? std::optional(own)
+                                             : std::nullopt;
+    };
     m_network = std::make_unique<PeerNetwork>(options, hooks);
     CPPUNIT_ASSERT(m_network->Start());
   }
@@ -452,10 +454,8 @@
   TestInstance b(&loop, "b", 1);
   const Clock clock = loop.clock();
   const TimePoint read_at = clock.m_now();
-  a.m_local.m_streams = {{.m_stream = "targets",
-                          .m_changed_to = 2,
-                          .m_fetch_from = 2,
-                          .m_read_at = read_at}};
+  a.m_local.m_streams = {
+      {.m_stream = "targets", .m_changed_to = 2, .m_read_at = read_at}};
   a.m_records = {{.m_key = "t1", .m_value = "ready", .m_offset = 0},
                  {.m_key = "t2", .m_offset = 1}};
   b.SetListedPeer(a, "a");
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -1,6 +1,6 @@
 // Exchange of records of the store's streams between instances.
 
-#include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -13,18 +13,11 @@
 // Maximum bytes of records in one reply; the rest takes further requests.
 constexpr std::size_t kMaxRecordBytes = std::size_t{512} << 10;
 
-std::uint64_t FetchFrom(const std::vector<feed::StreamState>& streams,
-                        const std::string& name) {
-  const auto found = std::find_if(
-      streams.begin(), streams.end(),
-      [&name](const auto& stream) { return stream.m_stream == name; });
-  return found == streams.end() ? 0 : found->m_fetch_from;
-}
-
 feed::StreamState ToStreamState(const proto::StreamState& message,
                                 TimePoint now) {
   feed::StreamState stream{.m_stream = message.stream(),
                            .m_changed_to = message.changed_to(),
+                           .m_version = message.version(),
                            .m_read_to = message.read_to(),
                            .m_complete_from = message.complete_from(),
                            .m_reaches_store = message.reads()};
@@ -41,15 +34,12 @@
   if (!m_hooks.m_streams.m_on_records || heartbeat.streams_size() == 0) {
     return;
   }
-  // Records requested since the last heartbeat may have arrived by now.
-  m_local.reset();
   for (const proto::StreamState& stream : heartbeat.streams()) {
-    const bool should_fetch = m_hooks.m_streams.m_on_stream(
-        from.m_name, ToStreamState(stream, m_options.m_clock.m_now()));
-    const std::uint64_t fetch_from =
-        FetchFrom(CachedLocalState().m_streams, stream.stream());
-    if (should_fetch && stream.changed_to() > fetch_from) {
-      FetchRecords(from, stream.stream(), fetch_from);
+    const std::optional<std::uint64_t> fetch_from =
+        m_hooks.m_streams.m_on_stream(
+            from.m_name, ToStreamState(stream, m_options.m_clock.m_now()));
+    if (fetch_from.has_value()) {
+      FetchRecords(from, stream.stream(), *fetch_from);
     }
   }
 }
