--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -123,12 +123,13 @@
 /// the control thread.
 struct StreamExchange {
   /// Returns the records of a stream that a peer requests; `m_on_records`
-  /// receives the records that a peer sends.
+  /// receives the records that a peer sends, with the peer's name.
   std::function<std::vector<KeyedRecord>(const std::string& stream,
                                          std::uint64_t from,
                                          std::size_t max_bytes)>
       m_records;
   std::function<void(const std::string& stream,
+                     const std::string& peer,
                      const std::vector<KeyedRecord>& records)>
       m_on_records;
   /// Receives a peer's state of a stream. Returns from which offset on to fetch
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -61,7 +61,7 @@
 
 void SharedStream::Publish(const std::vector<KeyedRecord>& newer,
                            std::uint64_t before) {
-  m_hooks.m_on_records(newer);
+  m_hooks.m_on_records(newer, {});
   if (m_records.changed_to() != before) {
     m_hooks.m_on_state_changed();
   }
@@ -118,8 +118,9 @@
          m_clock.m_now() - *m_gap_since >= kMaxGapTime;
 }
 
-void SharedStream::MergeFromPeer(const std::vector<KeyedRecord>& records) {
-  m_hooks.m_on_records(m_records.MergeFromPeer(records));
+void SharedStream::MergeFromPeer(const std::string& peer,
+                                 const std::vector<KeyedRecord>& records) {
+  m_hooks.m_on_records(m_records.MergeFromPeer(records), peer);
 }
 
 void SharedStream::Tick() {
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -30,8 +30,11 @@
   StoreCalls m_calls;
   /// Names of the other live instances.
   std::function<std::vector<std::string>()> m_live_peers;
-  /// Receives records that are newer than the known ones.
-  std::function<void(const std::vector<KeyedRecord>&)> m_on_records;
+  /// Receives records that are newer than the known ones. `source` is the peer
+  /// that sent them; empty for the store.
+  std::function<void(const std::vector<KeyedRecord>&,
+                     const std::string& source)>
+      m_on_records;
   /// Called when the peers should be notified of a changed state.
   std::function<void()> m_on_state_changed;
   /// Called when no instance has read the stream for `m_lost_after`, with the
@@ -70,7 +73,8 @@
   /// the store.
   std::optional<std::uint64_t> OnPeerState(const std::string& peer,
                                            const StreamState& peer_state);
-  void MergeFromPeer(const std::vector<KeyedRecord>& records);
+  void MergeFromPeer(const std::string& peer,
+                     const std::vector<KeyedRecord>& records);
 
   /// Checks whether the store counts as lost.
   void Tick();
--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -44,7 +44,8 @@
              std::move(done));
     };
     hooks.m_live_peers = [this] { return m_live_peers; };
-    hooks.m_on_records = [this](const std::vector<KeyedRecord>& records) {
+    hooks.m_on_records = [this](const std::vector<KeyedRecord>& records,
+                                const std::string&) {
       m_seen.insert(m_seen.end(), records.begin(), records.end());
     };
     hooks.m_on_state_changed = [] {};
@@ -153,7 +154,7 @@
             to->m_stream->OnPeerState(from->m_name, state);
         if (fetch_from.has_value()) {
           to->m_stream->MergeFromPeer(
-              from->m_stream->Since(*fetch_from, 1 << 20));
+              from->m_name, from->m_stream->Since(*fetch_from, 1 << 20));
         }
         to->m_stream->Tick();
       }
--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -152,7 +152,8 @@
                          .m_done = std::move(done)});
   };
   hooks.m_live_peers = [this, index] { return LivePeers(index); };
-  hooks.m_on_records = [instance](const std::vector<KeyedRecord>& records) {
+  hooks.m_on_records = [instance](const std::vector<KeyedRecord>& records,
+                                  const std::string&) {
     for (const KeyedRecord& record : records) {
       instance->m_version = std::max(instance->m_version, VersionIn(record));
     }
@@ -314,12 +315,13 @@
       fail();
       return;
     }
-    After(kPeerDelay, [this, to, run,
+    After(kPeerDelay, [this, from, to, run,
                        records = m_instances[from]->m_stream->Since(
                            position, kMaxRecordBytes)] {
       if (IsCurrent(to, run)) {
         m_instances[to]->m_fetching = false;
-        m_instances[to]->m_stream->MergeFromPeer(records);
+        m_instances[to]->m_stream->MergeFromPeer(m_instances[from]->m_name,
+                                                 records);
       }
     });
   });
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -130,7 +130,7 @@
       return records;
     };
     hooks.m_streams.m_on_records =
-        [this](const std::string& stream,
+        [this](const std::string& stream, const std::string& /*peer*/,
                const std::vector<feed::KeyedRecord>& records) {
           m_received_records.insert(m_received_records.end(), records.begin(),
                                     records.end());
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -55,7 +55,8 @@
   request.mutable_records()->set_stream(stream);
   request.mutable_records()->set_from(from_offset);
   Send(*member, from.m_incarnation, std::move(request),
-       [this, stream](const std::optional<proto::PeerReply>& reply) {
+       [this, stream,
+        peer = from.m_name](const std::optional<proto::PeerReply>& reply) {
          m_fetching_streams.erase(stream);
          if (!reply || !reply->has_records()) {
            return;
@@ -69,7 +70,7 @@
            }
            records.push_back(std::move(record));
          }
-         m_hooks.m_streams.m_on_records(stream, records);
+         m_hooks.m_streams.m_on_records(stream, peer, records);
        });
 }
 
