Instances pass a new configuration on as soon as they have it

Cause: only the instance that reads the store tells peers of a new version at once, and only five of them; the rest learned of it with the next heartbeats, 0.3 s and more later (ConfigIsPassedOnAtOnce, ConfigAfterReadersWereLostInARow, red before, green now).

Change: an instance that fetched a higher version sends its heartbeats at once. A version costs five heartbeats an instance. Streams without versions, as that of the targets, are passed on as before.

--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -120,7 +120,12 @@
 
 void SharedStream::MergeFromPeer(const std::string& peer,
                                  const std::vector<KeyedRecord>& records) {
+  const std::uint64_t version = m_records.version();
   m_hooks.m_on_records(m_records.MergeFromPeer(records), peer);
+  if (m_records.version() > version) {
+    // Most peers aren't sent a heartbeat by the instance that read it.
+    m_hooks.m_on_state_changed();
+  }
 }
 
 void SharedStream::Tick() {
