--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -26,9 +26,12 @@
 
 }  // namespace
 
-InstanceGroup::InstanceGroup(int size, MakeOptions make_options)
+InstanceGroup::InstanceGroup(int size,
+                             MakeOptions make_options,
+                             RecordRules rules)
     : m_store(&m_clock),
       m_make_options(std::move(make_options)),
+      m_rules(std::move(rules)),
       m_store_disturbed_at(m_clock.now()) {
   for (int i = 0; i < size; ++i) {
     auto instance = std::make_unique<Instance>();
@@ -59,7 +62,7 @@
   instance.m_next_recipient = index;
   const Clock clock = m_clock.clock();
   instance.m_stream = std::make_unique<SharedStream>(
-      m_make_options(instance.m_name), clock, Rules(), Hooks(index));
+      m_make_options(instance.m_name), clock, m_rules, Hooks(index));
   instance.m_stream->Start();
 }
 
--- a/src/feed/testing/instance_group.h
+++ b/src/feed/testing/instance_group.h
@@ -47,7 +47,9 @@
     bool m_notify = false;
   };
 
-  InstanceGroup(int size, MakeOptions make_options);
+  InstanceGroup(int size,
+                MakeOptions make_options,
+                RecordRules rules = Rules());
 
   void Start(std::size_t index);
   void Stop(std::size_t index);
@@ -102,6 +104,7 @@
   util::ManualClock m_clock;
   StoreModel m_store;
   MakeOptions m_make_options;
+  RecordRules m_rules;
   std::vector<std::unique_ptr<Instance>> m_instances;
   std::vector<PendingCall> m_pending;
   std::deque<std::unique_ptr<Timer>> m_timers;
