Instances that started from a common seed meet each other

Seen while a case of six instances was written: five that were given only the first as a seed know the first alone, for good, and divide budgets, slots and targets by two (PeersOfACommonSeedMeet, red before).

Cause: news of members is left out while all members are sent a heartbeat in each interval, but an instance whose peers know few members isn't sent any by the others.

Change: heartbeats carry the number of members that the sender knows, and one that knows fewer is told of the others. Older builds send 0 and are told too.

--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -112,8 +112,9 @@
           Milliseconds(m_options.m_clock.m_now() - *stream.m_read_at)));
     }
   }
-  WriteRumors(out);
   PeerState& peer_state = m_peer_states[peer];
+  out->set_members(static_cast<std::uint32_t>(m_table.LiveCount()));
+  WriteRumors(peer_state, out);
   if (peer_state.m_notices_pending) {
     WriteNotices(&peer_state, out->mutable_news());
   }
@@ -122,10 +123,14 @@
   }
 }
 
-// Rumors aren't needed while every member is sent a heartbeat in each interval.
-void PeerNetwork::Impl::WriteRumors(proto::Heartbeat* out) {
+// Rumors aren't needed while every member is sent a heartbeat in each interval
+// by all others, which it isn't as long as it doesn't know all of them.
+void PeerNetwork::Impl::WriteRumors(const PeerState& peer_state,
+                                    proto::Heartbeat* out) {
   const std::size_t members = m_table.Members().size();
-  if (members <= static_cast<std::size_t>(m_options.m_fanout)) {
+  if (members <= static_cast<std::size_t>(m_options.m_fanout) &&
+      peer_state.m_known_members >=
+          static_cast<std::size_t>(m_table.LiveCount())) {
     return;
   }
   const auto rumors =
@@ -217,6 +222,7 @@
   OnMembersChanged();
   OnNews(from, heartbeat.news());
   OnInFlight(from.m_name, heartbeat);
+  m_peer_states[from.m_name].m_known_members = heartbeat.members();
   CompareDigests(from, heartbeat);
   CompareStreams(from, heartbeat);
   return true;
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -38,6 +38,8 @@
     bool m_notices_pending = false;
     std::optional<TimePoint> m_notices_sent_at;
     CountsByService m_in_flight;
+    /// Number of other instances that the peer knows; 0 if it doesn't say.
+    std::size_t m_known_members = 0;
   };
 
   /// A section that came into force recently.
@@ -52,7 +54,7 @@
   void SendHeartbeatsNow();
   void SendHeartbeat(const Member& member);
   void WriteHeartbeat(const std::string& peer, proto::Heartbeat* out);
-  void WriteRumors(proto::Heartbeat* out);
+  void WriteRumors(const PeerState& peer_state, proto::Heartbeat* out);
   void WriteNotices(PeerState* peer_state, proto::News* out);
   void WriteRecentSections(PeerState* peer_state, proto::News* out);
   bool OnHeartbeat(const InstanceId& from, const proto::Heartbeat& heartbeat);
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -350,6 +350,24 @@
   });
 }
 
+// Guards against instances that only ever see the one that all of them started
+// from: each then divides what is shared by too few instances.
+GUAVACROSS_TEST_CASE(PeersOfACommonSeedMeet) {
+  ControlLoop loop;
+  std::vector<std::unique_ptr<TestInstance>> all;
+  for (const char* const name : {"a", "b", "c", "d", "e", "f"}) {
+    all.push_back(std::make_unique<TestInstance>(&loop, name, 1));
+  }
+  for (std::size_t i = 1; i < all.size(); ++i) {
+    all[i]->SetListedPeer(*all.front(), "a");
+  }
+  loop.RunUntil("every instance sees all others", [&] {
+    return std::all_of(all.begin(), all.end(), [&](const auto& instance) {
+      return instance->m_network->LiveCount() == static_cast<int>(all.size());
+    });
+  });
+}
+
 GUAVACROSS_TEST_CASE(RefusedPeerMessages) {
   ControlLoop loop;
   TestInstance a(&loop, "a", 5);
