--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -201,8 +201,9 @@
     `fault` is empty or one of `mute` (runs the request, never answers), `lost`
     (runs it, closes without an answer), `full` (refuses it as not executed),
     `extra` (first sends an answer to another request), `deaf` (doesn't answer
-    health checks). With `leaving` it says so in all its answers; with `pause_s`
-    it refuses requests and asks for a pause of that length."""
+    health checks). With `leaving` it says so in all its answers, and with `limit`
+    it names that many requests a second; with `pause_s` it refuses requests and
+    asks for a pause of that length."""
 
     def __init__(self, store, address, name, service, work_s=0.0,
                  registered_address=None):
@@ -212,6 +213,10 @@
         self.fault = ""
         self.leaving = False
         self.pause_s = 0
+        # A header value, sent as it is; None sends none.
+        self.limit = None
+        # Times in s at which requests and health checks arrived.
+        self.arrived = []
         # Times in s at which requests were refused for a pause.
         self.refused_at = []
         # (monotonic time in s, request id) of each run, added at its start.
@@ -253,9 +258,9 @@
     def _answer(self, handler):
         length = int(handler.headers.get("Content-Length") or 0)
         handler.rfile.read(length)
-        load = [("X-Server-Load", "1,0,4,100"), ("X-Instance-Id", self.name)]
-        if self.leaving:
-            load.append(("Server-Leaving", "1"))
+        self.arrived.append(time.monotonic())
+        load = [("X-Server-Load", "1,0,4,100"), ("X-Instance-Id", self.name),
+                *self._announcements()]
         if handler.path == "/health" and self.fault == "deaf":
             # Longer than the time-out of a health check.
             time.sleep(3)
@@ -288,10 +293,15 @@
             self._answer_as(handler, "another")
         self._answer_as(handler, request)
 
-    def _answer_as(self, handler, request):
+    def _announcements(self):
+        """The headers that all its answers have."""
         leaving = [("Server-Leaving", "1")] if self.leaving else []
+        limit = [] if self.limit is None else [("Server-Limit", self.limit)]
+        return leaving + limit
+
+    def _answer_as(self, handler, request):
         handler.answer(200, f"{self.name} ran {request}".encode(),
-                       [*leaving, ("X-Request-Id", request),
+                       [*self._announcements(), ("X-Request-Id", request),
                         ("X-Response-Signature", f"s.{self.name}")])
 
 
