A fetch that a peer doesn't answer makes way for another one

Change: after 150 ms without an answer another offer is taken; a late answer is still merged (feed/fetch_turn, used by the peer network and by the model).

--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -53,7 +53,7 @@
   }
   instance.m_running = true;
   instance.m_version = 0;
-  instance.m_fetching = false;
+  instance.m_fetch_turn = {};
   instance.m_notify = false;
   ++instance.m_run;
   // Spreads the heartbeats over the interval.
@@ -299,30 +299,24 @@
 void InstanceGroup::Fetch(std::size_t from,
                           std::size_t to,
                           std::uint64_t position) {
-  if (std::exchange(m_instances[to]->m_fetching, true)) {
+  const TimePoint begun_at = m_clock.now();
+  if (!m_instances[to]->m_fetch_turn.TryBegin(begun_at)) {
     return;
   }
   const int run = m_instances[to]->m_run;
-  const auto fail = [this, to, run] {
-    After(kCallTimeout, [this, to, run] {
-      if (IsCurrent(to, run)) {
-        m_instances[to]->m_fetching = false;
-      }
-    });
-  };
-  After(kPeerDelay, [this, from, to, run, position, fail] {
+  After(kPeerDelay, [this, from, to, run, position, begun_at] {
     if (!IsCurrent(to, run)) {
       return;
     }
     if (!Reaches(from, to)) {
-      fail();
+      After(kCallTimeout,
+            [this, to, run, begun_at] { EndFetch(to, run, begun_at); });
       return;
     }
-    After(kPeerDelay, [this, from, to, run,
+    After(kPeerDelay, [this, from, to, run, begun_at,
                        records = m_instances[from]->m_stream->Since(
                            position, kMaxRecordBytes)] {
-      if (IsCurrent(to, run)) {
-        m_instances[to]->m_fetching = false;
+      if (EndFetch(to, run, begun_at)) {
         m_instances[to]->m_stream->MergeFromPeer(m_instances[from]->m_name,
                                                  records);
       }
@@ -330,6 +324,14 @@
   });
 }
 
+bool InstanceGroup::EndFetch(std::size_t to, int run, TimePoint begun_at) {
+  if (!IsCurrent(to, run)) {
+    return false;
+  }
+  m_instances[to]->m_fetch_turn.End(begun_at);
+  return true;
+}
+
 void InstanceGroup::After(Duration delay, std::function<void()> call) {
   m_timers.push_back(m_clock.clock().m_call_after(delay, std::move(call)));
 }
--- a/src/feed/testing/instance_group.h
+++ b/src/feed/testing/instance_group.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "feed/fetch_turn.h"
 #include "feed/shared_stream.h"
 #include "feed/testing/store_model.h"
 #include "util/manual_clock.h"
@@ -43,7 +44,7 @@
     TimePoint m_silent_since;
     TimePoint m_next_heartbeat;
     std::size_t m_next_recipient = 0;
-    bool m_fetching = false;
+    FetchTurn m_fetch_turn;
     bool m_notify = false;
   };
 
@@ -98,6 +99,8 @@
   void Deliver(std::size_t from, std::size_t to, bool is_reply);
   void Receive(std::size_t from, std::size_t to, const StreamState& state);
   void Fetch(std::size_t from, std::size_t to, std::uint64_t position);
+  // Returns whether the run that fetches still runs.
+  bool EndFetch(std::size_t to, int run, TimePoint begun_at);
   void After(Duration delay, std::function<void()> call);
   std::vector<std::string> LivePeers(std::size_t index) const;
 
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -8,10 +8,10 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "feed/fetch_turn.h"
 #include "peers.pb.h"
 #include "peers/grpc_transport.h"
 #include "peers/in_flight_codec.h"
@@ -115,8 +115,8 @@
   std::deque<RecentSection> m_recent_sections;
   std::uint64_t m_last_section_number = 0;
   std::optional<LocalState> m_local;
-  /// Streams with a fetch of records in progress.
-  std::set<std::string> m_fetching_streams;
+  /// Fetches of records in progress, by stream.
+  std::map<std::string, feed::FetchTurn> m_fetch_turns;
   bool m_leaving = false;
   bool m_repairing = false;
   /// The repair in progress started without sections and isn't rate limited.
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -48,16 +48,17 @@
                                      const std::string& stream,
                                      std::uint64_t from_offset) {
   const auto member = FindMember(from);
-  if (!member || !m_fetching_streams.insert(stream).second) {
+  const TimePoint begun_at = m_options.m_clock.m_now();
+  if (!member || !m_fetch_turns[stream].TryBegin(begun_at)) {
     return;
   }
   proto::PeerRequest request;
   request.mutable_records()->set_stream(stream);
   request.mutable_records()->set_from(from_offset);
   Send(*member, from.m_incarnation, std::move(request),
-       [this, stream,
+       [this, stream, begun_at,
         peer = from.m_name](const std::optional<proto::PeerReply>& reply) {
-         m_fetching_streams.erase(stream);
+         m_fetch_turns[stream].End(begun_at);
          if (!reply || !reply->has_records()) {
            return;
          }
