Targets get no more requests than the limit that they name

Cause: nothing reads the header, and nothing limits what all instances together send to one target.

Change: the platform's dialect reads the header in every answer, also refusals and probes. policy/request_limit keeps the limit a target names, divides it among few instances by rendezvous hashing, and spaces the requests of each.

Besides, for the same division: seeds that haven't answered don't count as instances, and an instance that is leaving isn't counted. The search for a later time of room, so far that of pauses, covers limits, and requests are refused at once if the ones that already wait use up the room in time.

--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -87,6 +87,12 @@
   Duration m_pause{};
   /// Identifies one run of the backend server; empty if unknown.
   std::string m_incarnation;
+  /// Requests per second that the backend server takes from all instances
+  /// together; 0 if its answer names no limit. Nothing if there is no answer,
+  /// or one whose limit can't be read.
+  std::optional<double> m_request_limit;
+  /// The limit as it was received, if it can't be read.
+  std::string m_unreadable_limit;
 
   bool operator==(const LoadReport&) const = default;
 };
@@ -137,6 +143,21 @@
   auto operator<=>(const DrainNotice&) const = default;
 };
 
+/// Tells other instances of the limit that a backend server names.
+struct LimitNotice {
+  std::string m_service;
+  std::string m_target;
+  /// The run of the backend server; empty if unknown.
+  std::string m_incarnation;
+  /// Requests per second from all instances together; 0 if the backend server
+  /// names no limit any more.
+  double m_limit = 0;
+  /// Time since the backend server last said so.
+  Duration m_age{};
+
+  bool operator==(const LimitNotice&) const = default;
+};
+
 /// A request that is refused because it has crashed backend servers.
 struct QuarantineNotice {
   std::uint64_t m_fingerprint = 0;
@@ -171,6 +192,10 @@
   bool m_slow_start = false;
   /// Time that remains of a pause that the backend server asked for.
   Duration m_pause_left{};
+  /// The limit that the backend server names, in requests per second from all
+  /// instances together, and this instance's share of it; 0 without a limit.
+  double m_request_limit = 0;
+  double m_request_share = 0;
 
   bool operator==(const TargetStatus&) const = default;
 };
@@ -241,6 +266,7 @@
 /// them.
 struct RouterHooks {
   std::function<void(const DrainNotice&)> m_on_drain;
+  std::function<void(const LimitNotice&)> m_on_limit;
   std::function<void(const QuarantineNotice&)> m_on_quarantine;
   std::function<void(const SuspectNotice&)> m_on_suspect;
   /// Probes to send immediately, in addition to those of
@@ -332,8 +358,8 @@
   /// list or the peers, including this one.
   void SetInstanceCount(int live_instances);
 
-  /// Sets the live instances, this one included, among which the targets of
-  /// each service are divided.
+  /// Sets the live instances, this one included unless it is leaving, among
+  /// which the targets of each service and their request limits are divided.
   void SetInstances(const std::vector<InstancePlace>& instances);
 
   /// Sets a peer's attempts in flight on a service's targets, as it reported
@@ -344,8 +370,10 @@
 
   /// Apply notices from peers. They don't call the hooks.
   ///
-  /// `LearnDrain` returns whether the target wasn't known to drain.
+  /// `LearnDrain` returns whether the target wasn't known to drain, and
+  /// `LearnLimit` whether the target's limit has changed.
   bool LearnDrain(const DrainNotice& notice);
+  bool LearnLimit(const LimitNotice& notice);
   void LearnQuarantine(const QuarantineNotice& notice);
   void LearnSuspect(const SuspectNotice& notice);
 
@@ -353,6 +381,8 @@
   /// peer, so that the notice of a second loss may still be on its way.
   bool IsSuspect(const RequestTraits& traits) const;
   std::vector<DrainNotice> Drains() const;
+  /// The limits that targets name, and those that they don't name any more.
+  std::vector<LimitNotice> Limits() const;
   std::vector<QuarantineNotice> Quarantines() const;
 
   /// This instance's attempts in flight by service and target, without zeros.
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -18,6 +18,9 @@
 constexpr Duration kRecentSectionLifetime = std::chrono::seconds(10);
 constexpr std::size_t kMaxRecentBytesPerMessage = 64 << 10;
 constexpr int kMismatchesBeforeRepair = 2;
+// Added to the age of what a peer passes on, so that it never seems more recent
+// than it is, however often it is passed on.
+constexpr Duration kAssumedTransitTime = std::chrono::milliseconds(50);
 constexpr std::size_t kMaxPageBytes = 256 << 10;
 constexpr std::size_t kMinPageBytes = 4 << 10;
 
@@ -155,6 +158,13 @@
       }
     }
   }
+  if (m_hooks.m_limits) {
+    for (const LimitNotice& notice : m_hooks.m_limits()) {
+      if (static_cast<std::size_t>(out->limits_size()) < kMaxNotices) {
+        FromLimit(notice, out->add_limits());
+      }
+    }
+  }
   if (m_hooks.m_quarantines) {
     for (const QuarantineNotice& notice : m_hooks.m_quarantines()) {
       if (static_cast<std::size_t>(out->quarantines_size()) < kMaxNotices) {
@@ -190,6 +200,13 @@
                      util::Hash(notice.m_target, util::Hash(notice.m_service)));
     }
   }
+  if (m_hooks.m_limits) {
+    for (const LimitNotice& notice : m_hooks.m_limits()) {
+      digest +=
+          util::Hash(std::to_string(notice.m_limit),
+                     util::Hash(notice.m_target, util::Hash(notice.m_service)));
+    }
+  }
   if (m_hooks.m_quarantines) {
     for (const QuarantineNotice& notice : m_hooks.m_quarantines()) {
       digest += util::Hash("quarantine", notice.m_fingerprint);
@@ -279,6 +296,13 @@
       m_hooks.m_on_drain(ToDrain(notice));
     }
   }
+  for (const proto::Limit& notice : news.limits()) {
+    if (m_hooks.m_on_limit) {
+      LimitNotice limit = ToLimit(notice);
+      limit.m_age += kAssumedTransitTime;
+      m_hooks.m_on_limit(limit);
+    }
+  }
   for (const proto::Quarantine& notice : news.quarantines()) {
     if (m_hooks.m_on_quarantine) {
       m_hooks.m_on_quarantine(ToQuarantine(notice));
--- a/src/peers/peer_codec.cc
+++ b/src/peers/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace guavacross::peers {
 
@@ -159,6 +160,22 @@
           .m_incarnation = in.incarnation()};
 }
 
+void FromLimit(const LimitNotice& notice, proto::Limit* out) {
+  out->set_service(notice.m_service);
+  out->set_target(notice.m_target);
+  out->set_incarnation(notice.m_incarnation);
+  out->set_limit(notice.m_limit);
+  out->set_age_ms(ToWireMilliseconds(notice.m_age));
+}
+
+LimitNotice ToLimit(const proto::Limit& in) {
+  return {.m_service = in.service(),
+          .m_target = in.target(),
+          .m_incarnation = in.incarnation(),
+          .m_limit = std::isfinite(in.limit()) ? std::max(0.0, in.limit()) : 0,
+          .m_age = FromWireMilliseconds(in.age_ms())};
+}
+
 void FromQuarantine(const QuarantineNotice& notice, proto::Quarantine* out) {
   out->set_fingerprint(notice.m_fingerprint);
   out->set_remaining_ms(ToWireMilliseconds(notice.m_remaining));
--- a/src/peers/peer_codec.h
+++ b/src/peers/peer_codec.h
@@ -24,6 +24,9 @@
 
 void FromDrain(const DrainNotice& notice, proto::Drain* out);
 DrainNotice ToDrain(const proto::Drain& in);
+void FromLimit(const LimitNotice& notice, proto::Limit* out);
+/// A limit that isn't a number counts as none.
+LimitNotice ToLimit(const proto::Limit& in);
 void FromQuarantine(const QuarantineNotice& notice, proto::Quarantine* out);
 QuarantineNotice ToQuarantine(const proto::Quarantine& in);
 void FromSuspect(const SuspectNotice& notice, proto::Suspect* out);
--- a/src/peers/peer_messages_fuzz.cc
+++ b/src/peers/peer_messages_fuzz.cc
@@ -33,6 +33,9 @@
   for (const auto& drain : news.drains()) {
     CheckRoundTrip(drain, ToDrain, FromDrain);
   }
+  for (const auto& limit : news.limits()) {
+    CheckRoundTrip(limit, ToLimit, FromLimit);
+  }
   for (const auto& quarantine : news.quarantines()) {
     CheckRoundTrip(quarantine, ToQuarantine, FromQuarantine);
   }
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -36,6 +36,7 @@
 
 bool IsWellFormed(const proto::News& news) {
   return news.drains_size() <= kMaxNotices &&
+         news.limits_size() <= kMaxNotices &&
          news.quarantines_size() <= kMaxNotices &&
          news.suspects_size() <= kMaxNotices;
 }
@@ -357,6 +358,12 @@
   m_impl->SendNews(news);
 }
 
+void PeerNetwork::PushLimit(const LimitNotice& notice) {
+  proto::News news;
+  FromLimit(notice, news.add_limits());
+  m_impl->SendNews(news);
+}
+
 void PeerNetwork::PushQuarantine(const QuarantineNotice& notice) {
   proto::News news;
   FromQuarantine(notice, news.add_quarantines());
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -79,6 +79,7 @@
   /// The sections in force on this instance.
   std::function<std::vector<SectionState>()> m_sections;
   std::function<std::vector<DrainNotice>()> m_drains;
+  std::function<std::vector<LimitNotice>()> m_limits;
   std::function<std::vector<QuarantineNotice>()> m_quarantines;
 
   /// Gets sections that a peer has in force. Some may be older than the ones in
@@ -89,6 +90,7 @@
   std::function<void(std::uint64_t as_of, std::uint64_t digest)>
       m_on_fold_digest;
   std::function<void(const DrainNotice&)> m_on_drain;
+  std::function<void(const LimitNotice&)> m_on_limit;
   std::function<void(const QuarantineNotice&)> m_on_quarantine;
   std::function<void(const SuspectNotice&)> m_on_suspect;
   /// Gets a peer's changed in-flight counts; for `Router::SetPeerInFlight`.
@@ -148,6 +150,7 @@
 
   /// Send a notice to all peers immediately.
   void PushDrain(const DrainNotice& notice);
+  void PushLimit(const LimitNotice& notice);
   void PushQuarantine(const QuarantineNotice& notice);
   void PushSuspect(const SuspectNotice& notice);
   /// Sends heartbeats shortly afterwards; peers with another configuration
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -99,6 +99,10 @@
         m_drains.push_back(notice);
       }
     };
+    hooks.m_limits = [this] { return m_limits; };
+    hooks.m_on_limit = [this](const LimitNotice& notice) {
+      m_limits.push_back(notice);
+    };
     hooks.m_on_in_flight = [this](const auto& peer, const auto& service,
                                   const auto& counts) {
       m_in_flight = peer + "/" + service;
@@ -199,6 +203,7 @@
   std::vector<SectionState> m_sections;
   std::pair<std::uint64_t, std::uint64_t> m_peer_fold;
   std::vector<DrainNotice> m_drains;
+  std::vector<LimitNotice> m_limits;
   std::string m_in_flight;
   ledger::LedgerHandover m_received_handover;
   // The store's records that this instance sends, those that it received, and
@@ -239,6 +244,25 @@
     b.m_drains.push_back({.m_service = "archive", .m_target = "t2"});
     loop.RunUntil("a knows b's drain", [&] { return a.m_drains.size() == 2; });
   });
+  Section("a limit that a target names reaches the peer", [&] {
+    a.m_limits = {{.m_service = "catalog",
+                   .m_target = "t1",
+                   .m_limit = 2.1,
+                   .m_age = seconds(1)}};
+    a.m_network->PushLimit(a.m_limits.front());
+    loop.RunUntil("b knows the limit", [&] { return !b.m_limits.empty(); });
+    CPPUNIT_ASSERT_EQUAL(2.1, b.m_limits.front().m_limit);
+    Section("and doesn't get younger on the way",
+            [&] { CPPUNIT_ASSERT(b.m_limits.front().m_age >= seconds(1)); });
+    Section("also if it was never pushed", [&] {
+      b.m_limits.front() = {.m_service = "catalog", .m_target = "t3"};
+      loop.RunUntil("a hears of b's", [&] {
+        return std::any_of(
+            a.m_limits.begin(), a.m_limits.end(),
+            [](const LimitNotice& each) { return each.m_target == "t3"; });
+      });
+    });
+  });
   Section("a section in force on one comes into force on the other", [&] {
     a.Merge({MakeSection("catalog", 7)});
     a.m_network->PushSections({MakeSection("catalog", 7)});
--- a/src/policy/target_subset.cc
+++ b/src/policy/target_subset.cc
@@ -20,25 +20,6 @@
   return mixed ^ (mixed >> 31U);
 }
 
-// Whether `self` is among the `count` instances with the greatest hashes.
-bool IsAssigned(const SubsetInstance& self,
-                const std::vector<SubsetInstance>& instances,
-                const SubsetTarget& target,
-                std::size_t count) {
-  if (count >= instances.size()) {
-    return true;
-  }
-  const std::uint64_t own = PairHash(self.m_hash, target.m_hash);
-  std::size_t greater = 0;
-  for (const SubsetInstance& instance : instances) {
-    greater += PairHash(instance.m_hash, target.m_hash) > own ? 1 : 0;
-    if (greater >= count) {
-      return false;
-    }
-  }
-  return true;
-}
-
 // The number of instances that a target is assigned to, so that each of
 // `instances` has `size` targets on average.
 std::size_t InstancesOf(const SubsetTarget& target,
@@ -78,7 +59,7 @@
     const std::size_t count =
         InstancesOf(target, takers.size(), is_near ? near_slots : far_slots,
                     is_near ? size.m_near : size.m_far);
-    const bool assigned = IsAssigned(self, takers, target, count);
+    const bool assigned = IsAssigned(self.m_hash, takers, target.m_hash, count);
     tiers.push_back(!assigned ? SubsetTier::kOutside
                     : is_near ? SubsetTier::kNear
                               : SubsetTier::kFar);
@@ -86,6 +67,24 @@
   return tiers;
 }
 
+bool IsAssigned(std::uint64_t self,
+                const std::vector<SubsetInstance>& instances,
+                std::uint64_t target,
+                std::size_t count) {
+  if (count >= instances.size()) {
+    return true;
+  }
+  const std::uint64_t own = PairHash(self, target);
+  std::size_t greater = 0;
+  for (const SubsetInstance& instance : instances) {
+    greater += PairHash(instance.m_hash, target) > own ? 1 : 0;
+    if (greater >= count) {
+      return false;
+    }
+  }
+  return true;
+}
+
 double TierCostFactor(SubsetTier tier) {
   switch (tier) {
     case SubsetTier::kNear:
--- a/src/policy/target_subset.h
+++ b/src/policy/target_subset.h
@@ -58,7 +58,7 @@
 ///
 /// A target is assigned to instances in proportion to its share of the slots:
 /// targets with equal slots have equally many, and at least one of each kind if
-/// there are any. `instances` contains `self`. Pure; the order of `instances`
+/// there are any. `instances` contains `self` unless it is leaving. Pure; the order of `instances`
 /// doesn't matter. With N instances the average time per target is logarithmic
 /// in N, and at worst N.
 std::vector<SubsetTier> RankTargets(
@@ -67,6 +67,14 @@
     const std::vector<SubsetTarget>& targets,
     const SubsetSize& size = {});
 
+/// Whether the instance `self` is among the `count` instances with the greatest
+/// hashes of the pair of instance and target. Pure; in a set of instances
+/// exactly `count` are.
+bool IsAssigned(std::uint64_t self,
+                const std::vector<SubsetInstance>& instances,
+                std::uint64_t target,
+                std::size_t count);
+
 /// Factor on the cost of an unprobed target by its tier.
 double TierCostFactor(SubsetTier tier);
 
--- a/src/routing/effects.h
+++ b/src/routing/effects.h
@@ -20,6 +20,7 @@
 struct Effects {
   std::vector<GrantDecision> m_decisions;
   std::vector<DrainNotice> m_drains;
+  std::vector<LimitNotice> m_limits;
   std::vector<SuspectNotice> m_suspects;
   std::vector<ProbeOrder> m_probes;
   /// When `ExpireWaiters` must next visit the service.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -64,11 +64,17 @@
       m_hooks.m_on_probes(std::move(effects.m_probes));
     }
     for (const DrainNotice& notice : effects.m_drains) {
-      AddServiceWithDrains(notice.m_service);
+      AddServiceWithNotices(notice.m_service);
       if (m_hooks.m_on_drain) {
         m_hooks.m_on_drain(notice);
       }
     }
+    for (const LimitNotice& notice : effects.m_limits) {
+      AddServiceWithNotices(notice.m_service);
+      if (m_hooks.m_on_limit) {
+        m_hooks.m_on_limit(notice);
+      }
+    }
     for (const SuspectNotice& notice : effects.m_suspects) {
       NotifySuspect(notice);
     }
@@ -148,15 +154,16 @@
     return counts;
   }
 
-  void AddServiceWithDrains(const std::string& service) {
-    const std::lock_guard lock(m_drains_mutex);
-    m_services_with_drains.insert(service);
+  void AddServiceWithNotices(const std::string& service) {
+    const std::lock_guard lock(m_notices_mutex);
+    m_services_with_notices.insert(service);
   }
 
-  /// The services that have ever had a draining target; these are few.
-  std::set<std::string> ServicesWithDrains() const {
-    const std::lock_guard lock(m_drains_mutex);
-    return m_services_with_drains;
+  /// The services that have ever had a target that drains or names a limit;
+  /// these are few.
+  std::set<std::string> ServicesWithNotices() const {
+    const std::lock_guard lock(m_notices_mutex);
+    return m_services_with_notices;
   }
 
   bool IsSuspect(std::uint64_t fingerprint) const {
@@ -187,27 +194,29 @@
     m_largest_instances = m_instances.Largest(now);
   }
 
-  /// Sets the live instances and returns whether that is a change.
-  bool SetSubsetInstances(std::vector<policy::SubsetInstance> instances) {
+  /// Sets the live instances and returns whether the view has changed.
+  bool SetView(std::vector<policy::SubsetInstance> instances) {
     std::sort(
         instances.begin(), instances.end(),
         [](const policy::SubsetInstance& a, const policy::SubsetInstance& b) {
           return a.m_hash < b.m_hash;
         });
+    const TimePoint now = Now();
     const std::lock_guard lock(m_instances_mutex);
-    if (m_subset_instances != nullptr && *m_subset_instances == instances) {
+    m_seen_instances.Record(static_cast<int>(instances.size()), now);
+    policy::LimitView view{.m_self = util::Hash(m_options.m_name),
+                           .m_instances = std::move(instances),
+                           .m_largest_count = m_seen_instances.Largest(now)};
+    if (m_view != nullptr && *m_view == view) {
       return false;
     }
-    m_subset_instances =
-        std::make_shared<const std::vector<policy::SubsetInstance>>(
-            std::move(instances));
+    m_view = std::make_shared<const policy::LimitView>(std::move(view));
     return true;
   }
 
-  std::shared_ptr<const std::vector<policy::SubsetInstance>> subset_instances()
-      const {
+  std::shared_ptr<const policy::LimitView> view() const {
     const std::lock_guard lock(m_instances_mutex);
-    return m_subset_instances;
+    return m_view;
   }
 
   const RouterOptions m_options;
@@ -220,11 +229,13 @@
   std::mutex m_in_use_mutex;
   std::set<std::shared_ptr<ServiceRouter>> m_in_use;
   // No other lock is taken while it is held.
-  mutable std::mutex m_drains_mutex;
-  std::set<std::string> m_services_with_drains;
+  mutable std::mutex m_notices_mutex;
+  std::set<std::string> m_services_with_notices;
   mutable std::mutex m_instances_mutex;
-  std::shared_ptr<const std::vector<policy::SubsetInstance>> m_subset_instances;
+  std::shared_ptr<const policy::LimitView> m_view;
   policy::InstanceCountWindow m_instances;
+  // Counts of the instances in `m_view`.
+  policy::InstanceCountWindow m_seen_instances;
   std::atomic<int> m_largest_instances{1};
   mutable std::mutex m_quarantine_mutex;
   policy::Quarantine m_quarantine;
@@ -246,7 +257,7 @@
   std::shared_ptr<ServiceRouter> service = m_impl->Find(config.m_name);
   if (service == nullptr) {
     service = std::make_shared<ServiceRouter>(shared, m_impl->m_options);
-    service->SetSubsetInstances(m_impl->subset_instances());
+    service->SetView(m_impl->view(), m_impl->Now());
     const std::unique_lock lock(m_impl->m_services_mutex);
     m_impl->m_services[config.m_name] = service;
   } else {
@@ -406,11 +417,11 @@
     hashed.push_back(
         {.m_hash = util::Hash(instance.m_name), .m_zone = instance.m_zone});
   }
-  if (!m_impl->SetSubsetInstances(std::move(hashed))) {
+  if (!m_impl->SetView(std::move(hashed))) {
     return;
   }
   for (const auto& service : m_impl->AllServices()) {
-    service->SetSubsetInstances(m_impl->subset_instances());
+    service->SetView(m_impl->view(), m_impl->Now());
   }
 }
 
@@ -431,7 +442,17 @@
     return false;
   }
   const bool is_new = service->LearnDrain(notice);
-  m_impl->AddServiceWithDrains(notice.m_service);
+  m_impl->AddServiceWithNotices(notice.m_service);
+  return is_new;
+}
+
+bool Router::LearnLimit(const LimitNotice& notice) {
+  const auto service = m_impl->Find(notice.m_service);
+  if (service == nullptr) {
+    return false;
+  }
+  const bool is_new = service->LearnLimit(notice, m_impl->Now());
+  m_impl->AddServiceWithNotices(notice.m_service);
   return is_new;
 }
 
@@ -445,8 +466,8 @@
 
 std::vector<DrainNotice> Router::Drains() const {
   std::vector<DrainNotice> drains;
-  // Called for every heartbeat, so it visits only services with drains.
-  for (const std::string& name : m_impl->ServicesWithDrains()) {
+  // Called for every heartbeat, so it visits only services with notices.
+  for (const std::string& name : m_impl->ServicesWithNotices()) {
     if (const auto service = m_impl->Find(name)) {
       const std::vector<DrainNotice> own = service->Drains();
       drains.insert(drains.end(), own.begin(), own.end());
@@ -455,6 +476,18 @@
   return drains;
 }
 
+std::vector<LimitNotice> Router::Limits() const {
+  const TimePoint now = m_impl->Now();
+  std::vector<LimitNotice> limits;
+  for (const std::string& name : m_impl->ServicesWithNotices()) {
+    if (const auto service = m_impl->Find(name)) {
+      const std::vector<LimitNotice> own = service->Limits(now);
+      limits.insert(limits.end(), own.begin(), own.end());
+    }
+  }
+  return limits;
+}
+
 bool Router::IsSuspect(const RequestTraits& traits) const {
   return m_impl->IsSuspect(traits.m_fingerprint);
 }
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "routing/service_router.h"
+#include "util/log.h"
 
 namespace guavacross::routing {
 
@@ -69,7 +70,8 @@
   // includes this attempt.
   const TimePoint reported_at =
       std::min(now, grant.m_granted_at + report.m_latency);
-  ApplyLoadReport(target, report.m_load, reported_at, now, effects);
+  ApplyLoadReport(target, report.m_load, grant.m_granted_at, reported_at, now,
+                  effects);
   const Attempt attempt = *m_pool.Ended(target, grant.m_id);
   m_bulk_in_flight -= attempt.m_counted_as_bulk ? 1 : 0;
   if (report.m_end == AttemptEnd::kAnswered) {
@@ -104,7 +106,7 @@
       RecordFirstByte(target, attempt, time_to_first_byte, now);
     }
   }
-  ApplyLoadReport(target, load, now, now, effects);
+  ApplyLoadReport(target, load, grant.m_granted_at, now, now, effects);
   ServeWaiters(now, effects);
 }
 
@@ -148,7 +150,8 @@
   // probes are too rare for that.
   target->m_unresponsive = !report.m_answered && ProbesBeforePlacing();
   if (report.m_load.has_value()) {
-    ApplyLoadReport(target, *report.m_load, now, now, effects);
+    ApplyLoadReport(target, *report.m_load, target->m_probed_at, now, now,
+                    effects);
   }
   if (report.m_load.has_value() || ProbesBeforePlacing()) {
     ServeWaiters(now, effects);
@@ -187,6 +190,16 @@
   return drains;
 }
 
+bool ServiceRouter::LearnLimit(const LimitNotice& notice, TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  return m_pool.LearnLimit(notice, now);
+}
+
+std::vector<LimitNotice> ServiceRouter::Limits(TimePoint now) const {
+  const std::lock_guard lock(m_mutex);
+  return m_pool.Limits(now);
+}
+
 std::vector<std::pair<std::string, int>> ServiceRouter::InFlight() const {
   const std::lock_guard lock(m_mutex);
   std::vector<std::pair<std::string, int>> counts;
@@ -203,6 +216,7 @@
 
 void ServiceRouter::ApplyLoadReport(Target* target,
                                     const LoadReport& load,
+                                    TimePoint asked_at,
                                     TimePoint reported_at,
                                     TimePoint now,
                                     Effects* effects) {
@@ -215,6 +229,20 @@
   if (load.m_pause > Duration::zero()) {
     target->m_pause.Request(load.m_pause, now);
   }
+  if (!load.m_unreadable_limit.empty() &&
+      !std::exchange(target->m_unreadable_limit_logged, true)) {
+    util::LogWarning("targets", "a limit can't be read and is ignored",
+                     {{"target", target->m_config.m_name},
+                      {"service", m_config->m_name},
+                      {"limit", load.m_unreadable_limit}});
+  }
+  if (load.m_request_limit.has_value() &&
+      m_pool.UpdateLimit(target, *load.m_request_limit, asked_at, now)) {
+    effects->m_limits.push_back({.m_service = m_config->m_name,
+                                 .m_target = target->m_config.m_name,
+                                 .m_incarnation = RunOf(target->m_config),
+                                 .m_limit = target->m_limit.limit()});
+  }
   const bool has_run_state = load.m_in_flight.has_value() || load.m_draining ||
                              !load.m_incarnation.empty();
   if (has_run_state && m_pool.UpdateRunState(target, load, now)) {
@@ -329,7 +357,8 @@
   for (const auto& target : m_pool.targets()) {
     const bool is_probed =
         target->m_probe_in_flight && now < target->m_probed_at + lost_after;
-    if (target->m_removed || is_probed || target->m_pause.IsActive(now)) {
+    if (target->m_removed || is_probed || target->m_pause.IsActive(now) ||
+        target->m_limit.is_active()) {
       continue;
     }
     const TimePoint known_at =
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -50,10 +50,10 @@
   ServeWaiters(now, effects);
 }
 
-void ServiceRouter::SetSubsetInstances(
-    std::shared_ptr<const std::vector<policy::SubsetInstance>> instances) {
+void ServiceRouter::SetView(std::shared_ptr<const policy::LimitView> view,
+                            TimePoint now) {
   const std::lock_guard lock(m_mutex);
-  m_pool.SetSubsetInstances(std::move(instances));
+  m_pool.SetView(std::move(view), now);
 }
 
 std::shared_ptr<const ServiceConfig> ServiceRouter::config() const {
@@ -230,7 +230,11 @@
          .m_slow_start = m_pool.IsSlowStart(*target, now),
          .m_pause_left = target->m_pause.IsActive(now)
                              ? target->m_pause.until() - now
-                             : Duration::zero()});
+                             : Duration::zero(),
+         .m_request_limit = target->m_limit.limit(),
+         .m_request_share = target->m_limit.is_active()
+                                ? target->m_request_share.Share(now)
+                                : 0});
   }
   return status;
 }
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -34,9 +34,9 @@
   void Configure(std::shared_ptr<const ServiceConfig> config,
                  TimePoint now,
                  Effects* effects);
-  /// Sets the live instances among which the targets are divided.
-  void SetSubsetInstances(
-      std::shared_ptr<const std::vector<policy::SubsetInstance>> instances);
+  /// Sets the live instances among which the targets and their request limits
+  /// are divided.
+  void SetView(std::shared_ptr<const policy::LimitView> view, TimePoint now);
   std::shared_ptr<const ServiceConfig> config() const;
 
   /// Refuses all waiting requests because the service has been removed.
@@ -83,6 +83,8 @@
                        Effects* effects);
   bool LearnDrain(const DrainNotice& notice);
   std::vector<DrainNotice> Drains() const;
+  bool LearnLimit(const LimitNotice& notice, TimePoint now);
+  std::vector<LimitNotice> Limits(TimePoint now) const;
   std::vector<std::pair<std::string, int>> InFlight() const;
 
   /// Sets whether the service is in the router's list of services in use.
@@ -160,6 +162,7 @@
 
   void ApplyLoadReport(Target* target,
                        const LoadReport& load,
+                       TimePoint asked_at,
                        TimePoint reported_at,
                        TimePoint now,
                        Effects* effects);
--- a/src/routing/service_waiting.cc
+++ b/src/routing/service_waiting.cc
@@ -147,6 +147,15 @@
   const policy::FlowKey flow = waiter.m_flow;
   const double weight = WeightOf(flow);
   const Duration longest = LongestWait(waiter);
+  if (m_queue.size() > 0 && !m_pool.AnyEligible(waiter.m_avoid, now)) {
+    // Each waiting request takes one of those that limits of targets allow.
+    const Choice later{.m_room_at = m_pool.RoomAt(m_queue.size(), now)};
+    if (later.m_room_at > now + longest) {
+      effects->m_decisions.push_back(
+          {std::move(waiter.m_on_grant), RefuseWithoutTarget(later, now)});
+      return;
+    }
+  }
   // The estimate is too coarse to be compared with a latency objective while
   // requests queue only because targets are still being probed.
   const bool may_refuse =
@@ -226,13 +235,15 @@
 
 util::Expected<Grant> ServiceRouter::RefuseWithoutTarget(const Choice& choice,
                                                          TimePoint now) {
-  if (!choice.m_paused_until.has_value()) {
+  if (!choice.m_room_at.has_value()) {
     return Refuse(ErrorKind::kNoTarget, "no target takes new requests");
   }
   util::Expected<Grant> refusal =
-      Refuse(ErrorKind::kNoTarget, "all targets asked for a pause");
+      Refuse(ErrorKind::kNoTarget,
+             "all targets asked for a pause or are at the limits that they "
+             "named");
   refusal.m_error.m_retry_after = policy::RetryAfterPause(
-      std::max(Duration::zero(), *choice.m_paused_until - now), &m_random);
+      std::max(Duration::zero(), *choice.m_room_at - now), &m_random);
   return refusal;
 }
 
@@ -296,8 +307,8 @@
 Choice ServiceRouter::Choose(const Waiter& waiter, TimePoint now) {
   Choice choice = ProbesBeforePlacing() ? ChooseMeasured(waiter, now)
                                         : m_pool.Choose(waiter.m_avoid, now);
-  if (choice.m_paused_until.has_value() &&
-      *choice.m_paused_until <= waiter.m_arrived + LongestWait(waiter)) {
+  if (choice.m_room_at.has_value() &&
+      *choice.m_room_at <= waiter.m_arrived + LongestWait(waiter)) {
     choice.m_worth_waiting = true;
   }
   return choice;
--- a/src/routing/target.h
+++ b/src/routing/target.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "guavacross/routing.h"
@@ -11,6 +12,7 @@
 #include "policy/latency_window.h"
 #include "policy/pause.h"
 #include "policy/quarantine.h"
+#include "policy/request_limit.h"
 #include "policy/target_load.h"
 #include "policy/target_subset.h"
 #include "policy/waiting.h"
@@ -58,6 +60,11 @@
   policy::Ejection m_ejection;
   policy::Draining m_draining;
   policy::Pause m_pause;
+  policy::NamedLimit m_limit;
+  /// Whether an unreadable limit of the target has been logged.
+  bool m_unreadable_limit_logged = false;
+  /// Of `m_limit`, while that is active.
+  policy::RequestShare m_request_share;
   policy::ResetHistory m_resets;
   std::vector<Attempt> m_attempts;
   /// When slow start began; `TimePoint::min()` if the target needs none.
@@ -72,6 +79,13 @@
   bool m_unresponsive = false;
 };
 
+/// The incarnation of a target that registers itself, as in notices; empty if
+/// unknown.
+inline std::string RunOf(const TargetConfig& target) {
+  return target.m_incarnation == 0 ? std::string()
+                                   : std::to_string(target.m_incarnation);
+}
+
 }  // namespace guavacross::routing
 
 #endif  // GUAVACROSS_ROUTING_TARGET_H_
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -27,16 +27,12 @@
 // within seconds of the drain, so that the oldest are of no use any more.
 constexpr std::size_t kMaxDrainedRuns = 1024;
 
-// The run of a target that registers itself; empty if unknown.
-std::string RunOf(const TargetConfig& target) {
-  return target.m_incarnation == 0 ? std::string()
-                                   : std::to_string(target.m_incarnation);
-}
-
 }  // namespace
 
 TargetPool::TargetPool(const RouterOptions& options, std::uint64_t seed)
-    : m_options(options), m_random(seed) {}
+    : m_options(options),
+      m_started_at(options.m_clock.m_now()),
+      m_random(seed) {}
 
 void TargetPool::Configure(std::shared_ptr<const ServiceConfig> config,
                            TimePoint now) {
@@ -88,17 +84,23 @@
     return is_finished;
   });
   UpdateSubset();
+  UpdateLimitShares(now);
 }
 
-void TargetPool::SetSubsetInstances(
-    std::shared_ptr<const std::vector<policy::SubsetInstance>> instances) {
-  m_subset_instances = std::move(instances);
-  UpdateSubset();
+void TargetPool::SetView(std::shared_ptr<const policy::LimitView> view,
+                         TimePoint now) {
+  const bool same_instances = m_view != nullptr && view != nullptr &&
+                              m_view->m_instances == view->m_instances;
+  m_view = std::move(view);
+  if (!same_instances) {
+    UpdateSubset();
+  }
+  UpdateLimitShares(now);
 }
 
 void TargetPool::UpdateSubset() {
   m_subset.clear();
-  if (m_subset_instances == nullptr || !IsEnabled(Mechanism::kSubsets)) {
+  if (m_view == nullptr || !IsEnabled(Mechanism::kSubsets)) {
     return;
   }
   std::vector<policy::SubsetTarget> places;
@@ -111,7 +113,7 @@
   const policy::SubsetInstance self{.m_hash = util::Hash(m_options.m_name),
                                     .m_zone = m_options.m_zone};
   const std::vector<policy::SubsetTier> tiers =
-      policy::RankTargets(self, *m_subset_instances, places);
+      policy::RankTargets(self, m_view->m_instances, places);
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     m_targets[i]->m_tier = tiers[i];
     if (tiers[i] != policy::SubsetTier::kOutside) {
@@ -128,6 +130,9 @@
 void TargetPool::Sent(Target* target, Attempt attempt) {
   target->m_attempts.push_back(attempt);
   target->m_load.Sent();
+  if (target->m_limit.is_active()) {
+    target->m_request_share.Take(attempt.m_sent_at);
+  }
   ++m_own_in_flight;
 }
 
@@ -202,6 +207,76 @@
          target->m_draining.UpdateFromPeer(incarnation).m_started_draining;
 }
 
+bool TargetPool::UpdateLimit(Target* target,
+                             double limit,
+                             TimePoint asked_at,
+                             TimePoint now) {
+  const double before = target->m_limit.limit();
+  const bool is_news = target->m_limit.UpdateFromTarget(limit, asked_at, now);
+  if (target->m_limit.limit() != before) {
+    ApplyLimit(target, before, now);
+  }
+  return is_news;
+}
+
+bool TargetPool::LearnLimit(const LimitNotice& notice, TimePoint now) {
+  Target* const target = Find(notice.m_target);
+  if (target == nullptr) {
+    return false;
+  }
+  const std::string current = RunOf(target->m_config);
+  const bool is_other_run = !current.empty() && !notice.m_incarnation.empty() &&
+                            current != notice.m_incarnation;
+  const double before = target->m_limit.limit();
+  if (is_other_run ||
+      !target->m_limit.UpdateFromPeer(notice.m_limit, now - notice.m_age)) {
+    return false;
+  }
+  ApplyLimit(target, before, now);
+  return true;
+}
+
+std::vector<LimitNotice> TargetPool::Limits(TimePoint now) const {
+  std::vector<LimitNotice> limits;
+  for (const auto& target : m_targets) {
+    if (target->m_limit.named_at().has_value() && !target->m_removed) {
+      limits.push_back({.m_service = m_config->m_name,
+                        .m_target = target->m_config.m_name,
+                        .m_incarnation = RunOf(target->m_config),
+                        .m_limit = target->m_limit.limit(),
+                        .m_age = now - *target->m_limit.named_at()});
+    }
+  }
+  return limits;
+}
+
+void TargetPool::ApplyLimit(Target* target, double before, TimePoint now) {
+  if (before == 0) {
+    // Until now the target got requests from all instances, so that the share
+    // has no former holder. After a start the others aren't known yet.
+    target->m_request_share.Start(ShareOf(*target), m_started_at);
+  }
+  UpdateLimitShares(now);
+}
+
+double TargetPool::ShareOf(const Target& target) const {
+  const double limit = target.m_limit.limit();
+  return m_view == nullptr
+             ? limit / std::max(1, m_instances)
+             : policy::ShareOfLimit(limit, util::Hash(target.m_config.m_name),
+                                    *m_view);
+}
+
+void TargetPool::UpdateLimitShares(TimePoint now) {
+  m_limited.clear();
+  for (const auto& target : m_targets) {
+    if (target->m_limit.is_active() && !target->m_removed) {
+      target->m_request_share.Set(ShareOf(*target), now);
+      m_limited.push_back(target.get());
+    }
+  }
+}
+
 void TargetPool::RememberDrain(const std::string& name,
                                const std::string& incarnation) {
   const std::pair run(name, incarnation);
@@ -295,7 +370,7 @@
         const bool is_late = target->m_probe_in_flight &&
                              now - target->m_probed_at >= kLateProbeAfter;
         return target->m_unresponsive || is_late || IsRetired(*target) ||
-               IsEjected(*target, now) || target->m_pause.IsActive(now);
+               IsEjected(*target, now) || !HasRoom(target.get(), now);
       });
   if (now >= m_slow_start_until) {
     m_ignore_slow_start = false;
@@ -316,19 +391,30 @@
       kMaxSlowStartShare * static_cast<double>(m_targets.size());
 }
 
-bool TargetPool::IsEligible(const Target& target, TimePoint now) const {
-  const bool is_unresponsive = target.m_unresponsive && !m_all_unresponsive;
-  return !is_unresponsive && !IsRetired(target) && !IsEjected(target, now) &&
-         !target.m_pause.IsActive(now);
+bool TargetPool::IsEligible(Target* target, TimePoint now) const {
+  const bool is_unresponsive = target->m_unresponsive && !m_all_unresponsive;
+  return !is_unresponsive && !IsRetired(*target) && !IsEjected(*target, now) &&
+         HasRoom(target, now);
+}
+
+bool TargetPool::HasRoom(Target* target, TimePoint now) {
+  return !target->m_pause.IsActive(now) &&
+         (!target->m_limit.is_active() || target->m_request_share.HasRoom(now));
 }
 
-std::optional<TimePoint> TargetPool::FirstPauseEnd(TimePoint now) const {
+std::optional<TimePoint> TargetPool::RoomAt(int ahead, TimePoint now) {
   std::optional<TimePoint> first;
   for (const auto& target : m_targets) {
-    if (!IsRetired(*target) && !IsEjected(*target, now) &&
-        target->m_pause.IsActive(now)) {
-      first =
-          std::min(first.value_or(TimePoint::max()), target->m_pause.until());
+    if (IsRetired(*target) || IsEjected(*target, now)) {
+      continue;
+    }
+    const TimePoint pause_end = std::max(now, target->m_pause.until());
+    const std::optional<TimePoint> room_at =
+        target->m_limit.is_active()
+            ? target->m_request_share.RoomAt(ahead, pause_end)
+            : pause_end;
+    if (room_at.has_value() && *room_at > now) {
+      first = std::min(first.value_or(TimePoint::max()), *room_at);
     }
   }
   return first;
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -25,9 +25,9 @@
   Target* m_target = nullptr;
   /// If there is no target: whether one may become available.
   bool m_worth_waiting = false;
-  /// If no target takes requests because of pauses that targets asked for: when
-  /// the first of these ends.
-  std::optional<TimePoint> m_paused_until;
+  /// If no target takes requests because of pauses that targets asked for or of
+  /// limits that they named: when the first takes one again.
+  std::optional<TimePoint> m_room_at;
 };
 
 /// The targets of one service, and the choice between them. Not thread safe.
@@ -44,10 +44,10 @@
   /// Sets the number of live instances, this one included.
   void SetInstances(int instances) { m_instances = instances; }
 
-  /// Sets the live instances, this one included, among which the targets are
-  /// divided. Without them no target is preferred.
-  void SetSubsetInstances(
-      std::shared_ptr<const std::vector<policy::SubsetInstance>> instances);
+  /// Sets the live instances among which the targets and their request limits
+  /// are divided. Without them no target is preferred, and each limit is
+  /// divided evenly by the number of instances.
+  void SetView(std::shared_ptr<const policy::LimitView> view, TimePoint now);
 
   /// Chooses a target for an attempt. Targets in `avoid` are used only if no
   /// other is eligible.
@@ -95,6 +95,25 @@
   /// @return whether the target has started draining.
   bool LearnDrain(const std::string& name, const std::string& incarnation);
 
+  /// Records the request limit in an answer of the target to a request or probe
+  /// that was sent at `asked_at`; see `policy::NamedLimit::UpdateFromTarget`.
+  bool UpdateLimit(Target* target,
+                   double limit,
+                   TimePoint asked_at,
+                   TimePoint now);
+  /// Records a peer's notice of a target's limit.
+  ///
+  /// @return whether the limit has changed.
+  bool LearnLimit(const LimitNotice& notice, TimePoint now);
+  /// The limits that are or were named by targets in use.
+  std::vector<LimitNotice> Limits(TimePoint now) const;
+
+  /// Whether a target takes requests now, apart from those in `avoid`.
+  bool AnyEligible(const std::vector<std::string>& avoid, TimePoint now);
+  /// If only pauses and limits of targets prevent requests: when the request
+  /// after the next `ahead` ones may be sent.
+  std::optional<TimePoint> RoomAt(int ahead, TimePoint now);
+
   /// Records that peers have `in_flight` attempts on a target.
   void PeersReport(Target* target, int in_flight, TimePoint now);
 
@@ -139,7 +158,7 @@
   // The cost of the best target outside the subset that could be probed.
   double CheapestOutsideCost() const;
   void UpdateExclusionOverrides(TimePoint now);
-  bool IsEligible(const Target& target, TimePoint now) const;
+  bool IsEligible(Target* target, TimePoint now) const;
   // Whether the target gets no new attempts any more: it has been removed or
   // replaced, or is draining.
   static bool IsRetired(const Target& target);
@@ -164,14 +183,21 @@
   void ReplaceIfCheaper(Target* target,
                         TimePoint now,
                         RankedTarget* best) const;
-  bool IsSelectable(const Target& target,
+  bool IsSelectable(Target* target,
                     const std::vector<std::string>& avoid,
                     TimePoint now) const;
-  bool AnyEligible(const std::vector<std::string>& avoid, TimePoint now);
   double MeasuredCostOf(const Target& target, TimePoint now) const;
   bool IsMeasured(const Target& target, TimePoint now) const;
-  // When the first pause of a target that is usable otherwise ends, if any.
-  std::optional<TimePoint> FirstPauseEnd(TimePoint now) const;
+  // Whether neither a pause nor a limit keeps the target from a request.
+  static bool HasRoom(Target* target, TimePoint now);
+  // The cheapest of the targets with a limit that may be sent a request.
+  RankedTarget CheapestLimited(const std::vector<std::string>& avoid,
+                               TimePoint now);
+  double ShareOf(const Target& target) const;
+  // Divides a target's limit after it has changed from `before`.
+  void ApplyLimit(Target* target, double before, TimePoint now);
+  // Divides the limits anew after a change of limits, targets or instances.
+  void UpdateLimitShares(TimePoint now);
   // Remembers that a run of a target drains, also if its entry is removed and
   // comes back.
   void RememberDrain(const std::string& name, const std::string& incarnation);
@@ -191,7 +217,10 @@
   std::vector<Target*> m_recently_measured;
   // Targets of the tiers `kNear` and `kFar`.
   std::vector<Target*> m_subset;
-  std::shared_ptr<const std::vector<policy::SubsetInstance>> m_subset_instances;
+  // Targets that name a limit.
+  std::vector<Target*> m_limited;
+  std::shared_ptr<const policy::LimitView> m_view;
+  TimePoint m_started_at;
   // Names and incarnations of runs that drain, oldest first.
   std::deque<std::pair<std::string, std::string>> m_drained_runs;
   policy::Random m_random;
--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -46,6 +46,10 @@
     return ChooseBaseline();
   }
   UpdateExclusionOverrides(now);
+  const RankedTarget limited = CheapestLimited(avoid, now);
+  if (limited.m_target != nullptr && limited.m_cost <= policy::kGoodCost) {
+    return {.m_target = limited.m_target};
+  }
   const RankedTarget sampled = BestOfSample(avoid, now);
   if (sampled.m_target != nullptr && sampled.m_cost <= policy::kGoodCost) {
     return {.m_target = sampled.m_target};
@@ -57,11 +61,15 @@
                                   Requirement requirement,
                                   TimePoint now) {
   UpdateExclusionOverrides(now);
+  const double limit =
+      requirement == Requirement::kGood ? policy::kGoodCost : policy::kWaitCost;
+  const RankedTarget limited = CheapestLimited(avoid, now);
+  if (limited.m_target != nullptr && limited.m_cost <= limit) {
+    return {.m_target = limited.m_target};
+  }
   const RankedTarget best = requirement == Requirement::kAny
                                 ? CheapestOfAll(avoid, now)
                                 : CheapestMeasured(avoid, now);
-  const double limit =
-      requirement == Requirement::kGood ? policy::kGoodCost : policy::kWaitCost;
   if (best.m_target != nullptr && best.m_cost <= limit) {
     return {.m_target = best.m_target};
   }
@@ -72,7 +80,22 @@
   if (any_eligible || !avoid.empty()) {
     return {.m_worth_waiting = true};
   }
-  return {.m_paused_until = FirstPauseEnd(now)};
+  return {.m_room_at = RoomAt(0, now)};
+}
+
+// A target with a limit isn't probed, since probes count against the limit. It
+// takes few requests, so that it is used whenever it may be sent one and isn't
+// known to be slow.
+TargetPool::RankedTarget TargetPool::CheapestLimited(
+    const std::vector<std::string>& avoid,
+    TimePoint now) {
+  RankedTarget best;
+  for (Target* const target : m_limited) {
+    if (IsSelectable(target, avoid, now)) {
+      ReplaceIfCheaper(target, now, &best);
+    }
+  }
+  return best;
 }
 
 TargetPool::RankedTarget TargetPool::CheapestOfAll(
@@ -80,7 +103,7 @@
     TimePoint now) {
   RankedTarget best;
   VisitFromRandomStart(m_targets.size(), [&](Target* target) {
-    if (IsSelectable(*target, avoid, now)) {
+    if (IsSelectable(target, avoid, now)) {
       ReplaceIfCheaper(target, now, &best);
     }
     return true;
@@ -99,7 +122,7 @@
   for (std::size_t i = 0; i < m_recently_measured.size(); ++i) {
     Target* const target =
         m_recently_measured[(start + i) % m_recently_measured.size()];
-    if (IsMeasured(*target, now) && IsSelectable(*target, avoid, now)) {
+    if (IsMeasured(*target, now) && IsSelectable(target, avoid, now)) {
       ReplaceIfCheaper(target, now, &best);
     }
   }
@@ -115,17 +138,17 @@
   }
 }
 
-bool TargetPool::IsSelectable(const Target& target,
+bool TargetPool::IsSelectable(Target* target,
                               const std::vector<std::string>& avoid,
                               TimePoint now) const {
-  return IsEligible(target, now) && !Contains(avoid, target.m_config.m_name);
+  return IsEligible(target, now) && !Contains(avoid, target->m_config.m_name);
 }
 
 bool TargetPool::AnyEligible(const std::vector<std::string>& avoid,
                              TimePoint now) {
   bool any = false;
   VisitFromRandomStart(m_targets.size(), [&](Target* target) {
-    any = IsSelectable(*target, avoid, now);
+    any = IsSelectable(target, avoid, now);
     return !any;
   });
   return any;
@@ -178,8 +201,8 @@
       target.m_unresponsive &&
       now - target.m_probed_at < kUnresponsiveProbeInterval;
   return !IsRetired(target) && !target.m_pause.IsActive(now) &&
-         !recently_unanswered && !target.m_probe_in_flight &&
-         !IsMeasured(target, now);
+         !target.m_limit.is_active() && !recently_unanswered &&
+         !target.m_probe_in_flight && !IsMeasured(target, now);
 }
 
 double TargetPool::CheapestOutsideCost() const {
@@ -234,7 +257,7 @@
   RankedTarget best;
   for (int i = 0; i < m_parameters.m_samples; ++i) {
     Target* const target = m_targets[m_random.Below(m_targets.size())].get();
-    if (target == best.m_target || !IsEligible(*target, now) ||
+    if (target == best.m_target || !IsEligible(target, now) ||
         Contains(avoid, target->m_config.m_name) ||
         m_random.Uniform() >= SlowStartWeight(*target, now)) {
       continue;
@@ -256,7 +279,7 @@
   const std::size_t start = m_random.Below(m_targets.size());
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     Target* const target = m_targets[(start + i) % m_targets.size()].get();
-    if (!IsEligible(*target, now)) {
+    if (!IsEligible(target, now)) {
       continue;
     }
     const bool is_avoided = Contains(avoid, target->m_config.m_name);
@@ -277,7 +300,7 @@
     if (any_eligible || best.m_target != nullptr) {
       return {.m_worth_waiting = true};
     }
-    return {.m_paused_until = FirstPauseEnd(now)};
+    return {.m_room_at = RoomAt(0, now)};
   }
   return {.m_target = best.m_target};
 }
--- a/src/serve/member_views.cc
+++ b/src/serve/member_views.cc
@@ -51,7 +51,11 @@
   std::vector<InstancePlace> places{
       {.m_name = self.m_id.m_name, .m_zone = self.m_zone}};
   for (const Member& member : members) {
-    // A suspect member is usually only slow; its targets stay assigned to it.
+    // A suspect member is usually only slow; its targets stay assigned to it. A
+    // seed that hasn't answered is only an address.
+    if (member.m_id.m_incarnation == 0) {
+      continue;
+    }
     if (member.m_state == MemberState::kLive ||
         member.m_state == MemberState::kSuspect) {
       places.push_back({.m_name = member.m_id.m_name, .m_zone = member.m_zone});
--- a/src/serve/member_views_test.cc
+++ b/src/serve/member_views_test.cc
@@ -45,6 +45,15 @@
         (LivePeerAddresses(members, self) == Endpoints{Peers(1), Peers(2)}));
     CPPUNIT_ASSERT(LiveNames(members) == std::vector<std::string>{"e1"});
   });
+  Section("targets are divided among instances that have been heard of", [&] {
+    std::vector<Member> seen = members;
+    seen.front().m_id.m_incarnation = 1;
+    const std::vector<InstancePlace> places = LivePlaces(seen, self);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, places.size());
+    // A seed that hasn't answered is only an address.
+    seen.front().m_id.m_incarnation = 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, LivePlaces(seen, self).size());
+  });
   Section("an instance leaves out its own address", [&] {
     const auto listed = ToListedInstances({Peers(2), Peers(9)}, self.m_peers);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listed.size());
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -327,7 +327,14 @@
 
   void UpdateInstanceCount() {
     m_router->SetInstanceCount(m_peers->LiveCount());
-    m_router->SetInstances(LivePlaces(m_peers->Members(), Self()));
+    std::vector<InstancePlace> places = LivePlaces(m_peers->Members(), Self());
+    if (m_leaving) {
+      // The other instances share its part already.
+      std::erase_if(places, [this](const InstancePlace& place) {
+        return place.m_name == m_self.m_name;
+      });
+    }
+    m_router->SetInstances(places);
     m_instance_count_timer = m_clock.m_call_after(
         kInstanceCountInterval, [this] { UpdateInstanceCount(); });
   }
--- a/src/serve/route_status.cc
+++ b/src/serve/route_status.cc
@@ -39,6 +39,10 @@
   if (target.m_pause_left > Duration::zero()) {
     json["pause_left_s"] = Seconds(target.m_pause_left);
   }
+  if (target.m_request_limit > 0) {
+    json["request_limit_per_s"] = target.m_request_limit;
+    json["request_share_per_s"] = target.m_request_share;
+  }
   const auto age = status.m_entry_ages.find(target.m_name);
   if (age != status.m_entry_ages.end()) {
     json["entry_age_s"] = Seconds(age->second);
