An answer whose body has no end is ended soon after the request's deadline

Callers would see a request without an end, and a slot of the target stay in use: an answer without a length stopped the deadline's timer when its head arrived, so that a body without end was passed on until the caller left (PlatformAnswersWithoutEnd, two of its sections red before).

Change: the body of an answer without a length may go on for 0.3 s after the deadline; then the answer is aborted, so that it doesn't look complete. Answers with a length are delivered as before, also late, and so are those of requests with a claim, which are recorded.

The test's other sections passed before: bytes that are no answer and a head without end close the connection, and a body takes little memory while the caller doesn't read.

--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -105,6 +105,8 @@
   void OnBadAnswer(ActiveAttempt* attempt);
   bool ShouldRetryServerError(const http::ResponseHead& head);
   void AcceptAnswer(ActiveAttempt* winner, const http::ResponseHead& head);
+  // Ends an answer whose body may have no end, some time after the deadline.
+  void LimitBodyTime(const http::ResponseHead& head);
   void OnAnswerBody(ActiveAttempt* attempt, std::string_view bytes);
   // Pauses reading the answer if more than `limit` bytes of it are buffered.
   void PauseIfBuffered(ActiveAttempt* attempt, std::size_t limit);
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -18,6 +18,9 @@
 // more, so that it can be recorded.
 constexpr Duration kMaxDetachedTime = std::chrono::minutes(10);
 
+// How long after the deadline the body of an answer without a length may go on.
+constexpr Duration kLateBodyTime = std::chrono::milliseconds(300);
+
 constexpr int kFirstServerError = 500;
 
 // Server errors that another target may not return.
@@ -94,6 +97,22 @@
   if (m_caller_waiting) {
     m_hooks.m_on_head(to_caller);
   }
+  LimitBodyTime(head);
+}
+
+void Exchange::LimitBodyTime(const http::ResponseHead& head) {
+  const bool may_be_endless = head.m_framing == http::BodyFraming::kChunked ||
+                              head.m_framing == http::BodyFraming::kUntilClose;
+  if (!may_be_endless || m_ended || m_claimed ||
+      m_request.m_deadline == TimePoint::max()) {
+    return;
+  }
+  const Duration remaining =
+      std::max(m_request.m_deadline + kLateBodyTime - now(), Duration::zero());
+  m_deadline_timer = context().m_clock.m_call_after(remaining, [this] {
+    EndAttempt(m_winner, AttemptEnd::kTimeout);
+    AbortAnswer();
+  });
 }
 
 void Exchange::OnAnswerBody(ActiveAttempt* attempt, std::string_view bytes) {
