Soak: the store restored from a copy, and targets that name a limit

Two more kinds of fault: the store comes back from a copy 0.3 to 3 s old, with what it lacks written again within a second, and a target names a limit of 0.5, 2 or 5 requests a second, which is checked from what it gets. A line is formatted anew.

--- a/src/policy/target_subset.h
+++ b/src/policy/target_subset.h
@@ -58,9 +58,9 @@
 ///
 /// A target is assigned to instances in proportion to its share of the slots:
 /// targets with equal slots have equally many, and at least one of each kind if
-/// there are any. `instances` contains `self` unless it is leaving. Pure; the order of `instances`
-/// doesn't matter. With N instances the average time per target is logarithmic
-/// in N, and at worst N.
+/// there are any. `instances` contains `self` unless it is leaving. Pure; the
+/// order of `instances` doesn't matter. With N instances the average time per
+/// target is logarithmic in N, and at worst N.
 std::vector<SubsetTier> RankTargets(
     const SubsetInstance& self,
     const std::vector<SubsetInstance>& instances,
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -42,6 +42,10 @@
 # Time limits are checked only if no fault was active this long before.
 STABLE_S = 3.0
 CALLER_TIMEOUT_S = 1.5
+# What a target that names a limit may get in a window, from STABLE_S after it
+# first named it.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR, LIMIT_EXTRA = 1.5, 5
 NOT_RUN = (408, 421, 429, 503)
 ROUTES = [("read", "/read/", "safe", "s1"), ("pay", "/pay/", "unsafe", "s1")]
 
@@ -136,6 +140,8 @@
         # (entry, time) of each SIGTERM.
         self.terminated = []
         self.published = []
+        # (target, limit, begin, end) of each time that a target names a limit.
+        self.limits = []
         self.events = []
 
     @property
@@ -190,15 +196,44 @@
         return TARGETS if kind == "target" else INSTANCES
 
     def store_fault(self, seconds):
-        what = self.random.choice(["down", "refusing", "forget"])
+        what = self.random.choice(["down", "refusing", "forget", "restore"])
         self.log_event(f"store: {what} for {seconds:.1f} s")
         if what == "forget":
             self.store.forget("keyed.servers")
             return
+        if what == "restore":
+            self.restore_store(seconds)
+            return
         setattr(self.store, what, True)
         time.sleep(seconds)
         setattr(self.store, what, False)
 
+    def restore_store(self, seconds):
+        """Brings back a copy that is `seconds` old. The operator and the targets
+        write again what it lacks."""
+        copy = self.store.copy()
+        time.sleep(seconds)
+        self.store.restore(copy)
+        time.sleep(self.random.uniform(0, 1))
+        self.publish()
+        for target in list(self.all_targets):
+            if target not in self.targets:
+                target.deregister()
+            else:
+                target.register(
+                    "draining" if target in self.leaving else "ready")
+
+    def name_limit(self):
+        """Lets a target name a limit for long enough to check that it holds."""
+        target = self.random.choice(self.targets)
+        limit = self.random.choice([0.5, 2, 5])
+        self.log_event(f"{target.name}: names a limit of {limit}")
+        target.limit = str(limit)
+        begin = time.monotonic()
+        time.sleep(STABLE_S + LIMIT_WINDOW_S + self.random.uniform(0, 3))
+        target.limit = None
+        self.limits.append((target, limit, begin, time.monotonic()))
+
     def target_fault(self, seconds):
         number = self.random.randrange(TARGETS)
         target = self.targets[number]
@@ -265,11 +300,12 @@
         self.events.append(f"{time.monotonic() - self.began:6.2f} s  {text}")
 
     def run_faults(self):
-        """Runs the faults of the seed on four threads, so that they overlap.
+        """Runs the faults of the seed on five threads, so that they overlap.
 
         The threads handle the store and the links to it, the links to callers
-        and targets, the links between instances, and the instances and targets
-        themselves, including planned operations on them."""
+        and targets, the links between instances, the limits of targets, and the
+        instances and targets themselves, including planned operations on
+        them."""
         self.began = time.monotonic()
         end = self.began + SECONDS
         failures = []
@@ -314,6 +350,8 @@
                 target=repeat, args=("links", inject_link_fault, (1, 4))),
             threading.Thread(
                 target=repeat, args=("peers", inject_peer_fault, (1, 4))),
+            threading.Thread(
+                target=repeat, args=("limits", self.name_limit, (0, 1))),
             threading.Thread(
                 target=repeat, args=("members", change_members, (0, 1)))]
         for thread in threads:
@@ -371,6 +409,17 @@
                 check(not settled or each.status != 404,
                       f"{each.request} got 404 on a route in force")
 
+    def check_limits(self):
+        for target, limit, begin, end in self.limits:
+            times = [at for at in list(target.arrived)
+                     if begin + STABLE_S <= at <= end]
+            most = max((sum(at <= each < at + LIMIT_WINDOW_S for each in times)
+                        for at in times), default=0)
+            allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA
+            check(most <= allowed,
+                  f"{target.name} named a limit of {limit} and got {most} "
+                  f"requests in {LIMIT_WINDOW_S} s, allowed {allowed}")
+
     def check_members(self):
         """Checks that the instances discover each other through the proxies."""
         for entry in self.entries:
@@ -420,6 +469,8 @@
         with case.section("no run was doubled, unsent, refused or too late"):
             soak.check_runs(
                 [*sent, RequestRecord(None, "recovered", "", False)])
+        with case.section("no target got more than the limit that it named"):
+            soak.check_limits()
         with case.section("planned operations aborted no request"):
             soak.check_planned_work(sent)
     except harness.Failure:
