--- a/src/policy/read_failover.h
+++ b/src/policy/read_failover.h
@@ -37,7 +37,7 @@
 /// How much later an instance of rank 1 or higher reads than that of rank 1, in
 /// halves of the delay per rank. Pure.
 inline int FailoverHalfSteps(int rank) {
-  constexpr int kSingle = ReadFailover::kLastSingleRank;
+  static constexpr int kSingle = ReadFailover::kLastSingleRank;
   if (rank <= kSingle) {
     return 2 * (rank - 1);
   }
