A target with a limit that didn't answer a probe is probed within its limit

Seen while reading the change: targets with a limit aren't probed, so one that hadn't answered its last probe before it named the limit stayed out of use for good. It is probed now, and the probe takes one of the requests of the share (LimitsBesideOtherRules, a section of which failed: the target was never used again). The view of the instances, which serves the subsets of targets as well, is called InstanceView and stands beside them.

--- a/src/policy/request_limit.cc
+++ b/src/policy/request_limit.cc
@@ -23,7 +23,9 @@
 
 }  // namespace
 
-double ShareOfLimit(double limit, std::uint64_t target, const LimitView& view) {
+double ShareOfLimit(double limit,
+                    std::uint64_t target,
+                    const InstanceView& view) {
   const bool is_present =
       std::any_of(view.m_instances.begin(), view.m_instances.end(),
                   [&view](const SubsetInstance& each) {
--- a/src/policy/request_limit.h
+++ b/src/policy/request_limit.h
@@ -26,20 +26,11 @@
 /// thread safe.
 namespace guavacross::policy {
 
-/// The instances among which limits are divided, as one instance sees them.
-struct LimitView {
-  std::uint64_t m_self = 0;
-  /// The live instances; contains `m_self` unless this instance is leaving.
-  std::vector<SubsetInstance> m_instances;
-  /// The largest number of instances that were live at once lately.
-  int m_largest_count = 1;
-
-  bool operator==(const LimitView&) const = default;
-};
-
 /// The share of `limit` that the instance `view.m_self` may send to a target,
 /// in requests per second; 0 if other instances hold all of it.
-double ShareOfLimit(double limit, std::uint64_t target, const LimitView& view);
+double ShareOfLimit(double limit,
+                    std::uint64_t target,
+                    const InstanceView& view);
 
 /// What is known of one target's limit.
 class NamedLimit {
--- a/src/policy/target_subset.h
+++ b/src/policy/target_subset.h
@@ -38,6 +38,17 @@
   bool operator==(const SubsetInstance&) const = default;
 };
 
+/// The instances as one of them sees them.
+struct InstanceView {
+  std::uint64_t m_self = 0;
+  /// The live instances; contains `m_self` unless that is leaving.
+  std::vector<SubsetInstance> m_instances;
+  /// The largest number of instances that were live at once lately.
+  int m_largest_count = 1;
+
+  bool operator==(const InstanceView&) const = default;
+};
+
 struct SubsetTarget {
   std::uint64_t m_hash = 0;
   std::string m_zone;
--- a/src/routing/limited_targets_test.cc
+++ b/src/routing/limited_targets_test.cc
@@ -152,6 +152,7 @@
   TimePoint now() const { return m_clock.now(); }
   std::vector<std::unique_ptr<Instance>>& instances() { return m_instances; }
   int refused() const { return m_refused; }
+  static ServiceConfig Service();
   void set_limit(double limit) { m_limit = limit; }
 
  private:
@@ -165,24 +166,6 @@
   static constexpr Duration kStep = milliseconds(5);
   static constexpr Duration kWork = milliseconds(70);
 
-  ServiceConfig Service() const {
-    ServiceConfig service;
-    service.m_name = kService;
-    for (int i = 0; i < kTargets; ++i) {
-      service.m_targets.push_back({.m_name = "t" + std::to_string(i),
-                                   .m_zone = "a",
-                                   .m_slots = 64,
-                                   .m_incarnation = 1});
-    }
-    service.m_classes = {{.m_name = "read", .m_claims = false}};
-    service.m_classes.front().m_latency_objective = milliseconds(200);
-    service.m_probe.m_probes_per_second = 10000;
-    service.m_probe.m_probe_cost = Duration::zero();
-    service.m_probe.m_path = "/health";
-    service.m_probe.m_per_request = true;
-    return service;
-  }
-
   RouterHooks Hooks(Instance* instance) {
     RouterHooks hooks;
     hooks.m_on_probes = [this,
@@ -270,6 +253,24 @@
   int m_refused = 0;
 };
 
+ServiceConfig Fleet::Service() {
+  ServiceConfig service;
+  service.m_name = kService;
+  for (int i = 0; i < kTargets; ++i) {
+    service.m_targets.push_back({.m_name = "t" + std::to_string(i),
+                                 .m_zone = "a",
+                                 .m_slots = 64,
+                                 .m_incarnation = 1});
+  }
+  service.m_classes = {{.m_name = "read", .m_claims = false}};
+  service.m_classes.front().m_latency_objective = milliseconds(200);
+  service.m_probe.m_probes_per_second = 10000;
+  service.m_probe.m_probe_cost = Duration::zero();
+  service.m_probe.m_path = "/health";
+  service.m_probe.m_per_request = true;
+  return service;
+}
+
 struct Deployment {
   int m_instances = 0;
   double m_requests_per_second = 0;
@@ -538,6 +539,59 @@
     alone.m_clock.Advance(seconds(1));
     CPPUNIT_ASSERT(!alone.Send({}, alone.m_answer));
   });
+  Section("a target that didn't answer is probed within its limit", [] {
+    util::ManualClock clock;
+    Router* router = nullptr;
+    int probes = 0;
+    bool answers = false;
+    RouterHooks hooks;
+    hooks.m_on_probes = [&](const std::vector<ProbeOrder>& orders) {
+      for (const ProbeOrder& order : orders) {
+        const bool answered = order.m_target != kLimited || answers;
+        probes += order.m_target == kLimited ? 1 : 0;
+        ProbeReport report{.m_service = kService,
+                           .m_target = order.m_target,
+                           .m_answered = answered};
+        if (answered) {
+          report.m_load = LoadReport{.m_in_flight = 0, .m_slowdown = 1};
+        }
+        router->ReportProbe(report);
+      }
+    };
+    Router probing({.m_seed = 1, .m_clock = clock.clock()}, hooks);
+    router = &probing;
+    ServiceConfig service = Fleet::Service();
+    service.m_targets.resize(2);
+    probing.Configure(service);
+    const auto used = [&](Duration duration) {
+      int reached = 0;
+      for (Duration passed{}; passed < duration; passed += milliseconds(10)) {
+        clock.Advance(milliseconds(10));
+        const RequestTraits traits{.m_service = kService,
+                                   .m_class_name = "read",
+                                   .m_deadline = clock.now() + seconds(1),
+                                   .m_arrived = clock.now()};
+        probing.Acquire(traits, {}, [&](const util::Expected<Grant>& grant) {
+          reached += grant && grant.m_value->m_target == kLimited ? 1 : 0;
+          if (grant) {
+            probing.Release(*grant.m_value, traits, AttemptReport());
+          }
+        });
+        probing.ExpireWaiters();
+      }
+      return reached;
+    };
+    used(seconds(4));
+    probing.LearnLimit(
+        {.m_service = kService, .m_target = kLimited, .m_limit = 2});
+    probes = 0;
+    CPPUNIT_ASSERT_EQUAL(0, used(seconds(4)));
+    CPPUNIT_ASSERT(probes >= 6 && probes <= 10);
+    Section("and used again once it answers", [&] {
+      answers = true;
+      CPPUNIT_ASSERT(used(seconds(4)) >= 6);
+    });
+  });
   Section("a notice of an earlier run changes nothing", [] {
     Alone alone(1, 10);
     CPPUNIT_ASSERT(!alone.m_router.LearnLimit({.m_service = kService,
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -204,17 +204,17 @@
     const TimePoint now = Now();
     const std::lock_guard lock(m_instances_mutex);
     m_seen_instances.Record(static_cast<int>(instances.size()), now);
-    policy::LimitView view{.m_self = util::Hash(m_options.m_name),
-                           .m_instances = std::move(instances),
-                           .m_largest_count = m_seen_instances.Largest(now)};
+    policy::InstanceView view{.m_self = util::Hash(m_options.m_name),
+                              .m_instances = std::move(instances),
+                              .m_largest_count = m_seen_instances.Largest(now)};
     if (m_view != nullptr && *m_view == view) {
       return false;
     }
-    m_view = std::make_shared<const policy::LimitView>(std::move(view));
+    m_view = std::make_shared<const policy::InstanceView>(std::move(view));
     return true;
   }
 
-  std::shared_ptr<const policy::LimitView> view() const {
+  std::shared_ptr<const policy::InstanceView> view() const {
     const std::lock_guard lock(m_instances_mutex);
     return m_view;
   }
@@ -232,7 +232,7 @@
   mutable std::mutex m_notices_mutex;
   std::set<std::string> m_services_with_notices;
   mutable std::mutex m_instances_mutex;
-  std::shared_ptr<const policy::LimitView> m_view;
+  std::shared_ptr<const policy::InstanceView> m_view;
   policy::InstanceCountWindow m_instances;
   // Counts of the instances in `m_view`.
   policy::InstanceCountWindow m_seen_instances;
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -278,6 +278,9 @@
 ProbeOrder ServiceRouter::OrderProbe(Target* target, TimePoint now) {
   target->m_probed_at = now;
   target->m_probe_in_flight = true;
+  if (target->m_limit.is_active()) {
+    target->m_request_share.Take(now);
+  }
   ++m_probes_sent;
   return {.m_service = m_config->m_name,
           .m_target = target->m_config.m_name,
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -50,7 +50,7 @@
   ServeWaiters(now, effects);
 }
 
-void ServiceRouter::SetView(std::shared_ptr<const policy::LimitView> view,
+void ServiceRouter::SetView(std::shared_ptr<const policy::InstanceView> view,
                             TimePoint now) {
   const std::lock_guard lock(m_mutex);
   m_pool.SetView(std::move(view), now);
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -36,7 +36,7 @@
                  Effects* effects);
   /// Sets the live instances among which the targets and their request limits
   /// are divided.
-  void SetView(std::shared_ptr<const policy::LimitView> view, TimePoint now);
+  void SetView(std::shared_ptr<const policy::InstanceView> view, TimePoint now);
   std::shared_ptr<const ServiceConfig> config() const;
 
   /// Refuses all waiting requests because the service has been removed.
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -87,7 +87,7 @@
   UpdateLimitShares(now);
 }
 
-void TargetPool::SetView(std::shared_ptr<const policy::LimitView> view,
+void TargetPool::SetView(std::shared_ptr<const policy::InstanceView> view,
                          TimePoint now) {
   const bool same_instances = m_view != nullptr && view != nullptr &&
                               m_view->m_instances == view->m_instances;
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -47,7 +47,7 @@
   /// Sets the live instances among which the targets and their request limits
   /// are divided. Without them no target is preferred, and each limit is
   /// divided evenly by the number of instances.
-  void SetView(std::shared_ptr<const policy::LimitView> view, TimePoint now);
+  void SetView(std::shared_ptr<const policy::InstanceView> view, TimePoint now);
 
   /// Chooses a target for an attempt. Targets in `avoid` are used only if no
   /// other is eligible.
@@ -201,7 +201,7 @@
   // Remembers that a run of a target drains, also if its entry is removed and
   // comes back.
   void RememberDrain(const std::string& name, const std::string& incarnation);
-  bool CanBeProbed(const Target& target, TimePoint now) const;
+  bool CanBeProbed(Target* target, TimePoint now) const;
   // Visits up to `max_targets` targets in order from a random one on, until
   // `visit` returns false.
   void VisitFromRandomStart(std::size_t max_targets,
@@ -219,7 +219,7 @@
   std::vector<Target*> m_subset;
   // Targets that name a limit.
   std::vector<Target*> m_limited;
-  std::shared_ptr<const policy::LimitView> m_view;
+  std::shared_ptr<const policy::InstanceView> m_view;
   TimePoint m_started_at;
   // Names and incarnations of runs that drain, oldest first.
   std::deque<std::pair<std::string, std::string>> m_drained_runs;
--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -83,9 +83,9 @@
   return {.m_room_at = RoomAt(0, now)};
 }
 
-// A target with a limit isn't probed, since probes count against the limit. It
-// takes few requests, so that it is used whenever it may be sent one and isn't
-// known to be slow.
+// A target with a limit isn't probed before it is used, since probes count
+// against the limit. It takes few requests, so that it is used whenever it may
+// be sent one and isn't known to be slow.
 TargetPool::RankedTarget TargetPool::CheapestLimited(
     const std::vector<std::string>& avoid,
     TimePoint now) {
@@ -158,7 +158,7 @@
                                                 TimePoint now) {
   std::vector<RankedTarget> ranked_targets;
   const auto rank = [&](Target* target) {
-    if (CanBeProbed(*target, now)) {
+    if (CanBeProbed(target, now)) {
       // Random noise of up to 10 %, so that the instances don't all probe the
       // same targets.
       ranked_targets.push_back(
@@ -196,13 +196,16 @@
   return targets;
 }
 
-bool TargetPool::CanBeProbed(const Target& target, TimePoint now) const {
+bool TargetPool::CanBeProbed(Target* target, TimePoint now) const {
   const bool recently_unanswered =
-      target.m_unresponsive &&
-      now - target.m_probed_at < kUnresponsiveProbeInterval;
-  return !IsRetired(target) && !target.m_pause.IsActive(now) &&
-         !target.m_limit.is_active() && !recently_unanswered &&
-         !target.m_probe_in_flight && !IsMeasured(target, now);
+      target->m_unresponsive &&
+      now - target->m_probed_at < kUnresponsiveProbeInterval;
+  // A probe counts as one of the requests that a limit allows, so that a target
+  // is then probed only if it isn't used otherwise.
+  const bool is_spared = target->m_limit.is_active() && !target->m_unresponsive;
+  return !IsRetired(*target) && HasRoom(target, now) && !is_spared &&
+         !recently_unanswered && !target->m_probe_in_flight &&
+         !IsMeasured(*target, now);
 }
 
 double TargetPool::CheapestOutsideCost() const {
