A version that can't be read here isn't fetched with each heartbeat

Seen while reading the change: a peer of a newer build may have a configuration in force that this build can't read. Its version would be higher at each heartbeat, and all records would be fetched again and again.

Change: if an answer to a request for all records has none that can be read, the version isn't requested again for 5 s. An answer with an older, readable version doesn't count: it is another peer's (SharedStreamWithAnUnreadableVersion).

--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -28,15 +28,24 @@
       // before the store was restored.
       known.m_record.m_offset = known.m_newest;
       m_changed_to = std::max(m_changed_to, known.m_newest + 1);
-      if (m_rules.m_version_of) {
-        m_version = std::max(m_version, m_rules.m_version_of(record));
-      }
+      m_version = std::max(m_version, VersionOf({record}));
     }
     newer.push_back(record);
   }
   return newer;
 }
 
+std::uint64_t SharedRecords::VersionOf(
+    const std::vector<KeyedRecord>& records) const {
+  std::uint64_t version = 0;
+  if (m_rules.m_version_of) {
+    for (const KeyedRecord& record : records) {
+      version = std::max(version, m_rules.m_version_of(record));
+    }
+  }
+  return version;
+}
+
 int SharedRecords::AgeOrder(const Known& known,
                             const KeyedRecord& record) const {
   return m_rules.m_compare_age ? m_rules.m_compare_age(known.m_record, record)
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -74,6 +74,8 @@
   /// The highest version of a significant record's contents; 0 if they have
   /// none.
   std::uint64_t version() const { return m_version; }
+  /// The highest version of the given records' contents; 0 if none can be read.
+  std::uint64_t VersionOf(const std::vector<KeyedRecord>& records) const;
 
   /// The last significant record of each key, if its offset is `from` or
   /// higher, in order of offset. Limited to `max_bytes`, but at least one if
@@ -119,18 +121,26 @@
   bool operator==(const StreamState&) const = default;
 };
 
+/// Records that a peer sent.
+struct PeerRecords {
+  std::string m_peer;
+  /// The offset from which on they were requested.
+  std::uint64_t m_from = 0;
+  std::vector<KeyedRecord> m_records;
+
+  bool operator==(const PeerRecords&) const = default;
+};
+
 /// Callbacks by which instances exchange stream states and records. Called on
 /// the control thread.
 struct StreamExchange {
   /// Returns the records of a stream that a peer requests; `m_on_records`
-  /// receives the records that a peer sends, with the peer's name.
+  /// receives the records that a peer sends.
   std::function<std::vector<KeyedRecord>(const std::string& stream,
                                          std::uint64_t from,
                                          std::size_t max_bytes)>
       m_records;
-  std::function<void(const std::string& stream,
-                     const std::string& peer,
-                     const std::vector<KeyedRecord>& records)>
+  std::function<void(const std::string& stream, const PeerRecords&)>
       m_on_records;
   /// Receives a peer's state of a stream. Returns from which offset on to fetch
   /// its records, or nothing if it has none to offer.
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -13,6 +13,10 @@
 // reader has gone.
 constexpr Duration kAssumedTransitTime = std::chrono::milliseconds(50);
 
+// How long an instance that can't read a version of a peer, perhaps one of a
+// newer build, waits before it requests it again.
+constexpr Duration kUnreadableRetryDelay = std::chrono::seconds(5);
+
 // How long an instance waits for a peer that can supply the missing records
 // before it reads them from the store itself. Covers one read by the instance
 // whose turn it is, and one heartbeat.
@@ -90,7 +94,8 @@
     RecordRead(*peer_state.m_read_at - kAssumedTransitTime);
   }
   std::optional<std::uint64_t> fetch_from;
-  if (peer_state.m_version > m_records.version()) {
+  if (IsNewerVersion(peer_state.m_version)) {
+    m_peer_version = std::max(m_peer_version, peer_state.m_version);
     fetch_from = 0;
   }
   const bool lacks_records = m_feed.offset() < peer_state.m_complete_from;
@@ -110,6 +115,12 @@
   return fetch_from.value_or(m_records.changed_to());
 }
 
+bool SharedStream::IsNewerVersion(std::uint64_t version) const {
+  const bool is_unreadable =
+      version <= m_unreadable_version && m_clock.m_now() < m_unreadable_until;
+  return version > m_records.version() && !is_unreadable;
+}
+
 bool SharedStream::HasPersistentGap() {
   if (m_feed.offset() >= m_gap_to) {
     m_gap_since.reset();
@@ -118,13 +129,17 @@
          m_clock.m_now() - *m_gap_since >= kMaxGapTime;
 }
 
-void SharedStream::MergeFromPeer(const std::string& peer,
-                                 const std::vector<KeyedRecord>& records) {
+void SharedStream::MergeFromPeer(const PeerRecords& fetched) {
   const std::uint64_t version = m_records.version();
-  m_hooks.m_on_records(m_records.MergeFromPeer(records), peer);
+  m_hooks.m_on_records(m_records.MergeFromPeer(fetched.m_records),
+                       fetched.m_peer);
   if (m_records.version() > version) {
     // Most peers aren't sent a heartbeat by the instance that read it.
     m_hooks.m_on_state_changed();
+  } else if (fetched.m_from == 0 && !fetched.m_records.empty() &&
+             m_records.VersionOf(fetched.m_records) == 0) {
+    m_unreadable_version = m_peer_version;
+    m_unreadable_until = m_clock.m_now() + kUnreadableRetryDelay;
   }
 }
 
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -73,8 +73,7 @@
   /// the store.
   std::optional<std::uint64_t> OnPeerState(const std::string& peer,
                                            const StreamState& peer_state);
-  void MergeFromPeer(const std::string& peer,
-                     const std::vector<KeyedRecord>& records);
+  void MergeFromPeer(const PeerRecords& fetched);
 
   /// Checks whether the store counts as lost.
   void Tick();
@@ -84,6 +83,8 @@
 
  private:
   FeedHooks MakeFeedHooks();
+  // Whether a peer's contents are newer by their version, and may be readable.
+  bool IsNewerVersion(std::uint64_t version) const;
   Duration Postpone();
   // Whether this instance must read the store itself, because records that it
   // and a peer lack have been missing for too long.
@@ -102,6 +103,11 @@
   bool m_reachable = true;
   std::string m_lost_reason;
   std::uint64_t m_complete_from = 0;
+  // The highest version that peers have, and until when versions up to one that
+  // couldn't be read here aren't requested again.
+  std::uint64_t m_peer_version = 0;
+  std::uint64_t m_unreadable_version = 0;
+  TimePoint m_unreadable_until = TimePoint::min();
   // The offset up to which peers may lack records that this instance lacks too,
   // and the time since when this gap has existed.
   std::uint64_t m_gap_to = 0;
--- a/src/feed/shared_stream_test.cc
+++ b/src/feed/shared_stream_test.cc
@@ -154,7 +154,9 @@
             to->m_stream->OnPeerState(from->m_name, state);
         if (fetch_from.has_value()) {
           to->m_stream->MergeFromPeer(
-              from->m_name, from->m_stream->Since(*fetch_from, 1 << 20));
+              {.m_peer = from->m_name,
+               .m_from = *fetch_from,
+               .m_records = from->m_stream->Since(*fetch_from, 1 << 20)});
         }
         to->m_stream->Tick();
       }
@@ -398,4 +400,45 @@
   });
 }
 
+// A peer of a newer build may have a version that this one can't read.
+GUAVACROSS_TEST_CASE(SharedStreamWithAnUnreadableVersion) {
+  util::ManualClock clock;
+  StoreModel store(&clock);
+  store.Append("config", "v5");
+  Reader reader(&store, "a");
+  reader.m_stream->Start();
+  clock.Advance(seconds(1));
+  const StreamState newer{.m_stream = "targets", .m_version = 9};
+  const PeerRecords unreadable{.m_peer = "b",
+                               .m_records = {Record("config", "?", 40)}};
+  CPPUNIT_ASSERT(reader.m_stream->OnPeerState("b", newer) == 0);
+
+  Section("is requested again while no answer has come", [&] {
+    CPPUNIT_ASSERT(reader.m_stream->OnPeerState("c", newer) == 0);
+    Section("or only one to another request", [&] {
+      reader.m_stream->MergeFromPeer({.m_peer = "c", .m_from = 3});
+      CPPUNIT_ASSERT(reader.m_stream->OnPeerState("c", newer) == 0);
+    });
+  });
+  Section("and after an answer of a peer that has an older version", [&] {
+    reader.m_stream->MergeFromPeer(
+        {.m_peer = "d", .m_records = {Record("config", "v5", 0)}});
+    CPPUNIT_ASSERT(reader.m_stream->OnPeerState("c", newer) == 0);
+  });
+  Section("isn't requested with each heartbeat once it is known", [&] {
+    reader.m_stream->MergeFromPeer(unreadable);
+    CPPUNIT_ASSERT(!reader.m_stream->OnPeerState("b", newer).has_value());
+    clock.Advance(seconds(4));
+    CPPUNIT_ASSERT(!reader.m_stream->OnPeerState("b", newer).has_value());
+    Section("but a later version is", [&] {
+      CPPUNIT_ASSERT(reader.m_stream->OnPeerState(
+                         "b", {.m_stream = "targets", .m_version = 10}) == 0);
+    });
+    Section("and so is the same one after a while", [&] {
+      clock.Advance(seconds(2));
+      CPPUNIT_ASSERT(reader.m_stream->OnPeerState("b", newer) == 0);
+    });
+  });
+}
+
 }  // namespace guavacross::feed
--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -313,12 +313,14 @@
             [this, to, run, begun_at] { EndFetch(to, run, begun_at); });
       return;
     }
-    After(kPeerDelay, [this, from, to, run, begun_at,
+    After(kPeerDelay, [this, from, to, run, begun_at, position,
                        records = m_instances[from]->m_stream->Since(
                            position, kMaxRecordBytes)] {
       if (EndFetch(to, run, begun_at)) {
-        m_instances[to]->m_stream->MergeFromPeer(m_instances[from]->m_name,
-                                                 records);
+        m_instances[to]->m_stream->MergeFromPeer(
+            {.m_peer = m_instances[from]->m_name,
+             .m_from = position,
+             .m_records = records});
       }
     });
   });
--- a/src/peers/peer_network_test.cc
+++ b/src/peers/peer_network_test.cc
@@ -133,15 +133,15 @@
       }
       return records;
     };
-    hooks.m_streams.m_on_records =
-        [this](const std::string& stream, const std::string& /*peer*/,
-               const std::vector<feed::KeyedRecord>& records) {
-          m_received_records.insert(m_received_records.end(), records.begin(),
-                                    records.end());
-          const std::uint64_t read_to =
-              records.empty() ? 0 : records.back().m_offset + 1;
-          m_local.m_streams = {{.m_stream = stream, .m_changed_to = read_to}};
-        };
+    hooks.m_streams.m_on_records = [this](const std::string& stream,
+                                          const feed::PeerRecords& fetched) {
+      const std::vector<feed::KeyedRecord>& records = fetched.m_records;
+      m_received_records.insert(m_received_records.end(), records.begin(),
+                                records.end());
+      const std::uint64_t read_to =
+          records.empty() ? 0 : records.back().m_offset + 1;
+      m_local.m_streams = {{.m_stream = stream, .m_changed_to = read_to}};
+    };
     hooks.m_streams.m_on_stream = [this](const std::string&,
                                          const feed::StreamState& stream_state)
         -> std::optional<std::uint64_t> {
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -56,22 +56,22 @@
   request.mutable_records()->set_stream(stream);
   request.mutable_records()->set_from(from_offset);
   Send(*member, from.m_incarnation, std::move(request),
-       [this, stream, begun_at,
+       [this, stream, begun_at, from_offset,
         peer = from.m_name](const std::optional<proto::PeerReply>& reply) {
          m_fetch_turns[stream].End(begun_at);
          if (!reply || !reply->has_records()) {
            return;
          }
-         std::vector<feed::KeyedRecord> records;
+         feed::PeerRecords fetched{.m_peer = peer, .m_from = from_offset};
          for (const proto::StoreRecord& message : reply->records().records()) {
            feed::KeyedRecord record{.m_key = message.key(),
                                     .m_offset = message.offset()};
            if (message.has_value()) {
              record.m_value = message.value();
            }
-           records.push_back(std::move(record));
+           fetched.m_records.push_back(std::move(record));
          }
-         m_hooks.m_streams.m_on_records(stream, peer, records);
+         m_hooks.m_streams.m_on_records(stream, fetched);
        });
 }
 
