--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -8,12 +8,11 @@
 
 #include "guavacross/routing.h"
 #include "policy/answered_requests.h"
-#include "policy/probe_budget.h"
 #include "policy/quarantine.h"
 #include "routing/due_times.h"
 #include "routing/effects.h"
+#include "routing/instance_views.h"
 #include "routing/service_router.h"
-#include "util/hash.h"
 
 namespace guavacross {
 
@@ -26,7 +25,9 @@
 class Router::Impl {
  public:
   Impl(RouterOptions options, RouterHooks hooks)
-      : m_options(std::move(options)), m_hooks(std::move(hooks)) {}
+      : m_options(std::move(options)),
+        m_hooks(std::move(hooks)),
+        m_instances(m_options.m_name) {}
 
   TimePoint Now() const { return m_options.m_clock.m_now(); }
 
@@ -184,41 +185,6 @@
     return m_quarantine.IsQuarantined(fingerprint, now);
   }
 
-  /// The largest recent number of live instances. Updated by `SetInstanceCount`
-  /// and `TakeDueProbes`, and read without a lock.
-  int instances() const { return m_largest_instances; }
-
-  void RefreshInstances() {
-    const TimePoint now = Now();
-    const std::lock_guard lock(m_instances_mutex);
-    m_largest_instances = m_instances.Largest(now);
-  }
-
-  /// Sets the live instances and returns whether the view has changed.
-  bool SetView(std::vector<policy::SubsetInstance> instances) {
-    std::sort(
-        instances.begin(), instances.end(),
-        [](const policy::SubsetInstance& a, const policy::SubsetInstance& b) {
-          return a.m_hash < b.m_hash;
-        });
-    const TimePoint now = Now();
-    const std::lock_guard lock(m_instances_mutex);
-    m_seen_instances.Record(static_cast<int>(instances.size()), now);
-    policy::InstanceView view{.m_self = util::Hash(m_options.m_name),
-                              .m_instances = std::move(instances),
-                              .m_largest_count = m_seen_instances.Largest(now)};
-    if (m_view != nullptr && *m_view == view) {
-      return false;
-    }
-    m_view = std::make_shared<const policy::InstanceView>(std::move(view));
-    return true;
-  }
-
-  std::shared_ptr<const policy::InstanceView> view() const {
-    const std::lock_guard lock(m_instances_mutex);
-    return m_view;
-  }
-
   const RouterOptions m_options;
   const RouterHooks m_hooks;
   mutable std::shared_mutex m_services_mutex;
@@ -231,12 +197,7 @@
   // No other lock is taken while it is held.
   mutable std::mutex m_notices_mutex;
   std::set<std::string> m_services_with_notices;
-  mutable std::mutex m_instances_mutex;
-  std::shared_ptr<const policy::InstanceView> m_view;
-  policy::InstanceCountWindow m_instances;
-  // Counts of the instances in `m_view`.
-  policy::InstanceCountWindow m_seen_instances;
-  std::atomic<int> m_largest_instances{1};
+  routing::InstanceViews m_instances;
   mutable std::mutex m_quarantine_mutex;
   policy::Quarantine m_quarantine;
   policy::AnsweredRequests m_answered;
@@ -257,7 +218,7 @@
   std::shared_ptr<ServiceRouter> service = m_impl->Find(config.m_name);
   if (service == nullptr) {
     service = std::make_shared<ServiceRouter>(shared, m_impl->m_options);
-    service->SetView(m_impl->view(), m_impl->Now());
+    service->SetView(m_impl->m_instances.view(), m_impl->Now());
     const std::unique_lock lock(m_impl->m_services_mutex);
     m_impl->m_services[config.m_name] = service;
   } else {
@@ -304,7 +265,8 @@
                          "no service " + traits.m_service)});
   } else {
     service->Acquire(traits, targets_to_avoid, ticket, std::move(on_grant),
-                     m_impl->instances(), m_impl->Now(), &effects);
+                     m_impl->m_instances.largest_count(), m_impl->Now(),
+                     &effects);
   }
   m_impl->ApplyEffects(service, std::move(effects));
   return ticket;
@@ -374,11 +336,12 @@
 
 std::vector<ProbeOrder> Router::TakeDueProbes() {
   const TimePoint now = m_impl->Now();
-  m_impl->RefreshInstances();
+  m_impl->m_instances.Refresh(now);
   std::vector<ProbeOrder> orders;
   for (const auto& service : m_impl->m_probe_times.TakeDue(now)) {
     Effects effects;
-    service->TakeProbes(now, m_impl->instances(), &orders, &effects);
+    service->TakeProbes(now, m_impl->m_instances.largest_count(), &orders,
+                        &effects);
     m_impl->ApplyEffects(service, std::move(effects));
   }
   return orders;
@@ -402,26 +365,16 @@
 }
 
 void Router::SetInstanceCount(int live_instances) {
-  const TimePoint now = m_impl->Now();
-  {
-    const std::lock_guard lock(m_impl->m_instances_mutex);
-    m_impl->m_instances.Record(live_instances, now);
-  }
-  m_impl->RefreshInstances();
+  m_impl->m_instances.RecordCount(live_instances, m_impl->Now());
 }
 
 void Router::SetInstances(const std::vector<InstancePlace>& instances) {
-  std::vector<policy::SubsetInstance> hashed;
-  hashed.reserve(instances.size());
-  for (const InstancePlace& instance : instances) {
-    hashed.push_back(
-        {.m_hash = util::Hash(instance.m_name), .m_zone = instance.m_zone});
-  }
-  if (!m_impl->SetView(std::move(hashed))) {
+  const TimePoint now = m_impl->Now();
+  if (!m_impl->m_instances.SetInstances(instances, now)) {
     return;
   }
   for (const auto& service : m_impl->AllServices()) {
-    service->SetView(m_impl->view(), m_impl->Now());
+    service->SetView(m_impl->m_instances.view(), now);
   }
 }
 
