A question about a claim whose minter has no name has no minter

The message differs from what this project writes and was possible before; nothing reads the incarnation of a minter without a name. The input is in the corpus of the target, which fails on it without the change.

--- a/src/peers/peer_codec.cc
+++ b/src/peers/peer_codec.cc
@@ -221,7 +221,9 @@
   question->m_key = ToKey(in.key());
   question->m_fingerprint = in.fingerprint();
   question->m_attempt = in.attempt();
-  question->m_minter = ToInstance(in.minter());
+  // Without a name there is no minter, whatever else the message has of it.
+  question->m_minter =
+      in.minter().name().empty() ? InstanceId() : ToInstance(in.minter());
   question->m_minted_ms = in.minted_ms();
   return true;
 }
