Setting targets_from: the address from which targets are connected to

For machines with several addresses, and for tests in which a stand-in cuts one instance off by its source address. Left out, the system chooses as before.

--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "backends/attempt.h"
@@ -23,6 +24,8 @@
   /// server sent no keep-alive timeout.
   Duration m_max_fresh_idle = std::chrono::seconds(1);
   std::size_t m_max_header_bytes = std::size_t{32} << 10;
+  /// IP address from which connections are made; empty for the system's choice.
+  std::string m_source_ip;
 
   bool operator==(const BackendPoolOptions&) const = default;
 };
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -46,6 +46,9 @@
   int m_max_connections = 10000;
   /// Limit of connections to one backend server, over all workers.
   int m_max_target_connections = 64;
+  /// IP address from which backend servers are connected to; empty for the
+  /// system's choice.
+  std::string m_target_source_ip;
   std::string m_region;
   std::string m_zone;
   /// How long callers may cache an address response.
--- a/src/callers/caller_worker.cc
+++ b/src/callers/caller_worker.cc
@@ -20,6 +20,7 @@
   backends::BackendPoolOptions pool;
   pool.m_max_connections_per_target =
       std::max(1, options.m_max_target_connections / options.m_workers);
+  pool.m_source_ip = options.m_target_source_ip;
   return pool;
 }
 
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -46,6 +46,23 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+bool ToSocketAddress(const std::string& ip,
+                     std::uint16_t port,
+                     sockaddr_in* address) {
+  address->sin_family = AF_INET;
+  address->sin_port = htons(port);
+  return inet_pton(AF_INET, ip.c_str(), &address->sin_addr) == 1;
+}
+
+// Binds a socket to an IP address; the port is chosen when it connects.
+bool BindTo(const std::string& ip, int descriptor) {
+  sockaddr_in source{};
+  SetOption(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+  return ToSocketAddress(ip, 0, &source) &&
+         bind(descriptor, reinterpret_cast<const sockaddr*>(&source),
+              sizeof(source)) == 0;
+}
+
 bool WouldBlock(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
@@ -77,11 +94,10 @@
 
 std::unique_ptr<Stream> Stream::Connect(SocketSet* set,
                                         const Endpoint& address,
+                                        const std::string& source,
                                         Hooks hooks) {
   sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(address.m_port);
-  if (inet_pton(AF_INET, address.m_ip.c_str(), &target.sin_addr) != 1) {
+  if (!ToSocketAddress(address.m_ip, address.m_port, &target)) {
     return nullptr;
   }
   const int descriptor =
@@ -90,6 +106,10 @@
     return nullptr;
   }
   SetTcpOptions(descriptor);
+  if (!source.empty() && !BindTo(source, descriptor)) {
+    close(descriptor);
+    return nullptr;
+  }
   const int result = connect(
       descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
   if (result != 0 && errno != EINPROGRESS) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -53,9 +53,11 @@
   static std::unique_ptr<Stream> FromDescriptor(SocketSet* set,
                                                 int descriptor,
                                                 Hooks hooks);
-  /// Starts connecting. Returns null if that fails immediately.
+  /// Starts connecting, from the IP address `source` unless it is empty.
+  /// Returns null if that fails immediately.
   static std::unique_ptr<Stream> Connect(SocketSet* set,
                                          const Endpoint& address,
+                                         const std::string& source,
                                          Hooks hooks);
   ~Stream();
   Stream(const Stream&) = delete;
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -244,6 +244,7 @@
     options.m_local_listen = m_options.m_local;
     options.m_workers = kWorkers;
     options.m_max_connections = m_options.m_max_caller_connections;
+    options.m_target_source_ip = m_options.m_target_source_ip;
     options.m_region = m_options.m_region;
     options.m_zone = m_options.m_zone;
     options.m_shutdown_limit = kFinishMargin - kCutOffMargin;
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -35,6 +35,9 @@
   /// The address at which other instances reach this one, if it differs from
   /// `m_peers`, as behind network address translation or a proxy.
   std::optional<Endpoint> m_peers_advertised;
+  /// IP address from which targets are connected to; empty for the system's
+  /// choice.
+  std::string m_target_source_ip;
   /// Addresses of other instances to contact at the start.
   std::vector<Endpoint> m_seeds;
   /// Time from the shutdown request until the process is killed.
