Failing test: requests at an instance that is cut off from all targets

The case runs three real instances; the targets' stand-in cuts one off by its source address (hang, reset, new connections refused, answers lost), and its callers keep their address and connections.

--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -21,12 +21,33 @@
 
     def __init__(self, *arguments):
         self._open = set()
+        # Source addresses whose new connections are reset.
+        self.refused = set()
         super().__init__(*arguments)
 
     def process_request(self, request, client_address):
+        if client_address[0] in self.refused:
+            self._reset(request)
+            request.close()
+            return
         self._open.add(request)
         super().process_request(request, client_address)
 
+    @staticmethod
+    def _reset(connection):
+        """Makes the end of the connection a reset."""
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              struct.pack("ii", 1, 0))
+
+    def reset_from(self, source):
+        """Resets the open connections from an address."""
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                if connection.getpeername()[0] == source:
+                    self._reset(connection)
+                    # The handler's thread holds it open, but sees its end.
+                    connection.shutdown(socket.SHUT_RD)
+
     def shutdown_request(self, request):
         self._open.discard(request)
         super().shutdown_request(request)
@@ -203,10 +224,13 @@
     `extra` (first sends an answer to another request), `deaf` (doesn't answer
     health checks). With `leaving` it says so in all its answers, and with `limit`
     it names that many requests a second; with `pause_s` it refuses requests and
-    asks for a pause of that length."""
+    asks for a pause of that length. `cut` cuts it off from one source address."""
 
     def __init__(self, store, address, name, service, work_s=0.0,
                  registered_address=None):
+        # Kinds of cuts by source address; see `cut`.
+        self._cuts = {}
+        self._asked_by = {}
         self.store, self.address = store, address
         self.name, self.service = name, service
         self.work_s = work_s
@@ -255,7 +279,51 @@
         """Closes everything at once; its entry in the store remains."""
         self._server.crash()
 
+    def cut(self, source, kind):
+        """Cuts the target off from a source address, until `heal`.
+
+        `hang`: requests don't arrive, on open and new connections. `reset`: both
+        are reset. `refuse new`: new connections are reset and open ones work.
+        `one way`: requests arrive and run, their answers get lost."""
+        self._cuts[source] = kind
+        if kind in ("reset", "refuse new"):
+            self._server.refused.add(source)
+        if kind == "reset":
+            self._server.reset_from(source)
+
+    def heal(self, source):
+        self._cuts.pop(source, None)
+        self._server.refused.discard(source)
+
+    def asked_by(self, source):
+        """The number of requests and health checks that an address sent."""
+        return self._asked_by.get(source, 0)
+
     def _answer(self, handler):
+        source = handler.client_address[0]
+        cut = self._cuts.get(source)
+        if cut in ("hang", "reset"):
+            self._wait_for_heal(source)
+            handler.close_connection = True
+            return
+        self._asked_by[source] = self._asked_by.get(source, 0) + 1
+        if cut == "one way":
+            self._run_without_answer(handler)
+            return
+        self._run(handler)
+
+    def _wait_for_heal(self, source):
+        while source in self._cuts:
+            time.sleep(0.05)
+
+    def _run_without_answer(self, handler):
+        request = handler.headers.get("X-Request-Id")
+        if request:
+            self.started.append((time.monotonic(), request))
+        self._wait_for_heal(handler.client_address[0])
+        handler.close_connection = True
+
+    def _run(self, handler):
         length = int(handler.headers.get("Content-Length") or 0)
         handler.rfile.read(length)
         self.arrived.append(time.monotonic())
