--- a/src/net/test_peer.h
+++ b/src/net/test_peer.h
@@ -52,7 +52,7 @@
     m_stream->SetReading(true);
   }
   TestPeer(SocketSet* set, const Endpoint& address) {
-    m_stream = Stream::Connect(set, address, MakeHooks(set));
+    m_stream = Stream::Connect(set, address, {}, MakeHooks(set));
     m_stream->SetReading(true);
   }
 
