--- /dev/null
+++ b/src/policy/path_loss.h
@@ -0,0 +1,93 @@
+#ifndef GUAVACROSS_POLICY_PATH_LOSS_H_
+#define GUAVACROSS_POLICY_PATH_LOSS_H_
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "guavacross/time.h"
+
+namespace guavacross::policy {
+
+/// Detects that an instance gets no answers from a group of targets any more,
+/// such as when it is partitioned from them.
+///
+/// Load pattern: while the instance is cut off, probes hang or fail on all
+/// targets at once and callers go on sending requests. While targets are only
+/// full, slow, or down in one availability zone, some still answer. The loss of
+/// all targets at once looks the same from here, which is why only the answers
+/// that other instances get tell whether there is another path; see
+/// `ChooseRelay`.
+///
+/// The time for which a probe has been unanswered excludes times in which
+/// nothing was recorded or asked here, so that a process that stood still
+/// doesn't take answers that it hasn't read yet for missing ones. No I/O; not
+/// thread safe.
+class PathLoss {
+ public:
+  /// A live target answers a probe sooner, also from another region.
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(50);
+  /// Targets that must be silent, or all if there are fewer.
+  static constexpr std::size_t kMinSilentTargets = 4;
+
+  /// Sets the number of targets in use and of their availability zones. With
+  /// targets in more than one zone, those of a single one aren't enough.
+  void SetTargets(std::size_t targets, std::size_t zones);
+
+  /// Records that a target was sent a probe.
+  void RecordAsked(const std::string& target,
+                   const std::string& zone,
+                   TimePoint now);
+  /// Records that a target's connection was refused, was reset or timed out.
+  void RecordFailure(const std::string& target,
+                     const std::string& zone,
+                     TimePoint now);
+  /// Records an answer of any target, which ends the loss.
+  void RecordAnswer(TimePoint now);
+
+  /// Whether the path counts as lost.
+  bool IsLost(TimePoint now);
+
+  /// The number of targets that were asked since the last answer and have had
+  /// time to answer.
+  std::size_t SilentTargets(TimePoint now);
+
+  /// When the first of the targets was asked that haven't answered; nothing if
+  /// none is silent.
+  std::optional<TimePoint> silent_since() const;
+  /// When a target last answered; nothing if none has.
+  std::optional<TimePoint> answered_at() const { return m_answered_at; }
+
+ private:
+  struct Silence {
+    std::string m_zone;
+    TimePoint m_asked_at;
+    // On the clock that counts only active time.
+    Duration m_active_at{};
+    bool m_failed = false;
+  };
+
+  void Advance(TimePoint now);
+  bool IsOverdue(const Silence& silence) const;
+
+  std::size_t m_targets = 0;
+  std::size_t m_zones = 0;
+  // Targets asked since the last answer.
+  std::unordered_map<std::string, Silence> m_silent;
+  std::optional<TimePoint> m_answered_at;
+  Duration m_active{};
+  TimePoint m_advanced_at = TimePoint::min();
+};
+
+/// The probability that an instance sends a request to a target itself rather
+/// than through a peer, some time after its path to the targets has come back.
+///
+/// It rises in steps of time, so that a path that is lost again shortly
+/// afterwards takes few requests with it, and so that the instance learns the
+/// load of the targets before it sends its full share. Pure.
+double DirectShare(Duration since_recovery);
+
+}  // namespace guavacross::policy
+
+#endif  // GUAVACROSS_POLICY_PATH_LOSS_H_
