--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -95,9 +95,9 @@
       m_attempt->m_hooks.m_on_drained();
     }
   };
-  m_stream = net::Stream::Connect(m_pool->m_set, m_address,
-                                  m_pool->m_options.m_source_ip,
-                                  std::move(hooks));
+  m_stream =
+      net::Stream::Connect(m_pool->m_set, m_address,
+                           m_pool->m_options.m_source_ip, std::move(hooks));
   // An immediate connect failure is also reported from the event loop, so that
   // no hook is called before `BackendPool::Start` returns.
   const Duration limit = m_stream != nullptr
--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -20,13 +20,16 @@
 
 constexpr int kOkStatus = 200;
 
+// Header bytes that a peer adds to its caller's request.
+constexpr std::size_t kMaxRelayHeaderBytes = 1024;
+
 }  // namespace
 
 CallerConnection::CallerConnection(CallerWorker* worker,
                                    int descriptor,
-                                   bool local_only)
+                                   ConnectionKind kind)
     : m_worker(worker),
-      m_local_only(local_only),
+      m_kind(kind),
       m_last_progress(now()),
       m_last_write_progress(m_last_progress) {
   net::Stream::Hooks hooks;
@@ -152,8 +155,11 @@
       m_exchange->OnBody(bytes);
     }
   };
-  const http::ReadLimits limits{
-      .m_max_header_bytes = m_worker->m_options.m_limits.m_max_header_bytes};
+  http::ReadLimits limits{.m_max_header_bytes =
+                              m_worker->m_options.m_limits.m_max_header_bytes};
+  if (m_kind == ConnectionKind::kPeer) {
+    limits.m_max_header_bytes += kMaxRelayHeaderBytes;
+  }
   m_reader = http::MessageReader::ForRequest(limits, std::move(hooks));
   m_head_started = now();
 }
@@ -206,7 +212,7 @@
 // On local-only addresses the hook answers requests, and those that it doesn't
 // answer get an error; on other addresses all requests are forwarded.
 bool CallerConnection::AnswerByHook(const http::RequestHead& head) {
-  if (!m_local_only) {
+  if (m_kind != ConnectionKind::kLocal) {
     return false;
   }
   const auto answer = m_worker->m_hooks->m_answer_locally(head);
@@ -222,15 +228,28 @@
 
 void CallerConnection::Forward(const http::RequestHead& head) {
   const CallerServerHooks& server = *m_worker->m_hooks;
+  const std::optional<forwarding::RelayMark> relay = ReadRelayMark(head);
+  if (m_kind == ConnectionKind::kPeer && !relay.has_value()) {
+    SendRefusal(head,
+                {.m_kind = ErrorKind::kPeerIncompatible,
+                 .m_text = "the request has no mark of this cluster"},
+                Outcome::kNotRun);
+    return;
+  }
   auto request = util::Catch([&] {
-    return server.m_classify ? server.m_classify(head, now())
+    return server.m_classify ? server.m_classify(head, now(), relay)
                              : Classify(*server.m_router, head, now());
   });
   if (!request) {
     LogRefusal(head, request.m_error);
-    SendError(request.m_error, RefusalOutcome(head, request.m_error.m_kind));
+    SendRefusal(head, request.m_error,
+                RefusalOutcome(head, request.m_error.m_kind));
     return;
   }
+  if (relay.has_value()) {
+    m_worker->m_metrics.CountRelay(request.m_value->m_service->m_name,
+                                   "taken-over", "accepted");
+  }
   m_exchange = m_worker->m_forwarder.Begin(std::move(*request.m_value),
                                            MakeAnswerHooks());
   m_worker->UpdateRequestCount();
@@ -243,6 +262,35 @@
   }
 }
 
+// The mark is valid only from peers of the same cluster.
+std::optional<forwarding::RelayMark> CallerConnection::ReadRelayMark(
+    const http::RequestHead& head) const {
+  const auto& identity = m_worker->m_hooks->m_relay_identity;
+  if (m_kind != ConnectionKind::kPeer || !identity.has_value()) {
+    return std::nullopt;
+  }
+  auto mark =
+      forwarding::ParseRelayMark(head.m_fields.Find(kRelayHeader).value_or(""));
+  return mark.has_value() && mark->m_cluster == identity->m_cluster
+             ? mark
+             : std::nullopt;
+}
+
+void CallerConnection::SendRefusal(const http::RequestHead& head,
+                                   const Error& error,
+                                   Outcome outcome) {
+  m_worker->m_metrics.CountOwnAnswer(error.m_kind);
+  const CallerServerHooks& server = *m_worker->m_hooks;
+  forwarding::CompleteAnswer answer =
+      server.m_caller_dialect->m_error_answer(error, outcome);
+  if (m_kind == ConnectionKind::kPeer) {
+    forwarding::AddRelayRefusal({.m_outcome = outcome, .m_error = error},
+                                server.m_target_dialect->m_request_id_header,
+                                head, &answer.m_head);
+  }
+  SendWhole(answer);
+}
+
 void CallerConnection::LogRefusal(const http::RequestHead& head,
                                   const Error& error) {
   if (!m_worker->m_log.ShouldLogProblem()) {
--- a/src/callers/caller_connection.h
+++ b/src/callers/caller_connection.h
@@ -16,6 +16,16 @@
 
 class CallerWorker;
 
+/// Who connects to the address on which a connection was accepted.
+enum class ConnectionKind {
+  /// Callers, whose requests are forwarded.
+  kCaller,
+  /// Callers of the local addresses, whose requests are never forwarded.
+  kLocal,
+  /// Other instances, which pass on requests of their callers.
+  kPeer,
+};
+
 /// One caller's connection: reads a request, forwards it, writes its response,
 /// and only then processes the next request.
 ///
@@ -25,7 +35,7 @@
 /// by the `CallerWorker`.
 class CallerConnection {
  public:
-  CallerConnection(CallerWorker* worker, int descriptor, bool local_only);
+  CallerConnection(CallerWorker* worker, int descriptor, ConnectionKind kind);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
@@ -59,6 +69,11 @@
   bool AnswerLocally(const http::RequestHead& head);
   bool AnswerByHook(const http::RequestHead& head);
   void Forward(const http::RequestHead& head);
+  std::optional<forwarding::RelayMark> ReadRelayMark(
+      const http::RequestHead& head) const;
+  void SendRefusal(const http::RequestHead& head,
+                   const Error& error,
+                   Outcome outcome);
   void LogRefusal(const http::RequestHead& head, const Error& error);
   void OnBody(std::string_view bytes);
   void OnReadError(const Error& error);
@@ -86,8 +101,7 @@
   TimePoint now() const;
 
   CallerWorker* m_worker;
-  // Whether requests are only answered locally, never forwarded.
-  bool m_local_only;
+  ConnectionKind m_kind;
   std::unique_ptr<net::Stream> m_stream;
   std::optional<http::MessageReader> m_reader;
   forwarding::Exchange* m_exchange = nullptr;
--- a/src/callers/caller_server.cc
+++ b/src/callers/caller_server.cc
@@ -81,11 +81,15 @@
       : m_options(std::move(options)),
         m_hooks(std::move(hooks)),
         m_listener([this](int descriptor) {
-          OnAccept(descriptor, /*local_only=*/false);
+          OnAccept(descriptor, ConnectionKind::kCaller);
+        }),
+        m_peer_listener([this](int descriptor) {
+          OnAccept(descriptor, ConnectionKind::kPeer);
         }) {}
 
   ~Impl() {
     m_listener.close();
+    m_peer_listener.close();
     m_local_listeners.clear();
     m_control.Stop();
     for (const auto& thread : m_threads) {
@@ -99,10 +103,13 @@
   Result<void> Start() {
     RaiseDescriptorLimit();
     BOOST_LEAF_CHECK(Listen(&m_listener, m_options.m_listen));
+    if (m_options.m_peer_listen.m_port != 0) {
+      BOOST_LEAF_CHECK(Listen(&m_peer_listener, m_options.m_peer_listen));
+    }
     for (const Endpoint& local : m_options.m_local_listen) {
       m_local_listeners.push_back(
           std::make_unique<Listener>([this](int descriptor) {
-            OnAccept(descriptor, /*local_only=*/true);
+            OnAccept(descriptor, ConnectionKind::kLocal);
           }));
       BOOST_LEAF_CHECK(Listen(m_local_listeners.back().get(), local));
     }
@@ -128,7 +135,7 @@
     return {};
   }
 
-  void OnAccept(int descriptor, bool local_only) {
+  void OnAccept(int descriptor, ConnectionKind kind) {
     const int open = Connections();
     if (open >= m_options.m_max_connections + kMaxRefusedConnections) {
       close(descriptor);
@@ -141,8 +148,8 @@
                             return a->connections() < b->connections();
                           });
     worker->CountConnection();
-    worker->tasks().Post([worker, descriptor, refuse, local_only] {
-      worker->Accept(descriptor, refuse, local_only);
+    worker->tasks().Post([worker, descriptor, refuse, kind] {
+      worker->Accept(descriptor, refuse, kind);
     });
   }
 
@@ -197,6 +204,7 @@
   CallerServerHooks m_hooks;
   ServerState m_state;
   Listener m_listener;
+  Listener m_peer_listener;
   std::vector<std::unique_ptr<Listener>> m_local_listeners;
 
  private:
@@ -258,8 +266,13 @@
 void CallerServer::StopAccepting() {
   // Closing the listening socket resets connections in the kernel's accept
   // queue, whose requests may already have been sent; accept these first.
-  m_impl->m_listener.waitForNewConnection(0);
-  m_impl->m_listener.close();
+  for (Listener* const listener :
+       {&m_impl->m_listener, &m_impl->m_peer_listener}) {
+    if (listener->isListening()) {
+      listener->waitForNewConnection(0);
+      listener->close();
+    }
+  }
 }
 
 void CallerServer::Finish(std::function<void()> on_done) {
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -56,6 +56,8 @@
   /// Longest time that `Finish` waits for open requests; zero means no limit.
   Duration m_shutdown_limit = Duration::zero();
   CallerLimits m_limits;
+  /// The address on which peers pass on requests; port 0 disables it.
+  Endpoint m_peer_listen;
   /// Additional addresses on which all requests are answered by
   /// `CallerServerHooks::m_answer_locally` and none is forwarded.
   std::vector<Endpoint> m_local_listen;
@@ -83,15 +85,21 @@
   /// Issues an identity for a caller's non-repeatable requests, sent with an
   /// address response. May be empty.
   std::function<std::string()> m_mint_identity;
-  /// Classifies a request; if empty, `Classify` is used.
-  std::function<Result<forwarding::ForwardRequest>(const http::RequestHead&,
-                                                   TimePoint now)>
+  /// Classifies a request; if empty, `Classify` is used. `relay` is set if a
+  /// peer has passed it on.
+  std::function<Result<forwarding::ForwardRequest>(
+      const http::RequestHead&,
+      TimePoint now,
+      const std::optional<forwarding::RelayMark>& relay)>
       m_classify;
   /// Answers a request without a backend server, or returns nothing. If set, it
   /// replaces the built-in health, readiness and address paths.
   std::function<std::optional<forwarding::CompleteAnswer>(
       const http::RequestHead&)>
       m_answer_locally;
+  /// How this instance presents itself to its peers, if requests are passed on
+  /// between them.
+  std::optional<forwarding::RelayIdentity> m_relay_identity;
   /// The HTTP conventions used with backend servers and callers.
   const backends::TargetDialect* m_target_dialect =
       &backends::DefaultTargetDialect();
--- a/src/callers/caller_worker.cc
+++ b/src/callers/caller_worker.cc
@@ -51,7 +51,10 @@
           .m_tasks = m_tasks,
           .m_target_dialect = hooks->m_target_dialect,
           .m_caller_dialect = hooks->m_caller_dialect,
-          .m_log = &m_log}) {
+          .m_log = &m_log,
+          .m_relay_identity = hooks->m_relay_identity.has_value()
+                                  ? &*hooks->m_relay_identity
+                                  : nullptr}) {
   m_forwarder.SetOnEnded([this] {
     UpdateRequestCount();
     CheckDone();
@@ -68,9 +71,8 @@
   m_sockets.DeleteDeferred();
 }
 
-void CallerWorker::Accept(int descriptor, bool refuse, bool local_only) {
-  auto connection =
-      std::make_unique<CallerConnection>(this, descriptor, local_only);
+void CallerWorker::Accept(int descriptor, bool refuse, ConnectionKind kind) {
+  auto connection = std::make_unique<CallerConnection>(this, descriptor, kind);
   CallerConnection* const accepted = connection.get();
   m_connections.emplace(accepted, std::move(connection));
   if (refuse) {
--- a/src/callers/caller_worker.h
+++ b/src/callers/caller_worker.h
@@ -42,9 +42,8 @@
   CallerWorker& operator=(const CallerWorker&) = delete;
 
   /// Takes ownership of an accepted descriptor. With `refuse` the caller gets
-  /// the error `kTooManyConnections`. With `local_only` its requests are never
-  /// forwarded.
-  void Accept(int descriptor, bool refuse, bool local_only = false);
+  /// the error `kTooManyConnections`.
+  void Accept(int descriptor, bool refuse, ConnectionKind kind);
 
   /// Sends probes on the connections that requests use.
   void SendProbes(std::vector<ProbeOrder> orders) {
--- a/src/callers/route_classifier.cc
+++ b/src/callers/route_classifier.cc
@@ -35,12 +35,25 @@
   });
 }
 
+std::uint64_t RouteClassifier::version() const {
+  const std::lock_guard lock(m_mutex);
+  return m_table == nullptr ? 0 : m_table->m_version;
+}
+
 void RouteClassifier::SetExitTime(TimePoint exit_time) {
   const std::lock_guard lock(m_mutex);
   m_exit_time = exit_time;
 }
 
-std::string RouteClassifier::PickService(const Route& route) {
+std::string RouteClassifier::PickService(
+    const Route& route,
+    const std::optional<forwarding::RelayMark>& relay) {
+  for (const ServiceShare& share : route.m_shares) {
+    if (relay.has_value() &&
+        relay->m_service_hash == ServiceHash(share.m_service)) {
+      return share.m_service;
+    }
+  }
   if (route.m_shares.size() == 1) {
     return route.m_shares.front().m_service;
   }
@@ -54,11 +67,15 @@
 
 Result<forwarding::ForwardRequest> RouteClassifier::Classify(
     const http::RequestHead& head,
-    TimePoint now) {
+    TimePoint now,
+    const std::optional<forwarding::RelayMark>& relay) {
   const std::lock_guard lock(m_mutex);
   if (m_table == nullptr) {
     return Fail(ErrorKind::kNotReady, "no configuration is in force yet");
   }
+  if (relay.has_value() && relay->m_config_version > m_table->m_version) {
+    return Fail(ErrorKind::kNotReady, "the sender's configuration is newer");
+  }
   if (!head.m_target.starts_with('/')) {
     return Fail(ErrorKind::kBadRequest, "the request target must be a path");
   }
@@ -77,7 +94,7 @@
   if (m_exit_time.has_value() && request.m_deadline > *m_exit_time) {
     return Fail(ErrorKind::kShuttingDown, "this instance is shutting down");
   }
-  const std::string service = PickService(*route);
+  const std::string service = PickService(*route, relay);
   request.m_service = m_router->FindService(service);
   request.m_class = request.m_service == nullptr
                         ? nullptr
@@ -85,6 +102,10 @@
   if (request.m_class == nullptr) {
     return Fail(ErrorKind::kNoTarget, "service " + service + " has no targets");
   }
+  if (relay.has_value()) {
+    request.m_caller_timeout = relay->m_caller_timeout;
+    request.m_relay = relay;
+  }
   request.m_head = head;
   request.m_tenant = kOtherTenant;
   request.m_arrived = now;
--- a/src/callers/route_classifier.h
+++ b/src/callers/route_classifier.h
@@ -1,6 +1,7 @@
 #ifndef GUAVACROSS_CALLERS_ROUTE_CLASSIFIER_H_
 #define GUAVACROSS_CALLERS_ROUTE_CLASSIFIER_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -30,22 +31,30 @@
 
   void SetTable(std::shared_ptr<const RouteTable> table);
 
+  /// The version of the table; 0 without one.
+  std::uint64_t version() const;
+
   /// From now on requests whose deadline is after `exit_time` are refused
   /// as `kShuttingDown`, because the process exits then.
   void SetExitTime(TimePoint exit_time);
 
   /// Errors: `kNotReady`, `kBadRequest`, `kNoMatchingClass` if no route
   /// matches, `kNoTarget` if the route's service has no targets,
-  /// `kShuttingDown`.
-  Result<forwarding::ForwardRequest> Classify(const http::RequestHead& head,
-                                              TimePoint now);
+  /// `kShuttingDown`. A request that a peer has passed on goes to the service
+  /// that the peer has picked if the route names it, and is refused as
+  /// `kNotReady` if the peer's table is newer.
+  Result<forwarding::ForwardRequest> Classify(
+      const http::RequestHead& head,
+      TimePoint now,
+      const std::optional<forwarding::RelayMark>& relay = std::nullopt);
 
  private:
-  std::string PickService(const Route& route);
+  std::string PickService(const Route& route,
+                          const std::optional<forwarding::RelayMark>& relay);
 
   const Router* m_router;
   std::string m_deadline_header;
-  std::mutex m_mutex;
+  mutable std::mutex m_mutex;
   std::shared_ptr<const RouteTable> m_table;
   // Refers to `*m_table`.
   std::optional<RouteIndex> m_index;
--- a/src/callers/worker_fixture.h
+++ b/src/callers/worker_fixture.h
@@ -20,10 +20,13 @@
 class WorkerFixture {
  public:
   explicit WorkerFixture(int targets = 1,
-                         ChoicePolicy policy = ChoicePolicy::kRoundRobin)
-      : m_router(
-            {.m_zone = "z1", .m_policy = policy, .m_clock = m_clock.clock()},
-            {}),
+                         ChoicePolicy policy = ChoicePolicy::kRoundRobin,
+                         bool relays = false)
+      : m_router({.m_zone = "z1",
+                  .m_policy = policy,
+                  .m_relays = relays,
+                  .m_clock = m_clock.clock()},
+                 {}),
         m_listener(&m_sockets) {
     for (int i = 0; i < targets; ++i) {
       m_backends.push_back(std::make_unique<net::TestServer>(&m_sockets));
@@ -45,7 +48,7 @@
     m_state.m_ready = true;
     m_listener.m_on_descriptor = [this](int descriptor) {
       m_worker->CountConnection();
-      m_worker->Accept(descriptor, /*refuse=*/false);
+      m_worker->Accept(descriptor, /*refuse=*/false, m_connection_kind);
     };
     Configure(Service());
     MakeWorker();
@@ -120,6 +123,8 @@
     std::exchange(m_decide, nullptr)(decision);
   }
 
+  /// The kind of the next connections.
+  ConnectionKind m_connection_kind = ConnectionKind::kCaller;
   util::ManualClock m_clock;
   util::Metrics m_metrics;
   net::SocketSet m_sockets;
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -160,6 +160,10 @@
   traits.m_caller_timeout = m_request.m_caller_timeout;
   traits.m_arrived = m_request.m_arrived;
   traits.m_hops = m_request.m_hops;
+  if (m_request.m_relay.has_value()) {
+    traits.m_relayed = true;
+    traits.m_attempts_before = m_request.m_relay->m_attempts;
+  }
   m_traits = std::make_shared<const RequestTraits>(std::move(traits));
 }
 
@@ -212,8 +216,9 @@
 }
 
 void Exchange::AcquireNow() {
-  m_ticket =
-      m_owner->Acquire(m_id, m_acquire_generation, m_traits, m_targets_tried);
+  std::vector<std::string> avoid = m_targets_tried;
+  avoid.insert(avoid.end(), m_peers_tried.begin(), m_peers_tried.end());
+  m_ticket = m_owner->Acquire(m_id, m_acquire_generation, m_traits, avoid);
 }
 
 bool Exchange::WantsGrant(std::uint64_t generation) const {
@@ -241,13 +246,15 @@
 }
 
 void Exchange::StartAttempt(Grant grant) {
-  m_targets_tried.push_back(grant.m_target);
+  const bool direct = grant.m_peer.empty();
+  (direct ? m_targets_tried : m_peers_tried)
+      .push_back(direct ? grant.m_target : grant.m_peer);
   m_active_attempts.push_back(std::make_unique<ActiveAttempt>());
   ActiveAttempt* const added = m_active_attempts.back().get();
   added->m_grant = std::move(grant);
   const bool hedge = m_active_attempts.size() > 1;
   Send(added, /*fresh_connection=*/!repeatable());
-  if (!hedge) {
+  if (!hedge && direct) {
     ArmHedgeTimer();
   }
   if (m_body.streamed()) {
@@ -267,6 +274,9 @@
   if (m_request.m_deadline != TimePoint::max()) {
     backend_fields.m_remaining = m_request.m_deadline - now();
   }
+  if (!grant.m_peer.empty()) {
+    backend_fields.m_relay_mark = RelayMarkToSend();
+  }
   if (m_body.replayable()) {
     backend_fields.m_body_bytes = m_body.size();
   }
@@ -353,8 +363,7 @@
   m_hedge_timer.reset();
   const bool may_hedge =
       m_winner == nullptr && m_active_attempts.size() == 1 && !m_acquiring &&
-      context().m_router->TryChargeHedge(
-          *m_traits, static_cast<int>(m_targets_tried.size()));
+      context().m_router->TryChargeHedge(*m_traits, AttemptsMade());
   if (may_hedge) {
     Acquire();
   }
@@ -387,7 +396,7 @@
   }
   ReleaseAttempt(owned.get(), end);
   if (end == AttemptEnd::kRefusedNotRun || end == AttemptEnd::kWrongTarget ||
-      end == AttemptEnd::kServerError) {
+      end == AttemptEnd::kPeerRefused || end == AttemptEnd::kServerError) {
     owned->m_attempt->Discard();
   } else {
     owned->m_attempt->Cancel();
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -114,6 +114,15 @@
   void OnFailure(ActiveAttempt* attempt,
                  const backends::AttemptFailure& failure);
 
+  // Attempts through a peer (exchange_relay.cc).
+  std::string RelayMarkToSend() const;
+  void OnPeerHead(ActiveAttempt* attempt, const http::ResponseHead& head);
+  void OnPeerRefused(ActiveAttempt* attempt, const RelayRefusal& refusal);
+  void OnPeerFailure(ActiveAttempt* attempt,
+                     const backends::AttemptFailure& failure);
+  void TryOtherPeerOrFail(const Error& error);
+  int AttemptsMade() const;
+
   // Retries, failures and completion.
   bool MayResend(AttemptEnd last_end) const;
   void RetryOrFail(Error error);
@@ -153,6 +162,10 @@
 
   std::vector<std::unique_ptr<ActiveAttempt>> m_active_attempts;
   std::vector<std::string> m_targets_tried;
+  // Peers through which the request has been sent, and how many of these may
+  // have sent it to a target.
+  std::vector<std::string> m_peers_tried;
+  int m_peer_attempts = 0;
   // The attempt whose answer is passed to the caller, once one has been chosen.
   ActiveAttempt* m_winner = nullptr;
   // The greatest outcome of the attempts that have failed.
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -33,6 +33,10 @@
 void Exchange::OnHead(ActiveAttempt* attempt, const http::ResponseHead& head) {
   attempt->m_answer_status = head.m_status;
   attempt->m_report.m_latency = now() - attempt->m_sent_at;
+  if (!attempt->m_grant.m_peer.empty()) {
+    OnPeerHead(attempt, head);
+    return;
+  }
   const backends::TargetDialect& dialect = *context().m_target_dialect;
   attempt->m_report.m_load = dialect.m_read_load(head);
   const backends::Refusal refusal = dialect.m_read_refusal(head);
@@ -86,14 +90,19 @@
   m_hedge_timer.reset();
   StopAcquiring();
   EndAttemptsExcept(winner, AttemptEnd::kCancelled);
-  context().m_router->ReportLoad(winner->m_grant, winner->m_report.m_load,
-                                 winner->m_report.m_latency);
-  const http::ResponseHead to_caller =
+  if (winner->m_grant.m_peer.empty()) {
+    context().m_router->ReportLoad(winner->m_grant, winner->m_report.m_load,
+                                   winner->m_report.m_latency);
+  }
+  http::ResponseHead to_caller =
       context().m_caller_dialect->m_answer_head(head);
   if (m_claimed) {
     m_record.m_status = head.m_status;
     m_record.m_headers = to_caller.m_fields.all();
   }
+  if (m_request.m_relay.has_value()) {
+    RemoveRelayRefusal(&to_caller);
+  }
   if (m_caller_waiting) {
     m_hooks.m_on_head(to_caller);
   }
@@ -176,6 +185,10 @@
     Send(attempt, /*fresh_connection=*/true);
     return;
   }
+  if (!attempt->m_grant.m_peer.empty()) {
+    OnPeerFailure(attempt, failure);
+    return;
+  }
   // A target that closed a reused connection and now accepts no new one was
   // lost with the request in flight: the connection wasn't closed for being
   // idle.
@@ -208,8 +221,8 @@
       repeatable() || m_worst_outcome == Outcome::kNotRun;
   return m_caller_waiting && safe_to_resend && m_body.replayable() &&
          now() < m_request.m_deadline &&
-         context().m_router->TryChargeRetry(
-             *m_traits, static_cast<int>(m_targets_tried.size()), last_end);
+         context().m_router->TryChargeRetry(*m_traits, AttemptsMade(),
+                                            last_end);
 }
 
 void Exchange::RetryOrFail(Error error) {
@@ -344,8 +357,14 @@
 void Exchange::AnswerError(const Error& error, Outcome outcome) {
   Count(outcome);
   context().m_metrics->CountOwnAnswer(error.m_kind);
-  const CompleteAnswer answer =
+  CompleteAnswer answer =
       context().m_caller_dialect->m_error_answer(error, outcome);
+  if (m_request.m_relay.has_value()) {
+    AddRelayRefusal({.m_outcome = outcome,
+                     .m_error = error,
+                     .m_attempts = static_cast<int>(m_targets_tried.size())},
+                    RequestIdHeader(), m_request.m_head, &answer.m_head);
+  }
   LogRequestEnd(answer.m_head.m_status, Describe(error));
   m_hooks.m_on_answer(answer);
 }
--- a/src/forwarding/exchange_log.cc
+++ b/src/forwarding/exchange_log.cc
@@ -33,6 +33,8 @@
       return "reset";
     case AttemptEnd::kTimeout:
       return "timeout";
+    case AttemptEnd::kPeerRefused:
+      return "peer-refused";
     case AttemptEnd::kCancelled:
       break;
   }
@@ -47,8 +49,13 @@
 }
 
 void Exchange::CountAndLogAttempt(const ActiveAttempt& ended, AttemptEnd end) {
-  context().m_metrics->CountAttempt(ended.m_grant.m_service,
-                                    ended.m_grant.m_zone, AttemptEndName(end));
+  if (ended.m_grant.m_peer.empty()) {
+    context().m_metrics->CountAttempt(
+        ended.m_grant.m_service, ended.m_grant.m_zone, AttemptEndName(end));
+  } else {
+    context().m_metrics->CountRelay(ended.m_grant.m_service, "passed-on",
+                                    AttemptEndName(end));
+  }
   if (end == AttemptEnd::kAnswered || context().m_log == nullptr ||
       !context().m_log->ShouldLogProblem()) {
     return;
@@ -57,6 +64,7 @@
       "attempt ended", RequestId(),
       {{"end", std::string(AttemptEndName(end))},
        {"target", ended.m_grant.m_target},
+       {"peer", ended.m_grant.m_peer},
        {"address", ToString(ended.m_grant.m_address)},
        {"service", ended.m_grant.m_service},
        {"status", std::to_string(ended.m_answer_status)},
@@ -74,7 +82,8 @@
     return;
   }
   const bool problem = status == 0 || status >= kFirstServerError ||
-                       !reason.empty() || m_targets_tried.size() > 1;
+                       !reason.empty() || m_targets_tried.size() > 1 ||
+                       !m_peers_tried.empty() || m_request.m_relay.has_value();
   if (!(problem ? log->ShouldLogProblem() : log->ShouldLogSuccess())) {
     return;
   }
@@ -91,6 +100,12 @@
                       ? FormatMilliseconds(m_request.m_deadline - now())
                       : std::string("unbounded")},
       {"caller", m_caller_waiting ? "present" : "gone"}};
+  if (!m_peers_tried.empty()) {
+    fields.emplace_back("passed_on_to", m_peers_tried.back());
+  }
+  if (m_request.m_relay.has_value()) {
+    fields.emplace_back("passed_on_by", m_request.m_relay->m_from);
+  }
   if (!reason.empty()) {
     fields.emplace_back("why", reason);
   }
--- a/src/forwarding/forward_metrics.cc
+++ b/src/forwarding/forward_metrics.cc
@@ -55,6 +55,23 @@
   counter->Increment();
 }
 
+void ForwardMetrics::CountRelay(const std::string& service,
+                                std::string_view way,
+                                std::string_view end) {
+  prometheus::Counter*& counter =
+      m_relays[Key(service, std::string(way), std::string(end))];
+  if (counter == nullptr) {
+    counter = &m_metrics->Counter(
+        "guavacross_relayed_requests_total",
+        "Requests that are passed on between instances because one has no path "
+        "to their targets, by service, way, and how they ended",
+        {{"service", service},
+         {"way", std::string(way)},
+         {"end", std::string(end)}});
+  }
+  counter->Increment();
+}
+
 void ForwardMetrics::CountOwnAnswer(ErrorKind kind) {
   prometheus::Counter*& counter = m_own_answers[kind];
   if (counter == nullptr) {
--- a/src/forwarding/forward_metrics.h
+++ b/src/forwarding/forward_metrics.h
@@ -40,6 +40,13 @@
                     const std::string& zone,
                     std::string_view end);
 
+  /// Counts a request that is passed on to a peer, by its service. `way` is
+  /// `passed-on` at the sender and `taken-over` at the peer; `end` says how the
+  /// sender's attempt ended, or whether the peer accepted it.
+  void CountRelay(const std::string& service,
+                  std::string_view way,
+                  std::string_view end);
+
   /// Counts an answer that guavacross made itself, by reason.
   void CountOwnAnswer(ErrorKind kind);
 
@@ -49,6 +56,7 @@
   util::Metrics* m_metrics;
   std::map<Key, ClassSeries> m_series;
   std::map<Key, prometheus::Counter*> m_attempts;
+  std::map<Key, prometheus::Counter*> m_relays;
   std::map<ErrorKind, prometheus::Counter*> m_own_answers;
 };
 
--- a/src/forwarding/forwarded_head.cc
+++ b/src/forwarding/forwarded_head.cc
@@ -25,8 +25,8 @@
                                  const BackendFields& backend_fields,
                                  const backends::TargetDialect& dialect) {
   // The caller's values of these headers are not passed on.
-  const std::array<std::string_view, 4> replaced = {
-      "Expect", dialect.m_hops_header, dialect.m_deadline_header,
+  const std::array<std::string_view, 5> replaced = {
+      "Expect", kRelayHeader, dialect.m_hops_header, dialect.m_deadline_header,
       dialect.m_expected_target_header};
   http::RequestHead head;
   head.m_method = from_caller.m_method;
@@ -46,7 +46,9 @@
         dialect.m_deadline_header,
         std::to_string(std::max<std::int64_t>(milliseconds.count(), 0)));
   }
-  if (!dialect.m_expected_target_header.empty()) {
+  if (!backend_fields.m_relay_mark.empty()) {
+    head.m_fields.Add(kRelayHeader, backend_fields.m_relay_mark);
+  } else if (!dialect.m_expected_target_header.empty()) {
     head.m_fields.Add(dialect.m_expected_target_header,
                       backend_fields.m_target);
   }
--- a/src/forwarding/forwarded_head.h
+++ b/src/forwarding/forwarded_head.h
@@ -21,6 +21,8 @@
   std::optional<std::size_t> m_body_bytes;
   /// Name of the target that the request is meant for.
   std::string m_target;
+  /// The mark for a peer that sends the request to a target; otherwise empty.
+  std::string m_relay_mark;
 };
 
 /// The request head that is sent to a backend server: without hop-by-hop fields
--- a/src/forwarding/request_forwarder.h
+++ b/src/forwarding/request_forwarder.h
@@ -12,6 +12,7 @@
 #include "forwarding/caller_dialect.h"
 #include "forwarding/forward_metrics.h"
 #include "forwarding/own_answer.h"
+#include "forwarding/relay.h"
 #include "forwarding/request_log.h"
 #include "forwarding/worker_task_queue.h"
 #include "guavacross/document.h"
@@ -41,6 +42,8 @@
   /// The waiting time that the caller stated; zero if it stated none.
   Duration m_caller_timeout{};
   int m_hops = 0;
+  /// Set if a peer has passed the request on.
+  std::optional<RelayMark> m_relay;
 };
 
 /// Callbacks that deliver the answer to the caller. Either `m_on_answer` is
@@ -79,6 +82,8 @@
   const CallerDialect* m_caller_dialect = &DefaultCallerDialect();
   /// May be null.
   RequestLog* m_log = nullptr;
+  /// Null if requests aren't passed on to peers. Owned by the server.
+  const RelayIdentity* m_relay_identity = nullptr;
 };
 
 class Exchange;
--- a/src/include/guavacross/error.h
+++ b/src/include/guavacross/error.h
@@ -37,6 +37,7 @@
   kQueueFull,
   kQueueTimeout,
   kNoTarget,
+  kNoPath,
   kStoreUnavailable,
   kTooManyConnections,
   // A backend server failed.
--- a/src/include/guavacross/membership.h
+++ b/src/include/guavacross/membership.h
@@ -46,6 +46,8 @@
   std::string m_zone;
   Endpoint m_callers;
   Endpoint m_peers;
+  /// Where it accepts requests that peers pass on; port 0 if it doesn't.
+  Endpoint m_relay;
   MemberState m_state = MemberState::kLive;
   /// Share of the instance's slots in use, 0 to 1.
   double m_load = 0;
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -38,16 +38,26 @@
   TimePoint m_arrived;
   /// Load balancers that this request has passed before this one.
   int m_hops = 0;
+  /// Whether a peer that has lost the path to the targets has sent it here; it
+  /// isn't passed on again.
+  bool m_relayed = false;
+  /// Attempts that the peer has made before.
+  int m_attempts_before = 0;
 
   bool operator==(const RequestTraits&) const = default;
 };
 
-/// Permission to send one attempt to one target.
+/// Permission to send one attempt to one target, or to the peer that is to send
+/// it to one.
 struct Grant {
   std::uint64_t m_id = 0;
   std::string m_service;
+  /// Empty if `m_peer` is set.
   std::string m_target;
-  /// The target's availability zone.
+  /// The peer that sends the request on this instance's behalf; empty if this
+  /// instance sends it.
+  std::string m_peer;
+  /// The availability zone of the target or the peer.
   std::string m_zone;
   Endpoint m_address;
   TimePoint m_granted_at;
@@ -55,6 +65,38 @@
   bool operator==(const Grant&) const = default;
 };
 
+/// Another instance to which requests can be passed on while this one has no
+/// path to their targets.
+struct RelayPeer {
+  std::string m_name;
+  std::string m_zone;
+  /// Where it accepts requests of other instances.
+  Endpoint m_address;
+  /// Share of its connections that requests occupy, 0 to 1.
+  double m_load = 0;
+
+  bool operator==(const RelayPeer&) const = default;
+};
+
+/// The hash by which instances name a service to each other.
+std::uint32_t ServiceHash(const std::string& service);
+
+/// What an instance says of its path to the targets.
+struct ReachState {
+  /// It gets no answers from targets of any service.
+  bool m_lost = false;
+  /// Time since a target last answered it; nothing if none has.
+  std::optional<Duration> m_answer_age;
+  /// Hashes of the services of which it reaches no target or only a few. See
+  /// `ServiceHash`.
+  std::vector<std::uint32_t> m_impaired;
+  /// Peers that reach targets, and the time since a target last answered them.
+  /// Only an instance that has lost the path names them.
+  std::vector<std::pair<std::string, Duration>> m_reaching_peers;
+
+  bool operator==(const ReachState&) const = default;
+};
+
 /// How an attempt ended, as the policy distinguishes it.
 enum class AttemptEnd {
   /// A complete answer that isn't a server error.
@@ -65,6 +107,8 @@
   kRefusedNotRun,
   /// Another backend server now has the address; it did not run the request.
   kWrongTarget,
+  /// Refused by a peer that has no path to the targets or can't take requests.
+  kPeerRefused,
   kConnectFailed,
   kReset,
   kTimeout,
@@ -255,6 +299,8 @@
   std::string m_name;
   std::string m_zone;
   ChoicePolicy m_policy = ChoicePolicy::kGuavacross;
+  /// Whether requests are passed on to peers while targets can't be reached.
+  bool m_relays = false;
   /// Disabled mechanisms; none in production.
   std::set<Mechanism> m_disabled;
   std::uint64_t m_seed = 0;
@@ -272,6 +318,9 @@
   /// Probes to send immediately, in addition to those of
   /// `Router::TakeDueProbes`.
   std::function<void(std::vector<ProbeOrder>)> m_on_probes;
+  /// The path to the targets of a service has been lost, or is back. The name
+  /// is empty for the targets of all services.
+  std::function<void(const std::string& service, bool lost)> m_on_reach;
 };
 
 /// Called once with a grant or the reason for the refusal. Takes a plain value,
@@ -296,13 +345,14 @@
   std::shared_ptr<const ServiceConfig> FindService(
       const std::string& service) const;
 
-  /// Requests a target. `on_grant` is called once: before the return or later,
+  /// Requests a target, or a peer while targets can't be reached. `on_grant` is
+  /// called once: before the return or later,
   /// on whichever thread frees a slot or calls `ExpireWaiters`. The callback
   /// must post its work to the caller's own thread.
   ///
   /// @return a ticket for `CancelWait`.
   /// Errors to the callback: `kUnknownService`, `kQueueFull`, `kQueueTimeout`,
-  /// `kNoTarget`, `kQuarantined`, `kDeadlineExpired`.
+  /// `kNoTarget`, `kNoPath`, `kQuarantined`, `kDeadlineExpired`.
   std::uint64_t Acquire(const RequestTraits& traits,
                         const std::vector<std::string>& targets_to_avoid,
                         GrantCallback on_grant);
@@ -362,6 +412,13 @@
   /// which the targets of each service and their request limits are divided.
   void SetInstances(const std::vector<InstancePlace>& instances);
 
+  /// Sets the live peers that accept requests of other instances.
+  void SetRelayPeers(std::vector<RelayPeer> peers);
+  /// Records what a peer says of its path to the targets.
+  void LearnReach(const std::string& peer, const ReachState& reach);
+  /// This instance's path to the targets, for its peers.
+  ReachState Reach() const;
+
   /// Sets a peer's attempts in flight on a service's targets, as it reported
   /// them.
   void SetPeerInFlight(const std::string& peer,
--- a/src/include/guavacross/wire_names.h
+++ b/src/include/guavacross/wire_names.h
@@ -34,6 +34,14 @@
 /// Identifies one run of the backend server.
 inline constexpr char kIncarnationHeader[] = "Guavacross-Incarnation";
 
+// Between entry instances.
+/// Marks a request that a peer without a path to the targets has passed on.
+inline constexpr char kRelayHeader[] = "Guavacross-Relay";
+/// Attempts that the peer has made, and the milliseconds after which the
+/// request may be sent again, on answers that the peer itself generates.
+inline constexpr char kRelayAttemptsHeader[] = "Guavacross-Relay-Attempts";
+inline constexpr char kRelayWaitHeader[] = "Guavacross-Relay-Wait-Ms";
+
 // Paths.
 inline constexpr char kAddressesPath[] = "/v1/addresses";
 /// The backend servers' load endpoint, which probes request.
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -94,6 +94,12 @@
   FromEndpoint(m_options.m_callers, out->mutable_callers());
   FromEndpoint(m_options.m_advertised.value_or(m_transport->listen_address()),
                out->mutable_peers());
+  if (m_options.m_relay.m_port != 0) {
+    FromEndpoint(m_options.m_relay, out->mutable_relay());
+  }
+  if (m_hooks.m_reach) {
+    FromReach(m_hooks.m_reach(), out->mutable_reach());
+  }
   out->set_leaving(m_leaving);
   out->set_load(static_cast<float>(local.m_load));
   out->set_config_digest(local.m_config_digest);
@@ -224,6 +230,7 @@
                       .m_zone = heartbeat.zone(),
                       .m_callers = ToEndpoint(heartbeat.callers()),
                       .m_peers = ToEndpoint(heartbeat.peers()),
+                      .m_relay = ToEndpoint(heartbeat.relay()),
                       .m_state = heartbeat.leaving() ? MemberState::kLeaving
                                                      : MemberState::kLive,
                       .m_load = std::clamp<double>(heartbeat.load(), 0, 1),
@@ -239,6 +246,16 @@
   OnMembersChanged();
   OnNews(from, heartbeat.news());
   OnInFlight(from.m_name, heartbeat);
+  if (heartbeat.has_reach() && m_hooks.m_on_reach) {
+    ReachState reach = ToReach(heartbeat.reach());
+    if (reach.m_answer_age.has_value()) {
+      *reach.m_answer_age += kAssumedTransitTime;
+    }
+    for (auto& [name, age] : reach.m_reaching_peers) {
+      age += kAssumedTransitTime;
+    }
+    m_hooks.m_on_reach(from.m_name, reach);
+  }
   m_peer_states[from.m_name].m_known_members = heartbeat.members();
   CompareDigests(from, heartbeat);
   CompareStreams(from, heartbeat);
--- a/src/peers/member_table.cc
+++ b/src/peers/member_table.cc
@@ -22,7 +22,10 @@
 }  // namespace
 
 MemberTable::MemberTable(MemberTableOptions options)
-    : m_options(std::move(options)) {}
+    : m_options(std::move(options)),
+      // Instances that start together don't all begin with the same members, so
+      // that what one of them knows reaches all in few intervals.
+      m_last_recipient(m_options.m_self) {}
 
 // Number of intervals in which every member is sent a heartbeat.
 int MemberTable::IntervalsPerRound() const {
--- a/src/peers/peer_codec.cc
+++ b/src/peers/peer_codec.cc
@@ -176,6 +176,36 @@
           .m_age = FromWireMilliseconds(in.age_ms())};
 }
 
+void FromReach(const ReachState& reach, proto::Reach* out) {
+  out->set_lost(reach.m_lost);
+  if (reach.m_answer_age.has_value()) {
+    out->set_answer_age_ms(
+        static_cast<std::uint32_t>(ToWireMilliseconds(*reach.m_answer_age)));
+  }
+  for (const std::uint32_t hash : reach.m_impaired) {
+    out->add_impaired(hash);
+  }
+  for (const auto& [name, age] : reach.m_reaching_peers) {
+    proto::ReachingPeer* const peer = out->add_reaching_peers();
+    peer->set_name(name);
+    peer->set_answer_age_ms(
+        static_cast<std::uint32_t>(ToWireMilliseconds(age)));
+  }
+}
+
+ReachState ToReach(const proto::Reach& in) {
+  ReachState reach{.m_lost = in.lost()};
+  if (in.has_answer_age_ms()) {
+    reach.m_answer_age = FromWireMilliseconds(in.answer_age_ms());
+  }
+  reach.m_impaired.assign(in.impaired().begin(), in.impaired().end());
+  for (const proto::ReachingPeer& peer : in.reaching_peers()) {
+    reach.m_reaching_peers.emplace_back(
+        peer.name(), FromWireMilliseconds(peer.answer_age_ms()));
+  }
+  return reach;
+}
+
 void FromQuarantine(const QuarantineNotice& notice, proto::Quarantine* out) {
   out->set_fingerprint(notice.m_fingerprint);
   out->set_remaining_ms(ToWireMilliseconds(notice.m_remaining));
--- a/src/peers/peer_codec.h
+++ b/src/peers/peer_codec.h
@@ -27,6 +27,8 @@
 void FromLimit(const LimitNotice& notice, proto::Limit* out);
 /// A limit that isn't a number counts as none.
 LimitNotice ToLimit(const proto::Limit& in);
+void FromReach(const ReachState& reach, proto::Reach* out);
+ReachState ToReach(const proto::Reach& in);
 void FromQuarantine(const QuarantineNotice& notice, proto::Quarantine* out);
 QuarantineNotice ToQuarantine(const proto::Quarantine& in);
 void FromSuspect(const SuspectNotice& notice, proto::Suspect* out);
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -18,6 +18,7 @@
 constexpr int kMaxInFlightEntries = 4096;
 constexpr int kMaxNotices = 4096;
 constexpr int kMaxStreams = 16;
+constexpr int kMaxImpaired = 256;
 // Delay before sections that came into force are sent to peers. Sections that
 // come into force meanwhile are sent together, and most peers will have read
 // them from the log by then.
@@ -47,6 +48,8 @@
       heartbeat.in_flight_size() > kMaxInFlightEntries ||
       heartbeat.in_flight_size() != heartbeat.target_hashes_size() ||
       heartbeat.streams_size() > kMaxStreams ||
+      heartbeat.reach().impaired_size() > kMaxImpaired ||
+      heartbeat.reach().reaching_peers_size() > kMaxRumors ||
       !IsWellFormed(heartbeat.news())) {
     return false;
   }
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -28,6 +28,9 @@
   std::string m_region;
   std::string m_zone;
   Endpoint m_callers;
+  /// Where this instance accepts requests that peers pass on; port 0 if it
+  /// doesn't.
+  Endpoint m_relay;
   /// Listen address of the gRPC server; port 0 takes any free port.
   Endpoint m_listen;
   /// Address given to other instances, if it differs from `m_listen`.
@@ -76,6 +79,8 @@
   /// Queues a function to run on the control thread. Thread safe.
   std::function<void(std::function<void()>)> m_post;
   std::function<LocalState()> m_local_state;
+  /// This instance's path to the targets. Called for each heartbeat.
+  std::function<ReachState()> m_reach;
   /// The sections in force on this instance.
   std::function<std::vector<SectionState>()> m_sections;
   std::function<std::vector<DrainNotice>()> m_drains;
@@ -98,6 +103,8 @@
                      const std::string& service,
                      const std::vector<std::pair<std::string, int>>& counts)>
       m_on_in_flight;
+  std::function<void(const std::string& peer, const ReachState& reach)>
+      m_on_reach;
   feed::StreamExchange m_streams;
   /// Called after the state or incarnation of a member changed.
   std::function<void()> m_on_members_changed;
--- a/src/policy/path_loss.cc
+++ b/src/policy/path_loss.cc
@@ -71,10 +71,9 @@
 
 std::size_t PathLoss::SilentTargets(TimePoint now) {
   Advance(now);
-  return static_cast<std::size_t>(
-      std::count_if(m_silent.begin(), m_silent.end(), [this](const auto& each) {
-        return IsOverdue(each.second);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      m_silent.begin(), m_silent.end(),
+      [this](const auto& each) { return IsOverdue(each.second); }));
 }
 
 std::optional<TimePoint> PathLoss::silent_since() const {
--- a/src/policy/relay_choice.h
+++ b/src/policy/relay_choice.h
@@ -36,8 +36,9 @@
 /// down for all, no peer has been answered since this instance got its last
 /// answer, and none is chosen. A peer that has been answered since then comes
 /// before one that has only said that it hasn't lost the path, as one does that
-/// gets no requests. Among these, peers of the same availability zone take twice
-/// as many requests as others, and each takes fewer the more it has at work.
+/// gets no requests. Among these, peers of the same availability zone take
+/// twice as many requests as others, and each takes fewer the more it has at
+/// work.
 ///
 /// `since`: when this instance began to miss answers. Pure but for `random`.
 ///
--- a/src/policy/relay_choice_test.cc
+++ b/src/policy/relay_choice_test.cc
@@ -52,8 +52,7 @@
     Section("finds the only one that reaches the targets", [&] {
       std::vector<RelayCandidate> candidates(instances - 1, CutOff());
       candidates[instances / 2] = Reaching();
-      CPPUNIT_ASSERT(ChooseRelay(candidates, kSince, &random) ==
-                     instances / 2);
+      CPPUNIT_ASSERT(ChooseRelay(candidates, kSince, &random) == instances / 2);
     });
     Section("prefers an answered peer to one that only isn't cut off", [&] {
       std::vector<RelayCandidate> candidates(instances - 1, Reaching(true));
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -12,6 +12,7 @@
 #include "routing/due_times.h"
 #include "routing/effects.h"
 #include "routing/instance_views.h"
+#include "routing/relay_router.h"
 #include "routing/service_router.h"
 
 namespace guavacross {
@@ -27,7 +28,8 @@
   Impl(RouterOptions options, RouterHooks hooks)
       : m_options(std::move(options)),
         m_hooks(std::move(hooks)),
-        m_instances(m_options.m_name) {}
+        m_instances(m_options.m_name),
+        m_relays(m_options, m_hooks.m_on_reach) {}
 
   TimePoint Now() const { return m_options.m_clock.m_now(); }
 
@@ -64,6 +66,9 @@
     if (!effects.m_probes.empty() && m_hooks.m_on_probes) {
       m_hooks.m_on_probes(std::move(effects.m_probes));
     }
+    if (!effects.m_path_events.empty()) {
+      m_relays.Record(service, effects.m_path_events, Now());
+    }
     for (const DrainNotice& notice : effects.m_drains) {
       AddServiceWithNotices(notice.m_service);
       if (m_hooks.m_on_drain) {
@@ -198,6 +203,7 @@
   mutable std::mutex m_notices_mutex;
   std::set<std::string> m_services_with_notices;
   routing::InstanceViews m_instances;
+  routing::RelayRouter m_relays;
   mutable std::mutex m_quarantine_mutex;
   policy::Quarantine m_quarantine;
   policy::AnsweredRequests m_answered;
@@ -214,6 +220,7 @@
 
 void Router::Configure(const ServiceConfig& config) {
   auto shared = std::make_shared<const ServiceConfig>(config);
+  m_impl->m_relays.SetTargets(config);
   Effects effects;
   std::shared_ptr<ServiceRouter> service = m_impl->Find(config.m_name);
   if (service == nullptr) {
@@ -232,6 +239,7 @@
   if (removed == nullptr) {
     return;
   }
+  m_impl->m_relays.RemoveService(service);
   {
     const std::unique_lock lock(m_impl->m_services_mutex);
     m_impl->m_services.erase(service);
@@ -263,6 +271,10 @@
         {std::move(on_grant),
          routing::Refuse(ErrorKind::kUnknownService,
                          "no service " + traits.m_service)});
+  } else if (auto elsewhere = m_impl->m_relays.Decide(
+                 service, traits, ticket, targets_to_avoid, m_impl->Now(),
+                 &effects)) {
+    effects.m_decisions.push_back({std::move(on_grant), std::move(*elsewhere)});
   } else {
     service->Acquire(traits, targets_to_avoid, ticket, std::move(on_grant),
                      m_impl->m_instances.largest_count(), m_impl->Now(),
@@ -284,6 +296,10 @@
   if (report.m_end == AttemptEnd::kAnswered) {
     m_impl->RecordAnswered(traits.m_fingerprint);
   }
+  if (!grant.m_peer.empty()) {
+    m_impl->m_relays.Ended(grant, report.m_end, m_impl->Now());
+    return;
+  }
   if (const auto service = m_impl->Find(grant.m_service)) {
     Effects effects;
     service->Release(grant, traits, report, m_impl->Now(), &effects);
@@ -329,6 +345,7 @@
   const TimePoint now = m_impl->Now();
   for (const auto& service : m_impl->m_expiries.TakeDue(now)) {
     Effects effects;
+    m_impl->m_relays.DivertWaiting(service, now, &effects);
     service->ExpireWaiters(now, &effects);
     m_impl->ApplyEffects(service, std::move(effects));
   }
@@ -378,6 +395,18 @@
   }
 }
 
+void Router::SetRelayPeers(std::vector<RelayPeer> peers) {
+  m_impl->m_relays.SetPeers(std::move(peers));
+}
+
+void Router::LearnReach(const std::string& peer, const ReachState& reach) {
+  m_impl->m_relays.LearnReach(peer, reach, m_impl->Now());
+}
+
+ReachState Router::Reach() const {
+  return m_impl->m_relays.State(m_impl->Now());
+}
+
 void Router::SetPeerInFlight(
     const std::string& peer,
     const std::string& service,
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -36,6 +36,7 @@
     case AttemptEnd::kCancelled:
       return policy::Verdict::kGood;
     case AttemptEnd::kRefusedNotRun:
+    case AttemptEnd::kPeerRefused:
       return policy::Verdict::kRefused;
     case AttemptEnd::kWrongTarget:
     case AttemptEnd::kServerError:
@@ -66,6 +67,7 @@
   if (target == nullptr) {
     return;
   }
+  RecordPathOfAttempt(*target, report, now, effects);
   // The target made the report when it began its answer, so its in-flight count
   // includes this attempt.
   const TimePoint reported_at =
@@ -106,6 +108,7 @@
       RecordFirstByte(target, attempt, time_to_first_byte, now);
     }
   }
+  RecordPath(PathEvent::Kind::kAnswered, *target, now, effects);
   ApplyLoadReport(target, load, grant.m_granted_at, now, now, effects);
   ServeWaiters(now, effects);
 }
@@ -127,7 +130,7 @@
   TimePoint next_stale = TimePoint::max();
   Target* const target = NextToProbe(now, &next_stale);
   if (target != nullptr && m_probe_budget.Take(now)) {
-    orders->push_back(OrderProbe(target, now));
+    orders->push_back(OrderProbe(target, now, effects));
   }
   const TimePoint affordable = m_probe_budget.NextProbeTime(now);
   const TimePoint next =
@@ -146,6 +149,9 @@
     return;
   }
   target->m_probe_in_flight = false;
+  RecordPath(
+      report.m_answered ? PathEvent::Kind::kAnswered : PathEvent::Kind::kFailed,
+      *target, now, effects);
   // A lost probe is evidence only with probing before placement; periodic
   // probes are too rare for that.
   target->m_unresponsive = !report.m_answered && ProbesBeforePlacing();
@@ -259,23 +265,33 @@
       std::max(1, m_instances);
   m_probe_budget.SetBurst(std::max(1.0, rate * Seconds(kProbeBurstTime)));
   m_probe_budget.SetRate(rate, now);
+  // Silent targets are replaced by others at once, which show whether the path
+  // to all of them is lost.
+  const int silent = static_cast<int>(m_path.SilentTargets(now));
   const int wanted =
       std::min(kProbesPerWaiter * m_queue.size(), kMaxPlacementProbesInFlight) -
-      m_placement_probes_in_flight;
-  if (wanted <= 0) {
-    return;
+      std::max(0, m_placement_probes_in_flight - silent);
+  if (wanted > 0) {
+    OrderProbesOf(static_cast<std::size_t>(wanted), now, effects);
   }
-  for (Target* const target :
-       m_pool.TargetsToProbe(static_cast<std::size_t>(wanted), now)) {
+}
+
+void ServiceRouter::OrderProbesOf(std::size_t count,
+                                  TimePoint now,
+                                  Effects* effects) {
+  for (Target* const target : m_pool.TargetsToProbe(count, now)) {
     if (!m_probe_budget.Take(now)) {
       break;
     }
-    effects->m_probes.push_back(OrderProbe(target, now));
+    effects->m_probes.push_back(OrderProbe(target, now, effects));
     ++m_placement_probes_in_flight;
   }
 }
 
-ProbeOrder ServiceRouter::OrderProbe(Target* target, TimePoint now) {
+ProbeOrder ServiceRouter::OrderProbe(Target* target,
+                                     TimePoint now,
+                                     Effects* effects) {
+  RecordPath(PathEvent::Kind::kAsked, *target, now, effects);
   target->m_probed_at = now;
   target->m_probe_in_flight = true;
   if (target->m_limit.is_active()) {
--- /dev/null
+++ b/src/routing/service_path.cc
@@ -0,0 +1,149 @@
+// A service's path to its targets, and requests that are decided about
+// elsewhere while it is lost.
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/service_router.h"
+
+namespace guavacross::routing {
+
+namespace {
+
+// Probes that are sent together while requests don't wait for targets, and the
+// interval between them.
+constexpr std::size_t kPathProbes = 3;
+constexpr Duration kPathProbeInterval = std::chrono::milliseconds(50);
+
+}  // namespace
+
+std::set<std::string> ZonesOf(const ServiceConfig& config) {
+  std::set<std::string> zones;
+  for (const TargetConfig& target : config.m_targets) {
+    zones.insert(target.m_zone);
+  }
+  return zones;
+}
+
+void ServiceRouter::RecordPath(PathEvent::Kind kind,
+                               const Target& target,
+                               TimePoint now,
+                               Effects* effects) {
+  if (!m_options.m_relays) {
+    return;
+  }
+  const std::string& name = target.m_config.m_name;
+  const std::string& zone = target.m_config.m_zone;
+  switch (kind) {
+    case PathEvent::Kind::kAsked:
+      m_path.RecordAsked(name, zone, now);
+      break;
+    case PathEvent::Kind::kAnswered:
+      m_path.RecordAnswer(now);
+      break;
+    case PathEvent::Kind::kFailed:
+      m_path.RecordFailure(name, zone, now);
+      break;
+  }
+  effects->m_path_events.push_back(
+      {.m_kind = kind, .m_target = name, .m_zone = zone});
+}
+
+void ServiceRouter::RecordPathOfAttempt(const Target& target,
+                                        const AttemptReport& report,
+                                        TimePoint now,
+                                        Effects* effects) {
+  switch (report.m_end) {
+    case AttemptEnd::kAnswered:
+    case AttemptEnd::kServerError:
+    case AttemptEnd::kRefusedNotRun:
+    case AttemptEnd::kWrongTarget:
+      RecordPath(PathEvent::Kind::kAnswered, target, now, effects);
+      break;
+    case AttemptEnd::kConnectFailed:
+    case AttemptEnd::kReset:
+      RecordPath(report.m_answer_begun ? PathEvent::Kind::kAnswered
+                                       : PathEvent::Kind::kFailed,
+                 target, now, effects);
+      break;
+    case AttemptEnd::kTimeout:
+    case AttemptEnd::kCancelled:
+    case AttemptEnd::kPeerRefused:
+      break;
+  }
+}
+
+ServiceRouter::PathState ServiceRouter::Path(TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  PathState state;
+  if (m_path.IsLost(now)) {
+    state.m_lost_since = m_path.silent_since();
+  }
+  if (m_queue.size() == 0 && !m_impaired_since.has_value()) {
+    return state;
+  }
+  if (!m_pool.AreMostUnresponsive()) {
+    m_impaired_since.reset();
+  } else if (!m_impaired_since.has_value()) {
+    m_impaired_since = now;
+  }
+  state.m_impaired_since = m_impaired_since;
+  return state;
+}
+
+std::optional<bool> ServiceRouter::TakePathChange(TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  const bool lost = m_path.IsLost(now);
+  return std::exchange(m_reported_lost, lost) != lost ? std::optional(lost)
+                                                      : std::nullopt;
+}
+
+std::optional<ServiceRouter::WaitingRequest> ServiceRouter::LongestWaiting(
+    Duration min_wait,
+    RelayedRequests relayed,
+    TimePoint now) const {
+  const std::lock_guard lock(m_mutex);
+  const Waiter* longest = nullptr;
+  std::uint64_t ticket = 0;
+  for (const auto& [each, waiter] : m_waiters) {
+    const bool is_considered =
+        !waiter.m_relayed || relayed == RelayedRequests::kIncluded;
+    if (is_considered && now - waiter.m_arrived >= min_wait &&
+        (longest == nullptr || waiter.m_arrived < longest->m_arrived)) {
+      longest = &waiter;
+      ticket = each;
+    }
+  }
+  if (longest == nullptr) {
+    return std::nullopt;
+  }
+  return WaitingRequest{.m_ticket = ticket,
+                        .m_avoid = longest->m_avoid,
+                        .m_relayed = longest->m_relayed};
+}
+
+GrantCallback ServiceRouter::TakeWaiting(std::uint64_t ticket) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_waiters.find(ticket);
+  if (found == m_waiters.end()) {
+    return nullptr;
+  }
+  GrantCallback on_grant = std::move(found->second.m_on_grant);
+  m_waiters.erase(found);
+  m_queue.Remove(ticket);
+  return on_grant;
+}
+
+void ServiceRouter::ProbePath(TimePoint now, Effects* effects) {
+  const std::lock_guard lock(m_mutex);
+  if (m_path_probed_at != TimePoint::min() &&
+      now - m_path_probed_at < kPathProbeInterval) {
+    return;
+  }
+  m_path_probed_at = now;
+  if (ProbesBeforePlacing()) {
+    OrderProbesOf(kPathProbes, now, effects);
+  }
+}
+
+}  // namespace guavacross::routing
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -34,6 +34,7 @@
   const std::lock_guard lock(m_mutex);
   m_config = std::move(config);
   m_pool.Configure(m_config, now);
+  m_path.SetTargets(m_config->m_targets.size(), ZonesOf(*m_config).size());
   LimitSavedRetries();
   double bulk_weight = 0;
   double all_weights = 0;
@@ -85,7 +86,7 @@
   LimitSavedRetries();
   m_last_request = now;
   // Only retries and hedges have targets to avoid; this is a new request.
-  if (targets_to_avoid.empty()) {
+  if (targets_to_avoid.empty() && traits.m_attempts_before == 0) {
     ++m_requests;
     m_retry_budget.Deposit(m_config->m_retry.m_budget_share);
   }
@@ -114,7 +115,8 @@
                 .m_avoid = targets_to_avoid,
                 .m_on_grant = std::move(on_grant),
                 .m_arrived = now,
-                .m_bounds = bounds};
+                .m_bounds = bounds,
+                .m_relayed = traits.m_relayed};
   if (!TryGrantAtOnce(ticket, &waiter, now, effects)) {
     Enqueue(ticket, std::move(waiter), now, effects);
   }
@@ -125,7 +127,7 @@
                                    AttemptEnd last_end,
                                    TimePoint now) {
   const std::lock_guard lock(m_mutex);
-  if (attempts_so_far >= MaxAttempts(traits)) {
+  if (attempts_so_far + traits.m_attempts_before >= MaxAttempts(traits)) {
     return false;
   }
   const bool not_run = last_end == AttemptEnd::kConnectFailed ||
@@ -181,10 +183,11 @@
                                    int attempts_so_far) {
   const std::lock_guard lock(m_mutex);
   // While requests wait, free slots go to them rather than to hedges.
-  const bool allowed = attempts_so_far < MaxAttempts(traits) &&
-                       m_queue.size() == 0 &&
-                       m_retry_budget.TryWithdraw(
-                           policy::AttemptProgress::kMayHaveRun, traits.m_hops);
+  const bool allowed =
+      attempts_so_far + traits.m_attempts_before < MaxAttempts(traits) &&
+      m_queue.size() == 0 &&
+      m_retry_budget.TryWithdraw(policy::AttemptProgress::kMayHaveRun,
+                                 traits.m_hops);
   m_hedges += allowed ? 1 : 0;
   return allowed;
 }
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -6,12 +6,14 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "guavacross/routing.h"
 #include "policy/fair_queue.h"
+#include "policy/path_loss.h"
 #include "policy/probe_budget.h"
 #include "policy/random.h"
 #include "policy/retry_budget.h"
@@ -20,6 +22,9 @@
 
 namespace guavacross::routing {
 
+/// The availability zones of a service's targets.
+std::set<std::string> ZonesOf(const ServiceConfig& config);
+
 /// Load balancing of one service: its targets, its wait queue and its retry and
 /// probe budgets.
 ///
@@ -71,6 +76,37 @@
   bool TryChargeHedge(const RequestTraits& traits, int attempts_so_far);
 
   void ExpireWaiters(TimePoint now, Effects* effects);
+
+  /// The path to the service's targets, as this instance sees it.
+  struct PathState {
+    /// Since when no target answers, if none does.
+    std::optional<TimePoint> m_lost_since;
+    /// Since when half of the targets or more don't answer, if so.
+    std::optional<TimePoint> m_impaired_since;
+  };
+  PathState Path(TimePoint now);
+  /// Whether `Path` has changed between lost and not lost since the last call.
+  std::optional<bool> TakePathChange(TimePoint now);
+
+  /// A request in the queue, and the targets and peers that it avoids.
+  struct WaitingRequest {
+    std::uint64_t m_ticket = 0;
+    std::vector<std::string> m_avoid;
+    /// A peer has passed it on.
+    bool m_relayed = false;
+  };
+  enum class RelayedRequests { kIncluded, kLeftOut };
+  /// The request that has waited longest, if that is at least `min_wait`.
+  std::optional<WaitingRequest> LongestWaiting(Duration min_wait,
+                                               RelayedRequests relayed,
+                                               TimePoint now) const;
+  /// Takes a request out of the queue to decide about it elsewhere.
+  ///
+  /// @return its callback; empty if it doesn't wait any more.
+  GrantCallback TakeWaiting(std::uint64_t ticket);
+  /// Sends a few probes while requests don't wait for targets, so that a path
+  /// that comes back is noticed.
+  void ProbePath(TimePoint now, Effects* effects);
   void TakeProbes(TimePoint now,
                   int instances,
                   std::vector<ProbeOrder>* orders,
@@ -103,6 +139,8 @@
     GrantCallback m_on_grant;
     TimePoint m_arrived;
     policy::WaitBounds m_bounds;
+    // Passed on by a peer, and not to be passed on again.
+    bool m_relayed = false;
   };
   struct PeerCounts {
     std::vector<std::pair<std::string, int>> m_counts;
@@ -172,7 +210,17 @@
   Choice ChooseMeasured(const Waiter& waiter, TimePoint now);
   /// Adds probe orders on behalf of the waiting requests to `effects`.
   void OrderProbes(TimePoint now, Effects* effects);
-  ProbeOrder OrderProbe(Target* target, TimePoint now);
+  ProbeOrder OrderProbe(Target* target, TimePoint now, Effects* effects);
+  /// Orders up to `count` probes within the budget.
+  void OrderProbesOf(std::size_t count, TimePoint now, Effects* effects);
+  void RecordPathOfAttempt(const Target& target,
+                           const AttemptReport& report,
+                           TimePoint now,
+                           Effects* effects);
+  void RecordPath(PathEvent::Kind kind,
+                  const Target& target,
+                  TimePoint now,
+                  Effects* effects);
   void RecordFirstByte(Target* target,
                        const Attempt& attempt,
                        Duration latency,
@@ -212,6 +260,10 @@
   int m_placement_probes_in_flight = 0;
   TimePoint m_last_request = TimePoint::min();
   std::unordered_map<std::string, PeerCounts> m_peers;
+  policy::PathLoss m_path;
+  std::optional<TimePoint> m_impaired_since;
+  bool m_reported_lost = false;
+  TimePoint m_path_probed_at = TimePoint::min();
   std::uint64_t m_requests = 0;
   std::uint64_t m_retries = 0;
   std::uint64_t m_hedges = 0;
--- a/src/routing/service_waiting.cc
+++ b/src/routing/service_waiting.cc
@@ -316,10 +316,13 @@
 
 Choice ServiceRouter::ChooseMeasured(const Waiter& waiter, TimePoint now) {
   const Duration waited = now - waiter.m_arrived;
+  // A target that isn't known to answer is no choice while none does.
+  const bool needs_answer =
+      waited < kMeasuredTargetWait || m_path.SilentTargets(now) > 0;
   const TargetPool::Requirement requirement =
-      waited < kGoodTargetWait       ? TargetPool::Requirement::kGood
-      : waited < kMeasuredTargetWait ? TargetPool::Requirement::kMeasured
-                                     : TargetPool::Requirement::kAny;
+      waited < kGoodTargetWait ? TargetPool::Requirement::kGood
+      : needs_answer           ? TargetPool::Requirement::kMeasured
+                               : TargetPool::Requirement::kAny;
   return m_pool.ChooseMeasured(waiter.m_avoid, requirement, now);
 }
 
--- a/src/routing/target_pool.cc
+++ b/src/routing/target_pool.cc
@@ -391,6 +391,16 @@
       kMaxSlowStartShare * static_cast<double>(m_targets.size());
 }
 
+bool TargetPool::AreMostUnresponsive() const {
+  std::size_t in_use = 0;
+  std::size_t unresponsive = 0;
+  for (const auto& target : m_targets) {
+    in_use += IsRetired(*target) ? 0 : 1;
+    unresponsive += !IsRetired(*target) && target->m_unresponsive ? 1 : 0;
+  }
+  return unresponsive > 0 && 2 * unresponsive >= in_use;
+}
+
 bool TargetPool::IsEligible(Target* target, TimePoint now) const {
   const bool is_unresponsive = target->m_unresponsive && !m_all_unresponsive;
   return !is_unresponsive && !IsRetired(*target) && !IsEjected(*target, now) &&
--- a/src/routing/target_pool.h
+++ b/src/routing/target_pool.h
@@ -143,6 +143,8 @@
   /// Estimated attempts in flight of all instances, divided by all slots.
   double Utilization() const;
   bool IsPanic(TimePoint now) const;
+  /// Whether half of the targets in use or more didn't answer their last probe.
+  bool AreMostUnresponsive() const;
   bool IsSlowStart(const Target& target, TimePoint now) const;
 
  private:
--- a/src/serve/member_views.cc
+++ b/src/serve/member_views.cc
@@ -64,6 +64,20 @@
   return places;
 }
 
+std::vector<RelayPeer> RelayPeers(const std::vector<Member>& members) {
+  std::vector<RelayPeer> peers;
+  for (const Member& member : members) {
+    if (member.m_state == MemberState::kLive && member.m_relay.m_port != 0 &&
+        member.m_config_version > 0) {
+      peers.push_back({.m_name = member.m_id.m_name,
+                       .m_zone = member.m_zone,
+                       .m_address = member.m_relay,
+                       .m_load = member.m_load});
+    }
+  }
+  return peers;
+}
+
 std::vector<Endpoint> CallerAddresses(std::vector<Member> members,
                                       const Member& self,
                                       bool self_ready,
--- a/src/serve/member_views.h
+++ b/src/serve/member_views.h
@@ -33,6 +33,9 @@
 std::vector<InstancePlace> LivePlaces(const std::vector<Member>& members,
                                       const Member& self);
 
+/// The live members that accept requests of other instances.
+std::vector<RelayPeer> RelayPeers(const std::vector<Member>& members);
+
 /// Addresses to give to a caller in the given region and zone: those of
 /// instances that have a configuration and aren't leaving. `self_ready` says
 /// whether `self` is one of them.
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -193,6 +193,7 @@
     options.m_zone = m_options.m_zone;
     options.m_seed = util::Hash(m_self.m_name, m_self.m_incarnation);
     options.m_clock = m_clock;
+    options.m_relays = m_options.m_relay.m_port != 0;
     const auto post = m_control.poster();
     RouterHooks hooks =
         serve::MakeBroadcastHooks(post, [this] { return m_peers.get(); });
@@ -201,12 +202,29 @@
         callers->SendProbes(std::move(orders));
       }
     };
+    hooks.m_on_reach = [this, post](const std::string& service, bool lost) {
+      post([this, service, lost] { OnReach(service, lost); });
+    };
     m_router = std::make_unique<Router>(std::move(options), std::move(hooks));
   }
 
+  // Tells the peers at once, whose answers say whether they reach the targets.
+  void OnReach(const std::string& service, bool lost) {
+    const std::string scope = service.empty() ? "all services" : service;
+    if (lost) {
+      util::LogWarning("targets", "the path to the targets is lost",
+                       {{"service", scope}});
+    } else {
+      util::LogChange("targets", "the path to the targets is back",
+                      {{"service", scope}});
+    }
+    m_peers->SendHeartbeatsNow();
+  }
+
   void MakePeers() {
     peers::PeerOptions options = MakePeerOptions(Self(), m_clock, &m_metrics);
     options.m_listen = m_options.m_peers;
+    options.m_relay = m_options.m_relay;
     options.m_advertised = m_options.m_peers_advertised;
     options.m_heartbeat_interval = kHeartbeatInterval;
     options.m_suspect_after = kSuspectAfter;
@@ -215,6 +233,11 @@
     peers::PeerHooks hooks;
     hooks.m_post = m_control.poster();
     hooks.m_local_state = [this] { return LocalState(); };
+    hooks.m_reach = [this] { return m_router->Reach(); };
+    hooks.m_on_reach = [this](const std::string& peer,
+                              const ReachState& reach) {
+      m_router->LearnReach(peer, reach);
+    };
     hooks.m_on_members_changed = [this] { UpdateInstanceCount(); };
     hooks.m_streams = m_hooks.m_exchange;
     SetRouterPeerHooks(m_router.get(), &hooks);
@@ -242,6 +265,7 @@
     callers::CallerServerOptions options;
     options.m_listen = m_options.m_callers;
     options.m_local_listen = m_options.m_local;
+    options.m_peer_listen = m_options.m_relay;
     options.m_workers = kWorkers;
     options.m_max_connections = m_options.m_max_caller_connections;
     options.m_target_source_ip = m_options.m_target_source_ip;
@@ -256,9 +280,15 @@
     hooks.m_router = m_router.get();
     hooks.m_metrics = &m_metrics;
     hooks.m_clock = m_clock;
-    hooks.m_classify = [this](const http::RequestHead& head, TimePoint now) {
-      return m_classifier->Classify(head, now);
+    hooks.m_classify = [this](
+                           const http::RequestHead& head, TimePoint now,
+                           const std::optional<forwarding::RelayMark>& relay) {
+      return m_classifier->Classify(head, now, relay);
     };
+    hooks.m_relay_identity = forwarding::RelayIdentity{
+        .m_cluster = peers::PeerOptions().m_cluster,
+        .m_name = m_options.m_name,
+        .m_config_version = [this] { return m_classifier->version(); }};
     hooks.m_answer_locally = m_hooks.m_answer_locally;
     hooks.m_target_dialect = m_hooks.m_target_dialect;
     hooks.m_caller_dialect = m_hooks.m_caller_dialect;
@@ -336,6 +366,7 @@
       });
     }
     m_router->SetInstances(places);
+    m_router->SetRelayPeers(RelayPeers(m_peers->Members()));
     m_instance_count_timer = m_clock.m_call_after(
         kInstanceCountInterval, [this] { UpdateInstanceCount(); });
   }
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -32,6 +32,9 @@
   Endpoint m_operators;
   /// The address to listen on for other instances (gRPC).
   Endpoint m_peers;
+  /// The address on which peers without a path to the targets pass on requests;
+  /// port 0 if none are passed on between instances.
+  Endpoint m_relay;
   /// The address at which other instances reach this one, if it differs from
   /// `m_peers`, as behind network address translation or a proxy.
   std::optional<Endpoint> m_peers_advertised;
--- a/src/util/error.cc
+++ b/src/util/error.cc
@@ -29,6 +29,7 @@
     ErrorAnswer{ErrorKind::kQueueFull, "queue-full", 503, kNo, 1},
     ErrorAnswer{ErrorKind::kQueueTimeout, "queue-timeout", 503, kNo, 1},
     ErrorAnswer{ErrorKind::kNoTarget, "no-target", 503, kNo, 1},
+    ErrorAnswer{ErrorKind::kNoPath, "no-path", 503, kNo, 1},
     ErrorAnswer{ErrorKind::kStoreUnavailable, "store-unavailable", 503, kNo, 2},
     ErrorAnswer{ErrorKind::kTooManyConnections, "too-many-connections", 503,
                 kNo, 1},
--- a/testsuite/platform_entry.py
+++ b/testsuite/platform_entry.py
@@ -6,8 +6,8 @@
 
 
 # All instances use the same ports, each on its own loopback address.
-FRONT_PORT, READY_PORT, DIRECTORY_PORT, PEERS_PORT, OPERATORS_PORT = range(
-    9000, 9005)
+(FRONT_PORT, READY_PORT, DIRECTORY_PORT, PEERS_PORT, OPERATORS_PORT,
+ RELAY_PORT) = range(9000, 9006)
 # Second octets: instance N has the case's address with FIRST_IP_PART + N there,
 # and the proxy between it and its peers has FIRST_PROXY_IP_PART + N.
 FIRST_IP_PART = 100
@@ -38,13 +38,13 @@
 def default_settings(case, number, store, seeds=()):
     """The settings of an instance as the platform sets them."""
     ip = ip_of(case, number)
-    front, ready, directory, peers, operators = (
+    front, ready, directory, peers, operators, relay = (
         f"{ip}:{port}" for port in (FRONT_PORT, READY_PORT, DIRECTORY_PORT,
-                                    PEERS_PORT, OPERATORS_PORT))
+                                    PEERS_PORT, OPERATORS_PORT, RELAY_PORT))
     return {
         "name": f"e{number}", "region": "r", "zone": "zone-a",
         "callers": front, "ready": ready, "directory": directory,
-        "peers": peers, "operators": operators,
+        "peers": peers, "operators": operators, "relay": relay,
         "seeds": list(seeds), "store": store, "drain_ms": 2000,
         "grace_s": 6, "address_lifetime_s": 2, "max_descriptors": 1024,
         "retry_share": 0.2, "retry_extra": 62,
