An instance without a path goes on probing without requests

What callers saw (found by testsuite/passed-on-requests-keep-promises before a landing): after all instances had lost the path and it had come back for one, requests at the other were refused for ever. Cause: the peer that could serve them got no requests, so it sent no probes, so it went on saying that its path was lost. Probing now goes on four times a second while no target answers and for 10 s after the last request; after another 10 s the loss is forgotten and peers ask again.

The case guards what a request keeps on its way through a peer: the bytes, the id in both logs, the attempts, at most once, a true refusal, marks only from instances.

--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -247,6 +247,8 @@
     return;
   }
   if (relay.has_value()) {
+    request.m_value->m_caller_timeout = relay->m_caller_timeout;
+    request.m_value->m_relay = relay;
     m_worker->m_metrics.CountRelay(request.m_value->m_service->m_name,
                                    "taken-over", "accepted");
   }
--- a/src/callers/route_classifier.cc
+++ b/src/callers/route_classifier.cc
@@ -102,10 +102,6 @@
   if (request.m_class == nullptr) {
     return Fail(ErrorKind::kNoTarget, "service " + service + " has no targets");
   }
-  if (relay.has_value()) {
-    request.m_caller_timeout = relay->m_caller_timeout;
-    request.m_relay = relay;
-  }
   request.m_head = head;
   request.m_tenant = kOtherTenant;
   request.m_arrived = now;
--- a/src/policy/path_loss.cc
+++ b/src/policy/path_loss.cc
@@ -26,12 +26,16 @@
     m_active += std::min(now - m_advanced_at, kMaxActiveStep);
   }
   m_advanced_at = std::max(m_advanced_at, now);
+  if (!m_silent.empty() && now - m_last_asked_at > kRetention) {
+    m_silent.clear();
+  }
 }
 
 void PathLoss::RecordAsked(const std::string& target,
                            const std::string& zone,
                            TimePoint now) {
   Advance(now);
+  m_last_asked_at = now;
   m_silent.try_emplace(
       target,
       Silence{.m_zone = zone, .m_asked_at = now, .m_active_at = m_active});
--- a/src/policy/path_loss.h
+++ b/src/policy/path_loss.h
@@ -28,6 +28,8 @@
  public:
   /// A live target answers a probe sooner, also from another region.
   static constexpr Duration kAnswerTime = std::chrono::milliseconds(50);
+  /// How long targets that aren't asked again count as silent.
+  static constexpr Duration kRetention = std::chrono::seconds(10);
   /// Targets that must be silent, or all if there are fewer.
   static constexpr std::size_t kMinSilentTargets = 4;
 
@@ -68,6 +70,7 @@
     bool m_failed = false;
   };
 
+  // Moves the clock of active time, and forgets what is too old.
   void Advance(TimePoint now);
   bool IsOverdue(const Silence& silence) const;
 
@@ -76,6 +79,7 @@
   // Targets asked since the last answer.
   std::unordered_map<std::string, Silence> m_silent;
   std::optional<TimePoint> m_answered_at;
+  TimePoint m_last_asked_at = TimePoint::min();
   Duration m_active{};
   TimePoint m_advanced_at = TimePoint::min();
 };
--- a/src/policy/path_loss_test.cc
+++ b/src/policy/path_loss_test.cc
@@ -99,6 +99,18 @@
   });
 }
 
+GUAVACROSS_TEST_CASE(PathLossWithoutFurtherRequests) {
+  PathLoss path;
+  path.SetTargets(29, 2);
+  for (int i = 0; i < 4; ++i) {
+    path.RecordFailure(Target(i), ZoneOf(i), kStart);
+  }
+  Section("is forgotten after a time, so that peers ask again", [&] {
+    CPPUNIT_ASSERT(path.IsLost(kStart + seconds(9)));
+    CPPUNIT_ASSERT(!path.IsLost(kStart + seconds(11)));
+  });
+}
+
 GUAVACROSS_TEST_CASE(PathLossOfFewTargets) {
   PathLoss path;
   path.SetTargets(2, 1);
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -118,6 +118,10 @@
                                std::vector<ProbeOrder>* orders,
                                Effects* effects) {
   const std::lock_guard lock(m_mutex);
+  if (m_last_request + kProbeIdleAfter >= now &&
+      ProbeSilentPath(now, effects)) {
+    return;
+  }
   if (m_last_request + kProbeIdleAfter < now || m_pool.targets().empty() ||
       !IsEnabled(Mechanism::kProbes) || m_config->m_probe.m_per_request ||
       m_options.m_policy != ChoicePolicy::kGuavacross) {
@@ -152,6 +156,9 @@
   RecordPath(
       report.m_answered ? PathEvent::Kind::kAnswered : PathEvent::Kind::kFailed,
       *target, now, effects);
+  if (m_options.m_relays && !report.m_answered) {
+    effects->m_probe_at = now;
+  }
   // A lost probe is evidence only with probing before placement; periodic
   // probes are too rare for that.
   target->m_unresponsive = !report.m_answered && ProbesBeforePlacing();
--- a/src/routing/service_path.cc
+++ b/src/routing/service_path.cc
@@ -15,6 +15,9 @@
 constexpr std::size_t kPathProbes = 3;
 constexpr Duration kPathProbeInterval = std::chrono::milliseconds(50);
 
+// The same without requests.
+constexpr Duration kSilentProbeInterval = std::chrono::milliseconds(250);
+
 }  // namespace
 
 std::set<std::string> ZonesOf(const ServiceConfig& config) {
@@ -141,9 +144,25 @@
     return;
   }
   m_path_probed_at = now;
+  m_last_request = now;
   if (ProbesBeforePlacing()) {
     OrderProbesOf(kPathProbes, now, effects);
   }
 }
 
+// Goes on probing while no target answers, since peers send this instance no
+// requests that would be a reason to probe.
+bool ServiceRouter::ProbeSilentPath(TimePoint now, Effects* effects) {
+  if (!ProbesBeforePlacing() || m_path.SilentTargets(now) == 0) {
+    return false;
+  }
+  if (m_path_probed_at == TimePoint::min() ||
+      now - m_path_probed_at >= kSilentProbeInterval) {
+    m_path_probed_at = now;
+    OrderProbesOf(kPathProbes, now, effects);
+  }
+  effects->m_probe_at = now + kSilentProbeInterval;
+  return true;
+}
+
 }  // namespace guavacross::routing
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -213,6 +213,7 @@
   ProbeOrder OrderProbe(Target* target, TimePoint now, Effects* effects);
   /// Orders up to `count` probes within the budget.
   void OrderProbesOf(std::size_t count, TimePoint now, Effects* effects);
+  bool ProbeSilentPath(TimePoint now, Effects* effects);
   void RecordPathOfAttempt(const Target& target,
                            const AttemptReport& report,
                            TimePoint now,
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -12,6 +12,7 @@
 import struct
 import threading
 import time
+import typing
 import urllib.parse
 
 
@@ -216,6 +217,13 @@
             return 200, body
 
 
+class SentRequest(typing.NamedTuple):
+    """A request as it arrived at a target."""
+    line: str
+    headers: dict
+    body: bytes
+
+
 class Target:
     """A backend server that registers itself and records the requests it runs.
 
@@ -245,6 +253,9 @@
         self.refused_at = []
         # (monotonic time in s, request id) of each run, added at its start.
         self.started = []
+        # What arrived, by request id; and the ids of refused requests.
+        self.requests = {}
+        self.refused = []
         self.misdirected = 0
         self._registered_address = registered_address or address
         self._started_ms = int(time.time() * 1000)
@@ -325,7 +336,7 @@
 
     def _run(self, handler):
         length = int(handler.headers.get("Content-Length") or 0)
-        handler.rfile.read(length)
+        body = handler.rfile.read(length)
         self.arrived.append(time.monotonic())
         load = [("X-Server-Load", "1,0,4,100"), ("X-Instance-Id", self.name),
                 *self._announcements()]
@@ -342,6 +353,8 @@
             handler.answer(421, b"", load)
             return
         request = handler.headers["X-Request-Id"]
+        self.requests[request] = SentRequest(
+            f"{handler.command} {handler.path}", dict(handler.headers), body)
         if self.pause_s > 0:
             self.refused_at.append(time.monotonic())
             handler.answer(503, b"", load + [("X-Not-Executed", "1"),
@@ -349,6 +362,7 @@
                                               str(self.pause_s))])
             return
         if self.fault == "full":
+            self.refused.append(request)
             handler.answer(503, b"", load + [("X-Not-Executed", "1")])
             return
         self.started.append((time.monotonic(), request))
