A lost path isn't inferred from late news of probes; soak cuts instances off

Cause: a probe that timed out counted from when it was given up, after 300 ms in which other targets had answered, and a few refused connections were enough without any time passing. A failure now says nothing if a target has answered since the probe was sent, and no target may have answered for 50 ms.

--- a/src/policy/path_loss.cc
+++ b/src/policy/path_loss.cc
@@ -43,7 +43,11 @@
 
 void PathLoss::RecordFailure(const std::string& target,
                              const std::string& zone,
+                             TimePoint asked_at,
                              TimePoint now) {
+  if (m_answered_at.has_value() && *m_answered_at >= asked_at) {
+    return;
+  }
   RecordAsked(target, zone, now);
   m_silent[target].m_failed = true;
 }
@@ -55,29 +59,38 @@
 }
 
 bool PathLoss::IsLost(TimePoint now) {
-  Advance(now);
-  if (m_targets == 0) {
+  if (m_targets == 0 || !IsSilent(now)) {
     return false;
   }
+  std::size_t silent = 0;
   std::set<std::string> zones;
   for (const auto& [target, silence] : m_silent) {
-    if (IsOverdue(silence)) {
+    if (silence.m_failed || IsOverdue(silence)) {
+      ++silent;
       zones.insert(silence.m_zone);
     }
   }
-  return SilentTargets(now) >= std::min(kMinSilentTargets, m_targets) &&
+  return silent >= std::min(kMinSilentTargets, m_targets) &&
          zones.size() >= std::min<std::size_t>(2, m_zones);
 }
 
 bool PathLoss::IsOverdue(const Silence& silence) const {
-  return silence.m_failed || m_active - silence.m_active_at >= kAnswerTime;
+  return m_active - silence.m_active_at >= kAnswerTime;
 }
 
-std::size_t PathLoss::SilentTargets(TimePoint now) {
+bool PathLoss::IsSilent(TimePoint now) {
   Advance(now);
-  return static_cast<std::size_t>(std::count_if(
+  return std::any_of(
       m_silent.begin(), m_silent.end(),
-      [this](const auto& each) { return IsOverdue(each.second); }));
+      [this](const auto& each) { return IsOverdue(each.second); });
+}
+
+std::size_t PathLoss::UnansweredProbes(TimePoint now) {
+  Advance(now);
+  return static_cast<std::size_t>(
+      std::count_if(m_silent.begin(), m_silent.end(), [this](const auto& each) {
+        return IsOverdue(each.second) && !each.second.m_failed;
+      }));
 }
 
 std::optional<TimePoint> PathLoss::silent_since() const {
--- a/src/policy/path_loss.h
+++ b/src/policy/path_loss.h
@@ -41,9 +41,12 @@
   void RecordAsked(const std::string& target,
                    const std::string& zone,
                    TimePoint now);
-  /// Records that a target's connection was refused, was reset or timed out.
+  /// Records that a probe or request that was sent at `asked_at` failed: its
+  /// connection was refused, was reset or timed out. It says nothing if a
+  /// target has answered since it was sent.
   void RecordFailure(const std::string& target,
                      const std::string& zone,
+                     TimePoint asked_at,
                      TimePoint now);
   /// Records an answer of any target, which ends the loss.
   void RecordAnswer(TimePoint now);
@@ -51,9 +54,13 @@
   /// Whether the path counts as lost.
   bool IsLost(TimePoint now);
 
-  /// The number of targets that were asked since the last answer and have had
-  /// time to answer.
-  std::size_t SilentTargets(TimePoint now);
+  /// Whether no target has answered for longer than targets take, although some
+  /// were asked. The path may be lost.
+  bool IsSilent(TimePoint now);
+
+  /// The number of probes that have been unanswered for longer than targets
+  /// take, and haven't failed.
+  std::size_t UnansweredProbes(TimePoint now);
 
   /// When the first of the targets was asked that haven't answered; nothing if
   /// none is silent.
@@ -72,6 +79,7 @@
 
   // Moves the clock of active time, and forgets what is too old.
   void Advance(TimePoint now);
+  // Whether the target has had time to answer.
   bool IsOverdue(const Silence& silence) const;
 
   std::size_t m_targets = 0;
--- a/src/routing/effects.h
+++ b/src/routing/effects.h
@@ -22,6 +22,8 @@
   Kind m_kind = Kind::kAsked;
   std::string m_target;
   std::string m_zone;
+  /// When the probe or attempt was sent.
+  TimePoint m_asked_at;
 };
 
 /// Callbacks, hook calls and wake-ups that result from a decision made under a
--- a/src/routing/relays.cc
+++ b/src/routing/relays.cc
@@ -105,7 +105,8 @@
         m_path.RecordAnswer(now);
         break;
       case PathEvent::Kind::kFailed:
-        m_path.RecordFailure(event.m_target, event.m_zone, now);
+        m_path.RecordFailure(event.m_target, event.m_zone, event.m_asked_at,
+                             now);
         break;
     }
   }
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -67,7 +67,7 @@
   if (target == nullptr) {
     return;
   }
-  RecordPathOfAttempt(*target, report, now, effects);
+  RecordPathOfAttempt(*target, report, grant.m_granted_at, now, effects);
   // The target made the report when it began its answer, so its in-flight count
   // includes this attempt.
   const TimePoint reported_at =
@@ -108,7 +108,8 @@
       RecordFirstByte(target, attempt, time_to_first_byte, now);
     }
   }
-  RecordPath(PathEvent::Kind::kAnswered, *target, now, effects);
+  RecordPath(PathEvent::Kind::kAnswered, *target, grant.m_granted_at, now,
+             effects);
   ApplyLoadReport(target, load, grant.m_granted_at, now, now, effects);
   ServeWaiters(now, effects);
 }
@@ -155,7 +156,7 @@
   target->m_probe_in_flight = false;
   RecordPath(
       report.m_answered ? PathEvent::Kind::kAnswered : PathEvent::Kind::kFailed,
-      *target, now, effects);
+      *target, target->m_probed_at, now, effects);
   if (m_options.m_relays && !report.m_answered) {
     effects->m_probe_at = now;
   }
@@ -274,7 +275,7 @@
   m_probe_budget.SetRate(rate, now);
   // Silent targets are replaced by others at once, which show whether the path
   // to all of them is lost.
-  const int silent = static_cast<int>(m_path.SilentTargets(now));
+  const int silent = static_cast<int>(m_path.UnansweredProbes(now));
   const int wanted =
       std::min(kProbesPerWaiter * m_queue.size(), kMaxPlacementProbesInFlight) -
       std::max(0, m_placement_probes_in_flight - silent);
@@ -298,7 +299,7 @@
 ProbeOrder ServiceRouter::OrderProbe(Target* target,
                                      TimePoint now,
                                      Effects* effects) {
-  RecordPath(PathEvent::Kind::kAsked, *target, now, effects);
+  RecordPath(PathEvent::Kind::kAsked, *target, now, now, effects);
   target->m_probed_at = now;
   target->m_probe_in_flight = true;
   if (target->m_limit.is_active()) {
--- a/src/routing/service_path.cc
+++ b/src/routing/service_path.cc
@@ -30,6 +30,7 @@
 
 void ServiceRouter::RecordPath(PathEvent::Kind kind,
                                const Target& target,
+                               TimePoint asked_at,
                                TimePoint now,
                                Effects* effects) {
   if (!m_options.m_relays) {
@@ -45,15 +46,18 @@
       m_path.RecordAnswer(now);
       break;
     case PathEvent::Kind::kFailed:
-      m_path.RecordFailure(name, zone, now);
+      m_path.RecordFailure(name, zone, asked_at, now);
       break;
   }
-  effects->m_path_events.push_back(
-      {.m_kind = kind, .m_target = name, .m_zone = zone});
+  effects->m_path_events.push_back({.m_kind = kind,
+                                    .m_target = name,
+                                    .m_zone = zone,
+                                    .m_asked_at = asked_at});
 }
 
 void ServiceRouter::RecordPathOfAttempt(const Target& target,
                                         const AttemptReport& report,
+                                        TimePoint sent_at,
                                         TimePoint now,
                                         Effects* effects) {
   switch (report.m_end) {
@@ -61,13 +65,13 @@
     case AttemptEnd::kServerError:
     case AttemptEnd::kRefusedNotRun:
     case AttemptEnd::kWrongTarget:
-      RecordPath(PathEvent::Kind::kAnswered, target, now, effects);
+      RecordPath(PathEvent::Kind::kAnswered, target, sent_at, now, effects);
       break;
     case AttemptEnd::kConnectFailed:
     case AttemptEnd::kReset:
       RecordPath(report.m_answer_begun ? PathEvent::Kind::kAnswered
                                        : PathEvent::Kind::kFailed,
-                 target, now, effects);
+                 target, sent_at, now, effects);
       break;
     case AttemptEnd::kTimeout:
     case AttemptEnd::kCancelled:
@@ -153,7 +157,7 @@
 // Goes on probing while no target answers, since peers send this instance no
 // requests that would be a reason to probe.
 bool ServiceRouter::ProbeSilentPath(TimePoint now, Effects* effects) {
-  if (!ProbesBeforePlacing() || m_path.SilentTargets(now) == 0) {
+  if (!ProbesBeforePlacing() || !m_path.IsSilent(now)) {
     return false;
   }
   if (m_path_probed_at == TimePoint::min() ||
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -216,10 +216,12 @@
   bool ProbeSilentPath(TimePoint now, Effects* effects);
   void RecordPathOfAttempt(const Target& target,
                            const AttemptReport& report,
+                           TimePoint sent_at,
                            TimePoint now,
                            Effects* effects);
   void RecordPath(PathEvent::Kind kind,
                   const Target& target,
+                  TimePoint asked_at,
                   TimePoint now,
                   Effects* effects);
   void RecordFirstByte(Target* target,
--- a/src/routing/service_waiting.cc
+++ b/src/routing/service_waiting.cc
@@ -318,7 +318,7 @@
   const Duration waited = now - waiter.m_arrived;
   // A target that isn't known to answer is no choice while none does.
   const bool needs_answer =
-      waited < kMeasuredTargetWait || m_path.SilentTargets(now) > 0;
+      waited < kMeasuredTargetWait || m_path.IsSilent(now);
   const TargetPool::Requirement requirement =
       waited < kGoodTargetWait ? TargetPool::Requirement::kGood
       : needs_answer           ? TargetPool::Requirement::kMeasured
--- a/src/standin/proxy.cc
+++ b/src/standin/proxy.cc
@@ -110,6 +110,8 @@
         std::make_unique<Pipe>(this, proxy, m_caller, &m_target, false);
     m_pipe_to_caller =
         std::make_unique<Pipe>(this, proxy, &m_target, m_caller, true);
+    // The target sees the caller's address, by which it tells callers apart.
+    m_target.bind(m_caller->peerAddress());
     m_target.connectToHost(
         QHostAddress(QString::fromStdString(proxy->m_target.m_ip)),
         proxy->m_target.m_port);
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -25,7 +25,7 @@
 import platform_standin as standin
 
 from harness import check, wait_until
-from platform_entry import Entry, front_of, peers_of, peers_proxy_of
+from platform_entry import Entry, front_of, ip_of, peers_of, peers_proxy_of
 
 CI_SEED = 1
 SECONDS = float(os.environ.get("SOAK_SECONDS", "15"))
@@ -142,6 +142,9 @@
         self.published = []
         # (target, limit, begin, end) of each time that a target names a limit.
         self.limits = []
+        # (entries, begin, end) of each time that instances were cut off from all
+        # targets.
+        self.cuts = []
         self.events = []
 
     @property
@@ -156,7 +159,8 @@
             self.case, number, self.case.proxies[f"store-{number}"],
             seeds=[peers_proxy_of(self.case, n)
                    for n in range(min(3, INSTANCES))],
-            peers_advertised=peers_proxy_of(self.case, number)))
+            peers_advertised=peers_proxy_of(self.case, number),
+            targets_from=ip_of(self.case, number)))
         # Where the log of this process begins.
         entry.log_begin = log_begin
         entry.callers_address = self.case.proxies[f"callers-{number}"]
@@ -239,6 +243,26 @@
         target.limit = None
         self.limits.append((target, limit, begin, time.monotonic()))
 
+    def cut_off_entries(self):
+        """Cuts one instance, half, all but one or all off from the targets."""
+        count = self.random.choice([1, INSTANCES // 2, INSTANCES - 1, INSTANCES])
+        numbers = self.random.sample(range(INSTANCES), count)
+        kind = self.random.choice(["hang", "reset", "refuse new", "one way"])
+        self.log_event(f"instances {numbers}: cut off from targets ({kind})")
+        targets = list(self.targets)
+        entries = [self.entries[number] for number in numbers]
+        span = [time.monotonic(), float("inf")]
+        self.fault_spans.append(span)
+        for target in targets:
+            for number in numbers:
+                target.cut(ip_of(self.case, number), kind)
+        time.sleep(STABLE_S + self.random.uniform(0, 3))
+        span[1] = time.monotonic()
+        self.cuts.append((entries, targets, span))
+        for target in targets:
+            for number in numbers:
+                target.heal(ip_of(self.case, number))
+
     def target_fault(self, seconds):
         number = self.random.randrange(TARGETS)
         target = self.targets[number]
@@ -308,12 +332,12 @@
         self.events.append(f"{time.monotonic() - self.began:6.2f} s  {text}")
 
     def run_faults(self):
-        """Runs the faults of the seed on five threads, so that they overlap.
+        """Runs the faults of the seed on six threads, so that they overlap.
 
         The threads handle the store and the links to it, the links to callers
-        and targets, the links between instances, the limits of targets, and the
-        instances and targets themselves, including planned operations on
-        them."""
+        and targets, the links between instances, the limits of targets, cuts of
+        instances from all targets, and the instances and targets themselves,
+        including planned operations on them."""
         self.began = time.monotonic()
         end = self.began + SECONDS
         failures = []
@@ -360,6 +384,8 @@
                 target=repeat, args=("peers", inject_peer_fault, (1, 4))),
             threading.Thread(
                 target=repeat, args=("limits", self.name_limit, (0, 1))),
+            threading.Thread(
+                target=repeat, args=("cuts", self.cut_off_entries, (1, 6))),
             threading.Thread(
                 target=repeat, args=("members", change_members, (0, 1)))]
         for thread in threads:
@@ -428,6 +454,21 @@
                   f"{target.name} named a limit of {limit} and got {most} "
                   f"requests in {LIMIT_WINDOW_S} s, allowed {allowed}")
 
+    def check_cuts(self, sent):
+        """Checks that instances that were cut off served their callers, as far
+        as nothing else was wrong meanwhile."""
+        for entries, targets, span in self.cuts:
+            begin, end = span[0] + STABLE_S, span[1] - CALLER_TIMEOUT_S
+            alone = all(other is span or other[1] < span[0] - STABLE_S
+                        or other[0] > span[1] for other in self.fault_spans)
+            statuses = [each.status for each in sent
+                        if each.entry in entries and begin < each.began < end]
+            others_reach = len(entries) < INSTANCES
+            check(not (alone and others_reach and statuses) or
+                  statuses.count(200) >= 2 / 3 * len(statuses),
+                  f"{[entry.name for entry in entries]} served "
+                  f"{statuses.count(200)} of {len(statuses)} while cut off")
+
     def check_members(self):
         """Checks that the instances discover each other through the proxies."""
         for entry in self.entries:
@@ -479,6 +520,8 @@
                 [*sent, RequestRecord(None, "recovered", "", False)])
         with case.section("no target got more than the limit that it named"):
             soak.check_limits()
+        with case.section("instances cut off from targets served their callers"):
+            soak.check_cuts(sent)
         with case.section("planned operations aborted no request"):
             soak.check_planned_work(sent)
     except harness.Failure:
