A path that is only partly back is probed and told again without requests

Cause: probing without requests began only if the loss was already certain when a probe failed, and targets without an answer to their last probe stayed so for ever without requests. A loss that is noticed while requests wait is reported at once, as one noticed by a probe.

--- a/src/routing/relay_router.cc
+++ b/src/routing/relay_router.cc
@@ -47,6 +47,11 @@
                          const std::vector<PathEvent>& events,
                          TimePoint now) {
   m_relays.Record(events, now);
+  ReportChanges(service, now);
+}
+
+void RelayRouter::ReportChanges(const std::shared_ptr<ServiceRouter>& service,
+                                TimePoint now) {
   if (const auto lost = m_relays.TakeChange(now); lost && m_on_reach) {
     m_on_reach("", *lost);
   }
@@ -179,6 +184,7 @@
     return;
   }
   AddImpaired(service);
+  ReportChanges(service, now);
   const std::string name = service->config()->m_name;
   const Duration min_wait = lost ? Duration::zero() : kImpairedWait;
   const ServiceRouter::RelayedRequests relayed =
--- a/src/routing/relay_router.h
+++ b/src/routing/relay_router.h
@@ -81,6 +81,9 @@
       std::uint64_t ticket,
       const std::vector<std::string>& avoid,
       TimePoint now);
+  // Calls the hook if a path has been lost or is back.
+  void ReportChanges(const std::shared_ptr<ServiceRouter>& service,
+                     TimePoint now);
   void AddImpaired(const std::shared_ptr<ServiceRouter>& service);
   // Hashes of the services whose path is lost or impaired.
   std::vector<std::uint32_t> ImpairedServices(TimePoint now);
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -114,16 +114,19 @@
   ServeWaiters(now, effects);
 }
 
+bool ServiceRouter::IsIdle(TimePoint now) const {
+  return m_last_request + kProbeIdleAfter < now;
+}
+
 void ServiceRouter::TakeProbes(TimePoint now,
                                int instances,
                                std::vector<ProbeOrder>* orders,
                                Effects* effects) {
   const std::lock_guard lock(m_mutex);
-  if (m_last_request + kProbeIdleAfter >= now &&
-      ProbeSilentPath(now, effects)) {
+  if (!IsIdle(now) && ProbeSilentPath(now, effects)) {
     return;
   }
-  if (m_last_request + kProbeIdleAfter < now || m_pool.targets().empty() ||
+  if (IsIdle(now) || m_pool.targets().empty() ||
       !IsEnabled(Mechanism::kProbes) || m_config->m_probe.m_per_request ||
       m_options.m_policy != ChoicePolicy::kGuavacross) {
     m_probes_scheduled = false;
--- a/src/routing/service_path.cc
+++ b/src/routing/service_path.cc
@@ -89,7 +89,8 @@
   if (m_queue.size() == 0 && !m_impaired_since.has_value()) {
     return state;
   }
-  if (!m_pool.AreMostUnresponsive()) {
+  // Without requests nothing shows whether the targets answer again.
+  if (IsIdle(now) || !m_pool.AreMostUnresponsive()) {
     m_impaired_since.reset();
   } else if (!m_impaired_since.has_value()) {
     m_impaired_since = now;
@@ -154,10 +155,11 @@
   }
 }
 
-// Goes on probing while no target answers, since peers send this instance no
-// requests that would be a reason to probe.
+// Goes on probing while targets don't answer: peers send this instance no
+// requests meanwhile that would be a reason to probe.
 bool ServiceRouter::ProbeSilentPath(TimePoint now, Effects* effects) {
-  if (!ProbesBeforePlacing() || !m_path.IsSilent(now)) {
+  if (!ProbesBeforePlacing() ||
+      (!m_path.silent_since().has_value() && !m_pool.AreMostUnresponsive())) {
     return false;
   }
   if (m_path_probed_at == TimePoint::min() ||
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -213,6 +213,8 @@
   ProbeOrder OrderProbe(Target* target, TimePoint now, Effects* effects);
   /// Orders up to `count` probes within the budget.
   void OrderProbesOf(std::size_t count, TimePoint now, Effects* effects);
+  // Whether there has been no request for long.
+  bool IsIdle(TimePoint now) const;
   bool ProbeSilentPath(TimePoint now, Effects* effects);
   void RecordPathOfAttempt(const Target& target,
                            const AttemptReport& report,
