While targets are silent an instance wakes up four times a second, not per probe

Each probe without an answer scheduled a check of the silent targets, and each check the next one, so that a cut instance woke up every 250 ms for every probe that had ever failed. A request that waits is now decided about in a function of its own.

--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -19,7 +19,8 @@
 ///
 /// A repeatable request waits for a target, is sent, and may be retried or
 /// hedged as long as its body can be sent again and no part of an answer has
-/// been passed to the caller. A non-repeatable request is first claimed in the
+/// been passed to the caller. While targets can't be reached from here, a peer
+/// sends the request on. A non-repeatable request is first claimed in the
 /// ledger and is sent again only if no earlier attempt can have run; its claim
 /// is finished exactly once. Created by `RequestForwarder::Begin`.
 class Exchange {
--- a/src/routing/relay_router.cc
+++ b/src/routing/relay_router.cc
@@ -185,33 +185,42 @@
   }
   AddImpaired(service);
   ReportChanges(service, now);
-  const std::string name = service->config()->m_name;
   const Duration min_wait = lost ? Duration::zero() : kImpairedWait;
   const ServiceRouter::RelayedRequests relayed =
       lost ? ServiceRouter::RelayedRequests::kIncluded
            : ServiceRouter::RelayedRequests::kLeftOut;
+  const Loss loss{
+      .m_since = *since,
+      .m_refuse = all_lost.has_value() && HavePeersAnswered(*all_lost, now)};
   while (const auto waiting = service->LongestWaiting(min_wait, relayed, now)) {
-    auto grant = waiting->m_relayed ? std::nullopt
-                                    : GrantPeer(name, waiting->m_ticket, *since,
-                                                waiting->m_avoid, now);
-    const bool refuse =
-        waiting->m_relayed ||
-        (all_lost.has_value() && HavePeersAnswered(*all_lost, now));
-    if (!grant.has_value() && !refuse) {
+    if (!DecideWaiting(service, *waiting, loss, now, effects)) {
       return;
     }
-    GrantCallback on_grant = service->TakeWaiting(waiting->m_ticket);
-    if (!on_grant) {
-      if (grant.has_value()) {
-        m_relays.Ended(*grant, AttemptEnd::kCancelled, now);
-      }
-      continue;
-    }
+  }
+}
+
+bool RelayRouter::DecideWaiting(const std::shared_ptr<ServiceRouter>& service,
+                                const ServiceRouter::WaitingRequest& waiting,
+                                const Loss& loss,
+                                TimePoint now,
+                                Effects* effects) {
+  auto grant = waiting.m_relayed
+                   ? std::nullopt
+                   : GrantPeer(service->config()->m_name, waiting.m_ticket,
+                               loss.m_since, waiting.m_avoid, now);
+  if (!grant.has_value() && !waiting.m_relayed && !loss.m_refuse) {
+    return false;
+  }
+  GrantCallback on_grant = service->TakeWaiting(waiting.m_ticket);
+  if (on_grant) {
     effects->m_decisions.push_back(
         {std::move(on_grant), grant.has_value()
                                   ? util::Expected<Grant>{std::move(*grant)}
                                   : RefuseWithoutPath()});
+  } else if (grant.has_value()) {
+    m_relays.Ended(*grant, AttemptEnd::kCancelled, now);
   }
+  return true;
 }
 
 }  // namespace guavacross::routing
--- a/src/routing/relay_router.h
+++ b/src/routing/relay_router.h
@@ -84,6 +84,18 @@
   // Calls the hook if a path has been lost or is back.
   void ReportChanges(const std::shared_ptr<ServiceRouter>& service,
                      TimePoint now);
+  // How requests are decided about while targets don't answer.
+  struct Loss {
+    TimePoint m_since;
+    // Refuse what no peer can send.
+    bool m_refuse = false;
+  };
+  // Returns false if the request is to go on waiting.
+  bool DecideWaiting(const std::shared_ptr<ServiceRouter>& service,
+                     const ServiceRouter::WaitingRequest& waiting,
+                     const Loss& loss,
+                     TimePoint now,
+                     Effects* effects);
   void AddImpaired(const std::shared_ptr<ServiceRouter>& service);
   // Hashes of the services whose path is lost or impaired.
   std::vector<std::uint32_t> ImpairedServices(TimePoint now);
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -160,8 +160,8 @@
   RecordPath(
       report.m_answered ? PathEvent::Kind::kAnswered : PathEvent::Kind::kFailed,
       *target, target->m_probed_at, now, effects);
-  if (m_options.m_relays && !report.m_answered) {
-    effects->m_probe_at = now;
+  if (!report.m_answered) {
+    ScheduleSilentCheck(now, effects);
   }
   // A lost probe is evidence only with probing before placement; periodic
   // probes are too rare for that.
--- a/src/routing/service_path.cc
+++ b/src/routing/service_path.cc
@@ -162,13 +162,19 @@
       (!m_path.silent_since().has_value() && !m_pool.AreMostUnresponsive())) {
     return false;
   }
-  if (m_path_probed_at == TimePoint::min() ||
-      now - m_path_probed_at >= kSilentProbeInterval) {
-    m_path_probed_at = now;
+  if (m_silent_check_at <= now) {
     OrderProbesOf(kPathProbes, now, effects);
+    ScheduleSilentCheck(now, effects);
   }
-  effects->m_probe_at = now + kSilentProbeInterval;
   return true;
 }
 
+// Schedules `ProbeSilentPath`, unless it is already.
+void ServiceRouter::ScheduleSilentCheck(TimePoint now, Effects* effects) {
+  if (m_options.m_relays && m_silent_check_at <= now) {
+    m_silent_check_at = now + kSilentProbeInterval;
+    effects->m_probe_at = m_silent_check_at;
+  }
+}
+
 }  // namespace guavacross::routing
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -216,6 +216,7 @@
   // Whether there has been no request for long.
   bool IsIdle(TimePoint now) const;
   bool ProbeSilentPath(TimePoint now, Effects* effects);
+  void ScheduleSilentCheck(TimePoint now, Effects* effects);
   void RecordPathOfAttempt(const Target& target,
                            const AttemptReport& report,
                            TimePoint sent_at,
@@ -269,6 +270,8 @@
   std::optional<TimePoint> m_impaired_since;
   bool m_reported_lost = false;
   TimePoint m_path_probed_at = TimePoint::min();
+  // When `ProbeSilentPath` is to be called.
+  TimePoint m_silent_check_at = TimePoint::min();
   std::uint64_t m_requests = 0;
   std::uint64_t m_retries = 0;
   std::uint64_t m_hedges = 0;
