LargeUpload: the backend server stops reading after the first bytes

One round of its wait runs the event loop for up to 5 ms, in which all 5 MB can arrive before the test pauses the backend server's reading. The server now pauses by itself after its first read, so that the check says the same whatever the machine's speed.

--- a/src/forwarding/exchange_test.cc
+++ b/src/forwarding/exchange_test.cc
@@ -427,11 +427,11 @@
   WorkerFixture fixture;
   TestPeer& caller = fixture.Caller();
   const std::string body(std::size_t{5} << 20, 'u');
+  fixture.backend().m_pause_peers_after = 1;
   caller.Send(Post("/upload", body));
   TestPeer& backend = fixture.BackendGot("POST /upload ");
 
   Section("is streamed with back-pressure", [&] {
-    backend.SetReading(false);
     RunEvents();
     CPPUNIT_ASSERT(backend.received().size() < body.size());
     backend.SetReading(true);
--- a/src/net/test_peer.h
+++ b/src/net/test_peer.h
@@ -9,7 +9,9 @@
 #include <QHostAddress>
 #include <QTcpServer>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -61,6 +63,9 @@
   void Close() { m_stream->Close(); }
   void Abort() { m_stream->Abort(); }
   void SetReading(bool reading) { m_stream->SetReading(reading); }
+  /// Stops reading once this many bytes have been received, until the next
+  /// `SetReading`.
+  void PauseAfter(std::size_t bytes) { m_pause_after = bytes; }
   std::size_t unsent() const { return m_stream->unsent(); }
 
   const std::string& received() const { return m_received; }
@@ -86,6 +91,10 @@
   void Read(SocketSet* set) {
     const Stream::ReadResult read = m_stream->Read(set->scratch());
     m_received.append(read.m_bytes);
+    if (m_received.size() >= m_pause_after) {
+      m_pause_after = std::numeric_limits<std::size_t>::max();
+      m_stream->SetReading(false);
+    }
     if (read.m_status == Stream::ReadStatus::kEnd) {
       m_ended = true;
       m_stream->SetReading(false);
@@ -97,6 +106,7 @@
 
   std::unique_ptr<Stream> m_stream;
   std::string m_received;
+  std::size_t m_pause_after = std::numeric_limits<std::size_t>::max();
   bool m_ended = false;
   bool m_reset = false;
 };
@@ -120,6 +130,8 @@
   }
 
   std::function<void(int)> m_on_descriptor;
+  /// For `TestPeer::PauseAfter` of new connections; nothing for no pause.
+  std::optional<std::size_t> m_pause_peers_after;
 
  protected:
   void incomingConnection(qintptr descriptor) override {
@@ -129,6 +141,9 @@
     }
     m_peers.push_back(
         std::make_unique<TestPeer>(m_set, static_cast<int>(descriptor)));
+    if (m_pause_peers_after.has_value()) {
+      m_peers.back()->PauseAfter(*m_pause_peers_after);
+    }
   }
 
  private:
