--- a/src/routing/target_pool_choice.cc
+++ b/src/routing/target_pool_choice.cc
@@ -199,7 +199,7 @@
 bool TargetPool::CanBeProbed(Target* target, TimePoint now) const {
   const bool recently_unanswered =
       target->m_unresponsive &&
-      now - target->m_probed_at < kUnresponsiveProbeInterval;
+      now < target->m_probed_at + kUnresponsiveProbeInterval;
   // A probe counts as one of the requests that a limit allows, so that a target
   // is then probed only if it isn't used otherwise.
   const bool is_spared = target->m_limit.is_active() && !target->m_unresponsive;
