--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -281,14 +281,12 @@
 void CallerConnection::SendRefusal(const http::RequestHead& head,
                                    const Error& error,
                                    Outcome outcome) {
-  m_worker->m_metrics.CountOwnAnswer(error.m_kind);
-  const CallerServerHooks& server = *m_worker->m_hooks;
-  forwarding::CompleteAnswer answer =
-      server.m_caller_dialect->m_error_answer(error, outcome);
+  forwarding::CompleteAnswer answer = OwnAnswer(error, outcome);
   if (m_kind == ConnectionKind::kPeer) {
-    forwarding::AddRelayRefusal({.m_outcome = outcome, .m_error = error},
-                                server.m_target_dialect->m_request_id_header,
-                                head, &answer.m_head);
+    forwarding::AddRelayRefusal(
+        {.m_outcome = outcome, .m_error = error},
+        m_worker->m_hooks->m_target_dialect->m_request_id_header, head,
+        &answer.m_head);
   }
   SendWhole(answer);
 }
--- a/src/callers/caller_connection.h
+++ b/src/callers/caller_connection.h
@@ -87,6 +87,8 @@
   void SendBody(std::string_view bytes);
   void SendEnd();
   void SendError(const Error& error, Outcome outcome);
+  // Makes and counts the answer to an error.
+  forwarding::CompleteAnswer OwnAnswer(const Error& error, Outcome outcome);
   void ResetConnection();
   void OnAnswerDone();
 
--- a/src/callers/caller_connection_answer.cc
+++ b/src/callers/caller_connection_answer.cc
@@ -40,9 +40,13 @@
 }
 
 void CallerConnection::SendError(const Error& error, Outcome outcome) {
+  SendWhole(OwnAnswer(error, outcome));
+}
+
+forwarding::CompleteAnswer CallerConnection::OwnAnswer(const Error& error,
+                                                       Outcome outcome) {
   m_worker->m_metrics.CountOwnAnswer(error.m_kind);
-  SendWhole(
-      m_worker->m_hooks->m_caller_dialect->m_error_answer(error, outcome));
+  return m_worker->m_hooks->m_caller_dialect->m_error_answer(error, outcome);
 }
 
 void CallerConnection::SendHead(http::ResponseHead head) {
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -360,10 +360,9 @@
   CompleteAnswer answer =
       context().m_caller_dialect->m_error_answer(error, outcome);
   if (m_request.m_relay.has_value()) {
-    AddRelayRefusal({.m_outcome = outcome,
-                     .m_error = error,
-                     .m_attempts = static_cast<int>(m_targets_tried.size())},
-                    RequestIdHeader(), m_request.m_head, &answer.m_head);
+    AddRelayRefusal(
+        {.m_outcome = outcome, .m_error = error, .m_attempts = AttemptsMade()},
+        RequestIdHeader(), m_request.m_head, &answer.m_head);
   }
   LogRequestEnd(answer.m_head.m_status, Describe(error));
   m_hooks.m_on_answer(answer);
--- a/src/forwarding/exchange_relay.cc
+++ b/src/forwarding/exchange_relay.cc
@@ -13,6 +13,14 @@
 // Peers that are asked for one request. A peer that refuses does so at once.
 constexpr std::size_t kMaxPeers = 3;
 
+AttemptEnd EndOf(const RelayRefusal& refusal) {
+  if (refusal.m_outcome != Outcome::kNotRun) {
+    return AttemptEnd::kServerError;
+  }
+  return IsPeerUnfit(refusal.m_error.m_kind) ? AttemptEnd::kPeerRefused
+                                             : AttemptEnd::kRefusedNotRun;
+}
+
 }  // namespace
 
 std::string Exchange::RelayMarkToSend() const {
@@ -20,7 +28,7 @@
   return FormatRelayMark(
       {.m_cluster = identity.m_cluster,
        .m_from = identity.m_name,
-       .m_attempts = static_cast<int>(m_targets_tried.size()) + m_peer_attempts,
+       .m_attempts = AttemptsMade(),
        .m_caller_timeout = m_request.m_caller_timeout,
        .m_config_version = identity.m_config_version(),
        .m_service_hash = ServiceHash(m_request.m_service->m_name)});
@@ -49,10 +57,7 @@
   const bool not_run = refusal.m_outcome == Outcome::kNotRun;
   m_worst_outcome = std::max(m_worst_outcome, refusal.m_outcome);
   m_peer_attempts += refusal.m_attempts;
-  EndAttempt(attempt, !not_run ? AttemptEnd::kServerError
-                      : IsPeerUnfit(refusal.m_error.m_kind)
-                          ? AttemptEnd::kPeerRefused
-                          : AttemptEnd::kRefusedNotRun);
+  EndAttempt(attempt, EndOf(refusal));
   if (!m_active_attempts.empty() || m_acquiring) {
     m_last_error = refusal.m_error;
   } else if (not_run && refusal.m_attempts == 0) {
--- a/src/forwarding/relay.cc
+++ b/src/forwarding/relay.cc
@@ -106,7 +106,9 @@
 }
 
 void RemoveRelayRefusal(http::ResponseHead* answer) {
-  answer->m_fields = http::EndToEndFields(answer->m_fields, kRefusalFields);
+  for (const std::string_view name : kRefusalFields) {
+    answer->m_fields.Remove(name);
+  }
 }
 
 std::optional<RelayRefusal> ReadRelayRefusal(const http::ResponseHead& answer) {
--- a/src/policy/path_loss.cc
+++ b/src/policy/path_loss.cc
@@ -31,6 +31,20 @@
   }
 }
 
+void PathLoss::Record(const PathEvent& event, TimePoint now) {
+  switch (event.m_kind) {
+    case PathEvent::Kind::kAsked:
+      RecordAsked(event.m_target, event.m_zone, now);
+      break;
+    case PathEvent::Kind::kAnswered:
+      RecordAnswer(now);
+      break;
+    case PathEvent::Kind::kFailed:
+      RecordFailure(event.m_target, event.m_zone, event.m_asked_at, now);
+      break;
+  }
+}
+
 void PathLoss::RecordAsked(const std::string& target,
                            const std::string& zone,
                            TimePoint now) {
--- a/src/policy/path_loss.h
+++ b/src/policy/path_loss.h
@@ -10,6 +10,18 @@
 
 namespace guavacross::policy {
 
+/// What a probe or an attempt shows about the path to a target.
+struct PathEvent {
+  enum class Kind { kAsked, kAnswered, kFailed };
+  Kind m_kind = Kind::kAsked;
+  std::string m_target;
+  std::string m_zone;
+  /// When the probe or attempt was sent.
+  TimePoint m_asked_at;
+
+  bool operator==(const PathEvent&) const = default;
+};
+
 /// Detects that an instance gets no answers from a group of targets any more,
 /// such as when it is partitioned from them.
 ///
@@ -37,6 +49,8 @@
   /// targets in more than one zone, those of a single one aren't enough.
   void SetTargets(std::size_t targets, std::size_t zones);
 
+  /// Records an event, with one of the functions below.
+  void Record(const PathEvent& event, TimePoint now);
   /// Records that a target was sent a probe.
   void RecordAsked(const std::string& target,
                    const std::string& zone,
--- a/src/policy/relay_choice.cc
+++ b/src/policy/relay_choice.cc
@@ -39,8 +39,7 @@
     // Answers from before the loss may have been on their way when it began.
     const bool is_proven = each.m_answered_at.has_value() &&
                            *each.m_answered_at > since + PathLoss::kAnswerTime;
-    const bool is_told =
-        each.m_told_at.has_value() && *each.m_told_at > since && !each.m_lost;
+    const bool is_told = each.m_told_at.has_value() && *each.m_told_at > since;
     if (each.m_excluded || each.m_lost || (!is_proven && !is_told) ||
         (best_is_proven && !is_proven)) {
       continue;
--- a/src/routing/effects.h
+++ b/src/routing/effects.h
@@ -2,10 +2,10 @@
 #define GUAVACROSS_ROUTING_EFFECTS_H_
 
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "guavacross/routing.h"
+#include "policy/path_loss.h"
 #include "util/handle.h"
 
 namespace guavacross::routing {
@@ -16,16 +16,6 @@
   util::Expected<Grant> m_decision;
 };
 
-/// What a probe or an attempt shows about the path to a target.
-struct PathEvent {
-  enum class Kind { kAsked, kAnswered, kFailed };
-  Kind m_kind = Kind::kAsked;
-  std::string m_target;
-  std::string m_zone;
-  /// When the probe or attempt was sent.
-  TimePoint m_asked_at;
-};
-
 /// Callbacks, hook calls and wake-ups that result from a decision made under a
 /// service's lock. They are carried out after the lock has been released.
 struct Effects {
@@ -34,7 +24,7 @@
   std::vector<LimitNotice> m_limits;
   std::vector<SuspectNotice> m_suspects;
   std::vector<ProbeOrder> m_probes;
-  std::vector<PathEvent> m_path_events;
+  std::vector<policy::PathEvent> m_path_events;
   /// When `ExpireWaiters` must next visit the service.
   std::optional<TimePoint> m_expire_at;
   /// When `TakeDueProbes` must next visit the service.
--- a/src/routing/relay_router.cc
+++ b/src/routing/relay_router.cc
@@ -36,6 +36,9 @@
       m_relays(options.m_zone, options.m_seed + 2) {}
 
 void RelayRouter::SetTargets(const ServiceConfig& config) {
+  if (!m_options.m_relays) {
+    return;
+  }
   m_relays.SetTargets(config.m_name, config.m_targets.size(), ZonesOf(config));
 }
 
@@ -44,7 +47,7 @@
 }
 
 void RelayRouter::Record(const std::shared_ptr<ServiceRouter>& service,
-                         const std::vector<PathEvent>& events,
+                         const std::vector<policy::PathEvent>& events,
                          TimePoint now) {
   m_relays.Record(events, now);
   ReportChanges(service, now);
@@ -158,8 +161,7 @@
     std::uint64_t ticket,
     const std::vector<std::string>& avoid,
     TimePoint now) {
-  const auto recovered = m_relays.TimeSinceRecovery(now);
-  if (!recovered.has_value() || m_relays.TakesDirectWay(*recovered)) {
+  if (m_relays.TakesDirectWay(now)) {
     return std::nullopt;
   }
   auto grant =
--- a/src/routing/relay_router.h
+++ b/src/routing/relay_router.h
@@ -42,7 +42,7 @@
   /// Records events of the paths to a service's targets, and calls the hook if
   /// a path has been lost or is back.
   void Record(const std::shared_ptr<ServiceRouter>& service,
-              const std::vector<PathEvent>& events,
+              const std::vector<policy::PathEvent>& events,
               TimePoint now);
 
   /// Decides about a new request: a grant for a peer, or a refusal. Nothing if
--- a/src/routing/relays.cc
+++ b/src/routing/relays.cc
@@ -94,21 +94,11 @@
   m_path.SetTargets(m_all_targets, m_services_of_zone.size());
 }
 
-void Relays::Record(const std::vector<PathEvent>& events, TimePoint now) {
+void Relays::Record(const std::vector<policy::PathEvent>& events,
+                    TimePoint now) {
   const std::lock_guard lock(m_mutex);
-  for (const PathEvent& event : events) {
-    switch (event.m_kind) {
-      case PathEvent::Kind::kAsked:
-        m_path.RecordAsked(event.m_target, event.m_zone, now);
-        break;
-      case PathEvent::Kind::kAnswered:
-        m_path.RecordAnswer(now);
-        break;
-      case PathEvent::Kind::kFailed:
-        m_path.RecordFailure(event.m_target, event.m_zone, event.m_asked_at,
-                             now);
-        break;
-    }
+  for (const policy::PathEvent& event : events) {
+    m_path.Record(event, now);
   }
   UpdateLost(now);
 }
@@ -126,14 +116,6 @@
   return UpdateLost(now) ? m_path.silent_since() : std::nullopt;
 }
 
-std::optional<Duration> Relays::TimeSinceRecovery(TimePoint now) const {
-  const std::lock_guard lock(m_mutex);
-  if (m_is_lost || !m_recovered_at.has_value()) {
-    return std::nullopt;
-  }
-  return now - *m_recovered_at;
-}
-
 std::optional<RelayPeer> Relays::Choose(const std::string& service,
                                         TimePoint since,
                                         const std::vector<std::string>& avoid,
@@ -179,9 +161,12 @@
   }
 }
 
-bool Relays::TakesDirectWay(Duration since_recovery) {
-  const double share = policy::DirectShare(since_recovery);
+bool Relays::TakesDirectWay(TimePoint now) {
   const std::lock_guard lock(m_mutex);
+  if (m_is_lost || !m_recovered_at.has_value()) {
+    return true;
+  }
+  const double share = policy::DirectShare(now - *m_recovered_at);
   return share >= 1 || m_random.Uniform() < share;
 }
 
--- a/src/routing/relays.h
+++ b/src/routing/relays.h
@@ -35,16 +35,12 @@
                   std::set<std::string> zones);
 
   /// Records events of the paths to targets.
-  void Record(const std::vector<PathEvent>& events, TimePoint now);
+  void Record(const std::vector<policy::PathEvent>& events, TimePoint now);
 
   /// Whether no target of any service answers, and since when the first one
   /// hasn't.
   std::optional<TimePoint> LostSince(TimePoint now);
 
-  /// How long ago the path to the targets of all services came back; nothing if
-  /// it was never lost or is lost now.
-  std::optional<Duration> TimeSinceRecovery(TimePoint now) const;
-
   /// Chooses the peer for a request to a service whose targets this instance
   /// has missed since `since`, and counts the request as in flight there. Peers
   /// in `avoid` have refused it.
@@ -56,9 +52,9 @@
   /// A request that was passed on to a peer has ended.
   void Ended(const Grant& grant, AttemptEnd end, TimePoint now);
 
-  /// True with the probability with which a request takes the direct way
-  /// `since_recovery` after the path came back.
-  bool TakesDirectWay(Duration since_recovery);
+  /// Whether a request takes the direct way: always, but for a time after the
+  /// path to the targets of all services came back with a rising probability.
+  bool TakesDirectWay(TimePoint now);
 
   /// See `policy::RetryAfter`.
   Duration RetryAfter(Duration excess);
@@ -86,7 +82,7 @@
   bool UpdateLost(TimePoint now);
 
   const std::string m_zone;
-  mutable std::mutex m_mutex;
+  std::mutex m_mutex;
   policy::Random m_random;
   policy::PathLoss m_path;
   std::map<std::string, Peer> m_peers;
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -108,8 +108,8 @@
       RecordFirstByte(target, attempt, time_to_first_byte, now);
     }
   }
-  RecordPath(PathEvent::Kind::kAnswered, *target, grant.m_granted_at, now,
-             effects);
+  RecordPath(policy::PathEvent::Kind::kAnswered, *target, grant.m_granted_at,
+             now, effects);
   ApplyLoadReport(target, load, grant.m_granted_at, now, now, effects);
   ServeWaiters(now, effects);
 }
@@ -157,9 +157,9 @@
     return;
   }
   target->m_probe_in_flight = false;
-  RecordPath(
-      report.m_answered ? PathEvent::Kind::kAnswered : PathEvent::Kind::kFailed,
-      *target, target->m_probed_at, now, effects);
+  RecordPath(report.m_answered ? policy::PathEvent::Kind::kAnswered
+                               : policy::PathEvent::Kind::kFailed,
+             *target, target->m_probed_at, now, effects);
   if (!report.m_answered) {
     ScheduleSilentCheck(now, effects);
   }
@@ -302,7 +302,7 @@
 ProbeOrder ServiceRouter::OrderProbe(Target* target,
                                      TimePoint now,
                                      Effects* effects) {
-  RecordPath(PathEvent::Kind::kAsked, *target, now, now, effects);
+  RecordPath(policy::PathEvent::Kind::kAsked, *target, now, now, effects);
   target->m_probed_at = now;
   target->m_probe_in_flight = true;
   if (target->m_limit.is_active()) {
--- a/src/routing/service_path.cc
+++ b/src/routing/service_path.cc
@@ -28,7 +28,7 @@
   return zones;
 }
 
-void ServiceRouter::RecordPath(PathEvent::Kind kind,
+void ServiceRouter::RecordPath(policy::PathEvent::Kind kind,
                                const Target& target,
                                TimePoint asked_at,
                                TimePoint now,
@@ -36,23 +36,11 @@
   if (!m_options.m_relays) {
     return;
   }
-  const std::string& name = target.m_config.m_name;
-  const std::string& zone = target.m_config.m_zone;
-  switch (kind) {
-    case PathEvent::Kind::kAsked:
-      m_path.RecordAsked(name, zone, now);
-      break;
-    case PathEvent::Kind::kAnswered:
-      m_path.RecordAnswer(now);
-      break;
-    case PathEvent::Kind::kFailed:
-      m_path.RecordFailure(name, zone, asked_at, now);
-      break;
-  }
   effects->m_path_events.push_back({.m_kind = kind,
-                                    .m_target = name,
-                                    .m_zone = zone,
+                                    .m_target = target.m_config.m_name,
+                                    .m_zone = target.m_config.m_zone,
                                     .m_asked_at = asked_at});
+  m_path.Record(effects->m_path_events.back(), now);
 }
 
 void ServiceRouter::RecordPathOfAttempt(const Target& target,
@@ -65,12 +53,13 @@
     case AttemptEnd::kServerError:
     case AttemptEnd::kRefusedNotRun:
     case AttemptEnd::kWrongTarget:
-      RecordPath(PathEvent::Kind::kAnswered, target, sent_at, now, effects);
+      RecordPath(policy::PathEvent::Kind::kAnswered, target, sent_at, now,
+                 effects);
       break;
     case AttemptEnd::kConnectFailed:
     case AttemptEnd::kReset:
-      RecordPath(report.m_answer_begun ? PathEvent::Kind::kAnswered
-                                       : PathEvent::Kind::kFailed,
+      RecordPath(report.m_answer_begun ? policy::PathEvent::Kind::kAnswered
+                                       : policy::PathEvent::Kind::kFailed,
                  target, sent_at, now, effects);
       break;
     case AttemptEnd::kTimeout:
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -222,7 +222,7 @@
                            TimePoint sent_at,
                            TimePoint now,
                            Effects* effects);
-  void RecordPath(PathEvent::Kind kind,
+  void RecordPath(policy::PathEvent::Kind kind,
                   const Target& target,
                   TimePoint asked_at,
                   TimePoint now,
