A wrong body fails instances-cut-off-from-targets; one kept connection for callers

The case checked each body on the caller's own thread, where a failure ended the thread and not the case. The answers are now checked with the runs, on the main thread. The soak's caller and this one's share KeptConnection.

--- a/testsuite/instances-cut-off-from-targets/run.py
+++ b/testsuite/instances-cut-off-from-targets/run.py
@@ -5,7 +5,6 @@
 Three instances in platform mode run against the stand-ins of the store and of
 targets, which cut one instance off by its source address. Callers keep the
 address of an instance and their connections to it throughout."""
-import http.client
 import pathlib
 import sys
 import threading
@@ -15,7 +14,7 @@
 import harness
 
 from harness import check, wait_until
-from platform_entry import Entry, ip_of, peers_of
+from platform_entry import Entry, KeptConnection, ip_of, peers_of
 from platform_standin import Store, Target, config
 
 STORE_PORT = 9900
@@ -39,8 +38,8 @@
     def __init__(self, entry, name):
         super().__init__(daemon=True)
         self.entry, self.name_ = entry, name
-        self.connection = None
-        # (start time in s, request id, status; None without an answer).
+        self.connection = KeptConnection(entry.front, 4)
+        # (start time in s, request id, answer; None without a whole one).
         self.sent = []
         self.stopping = False
 
@@ -53,37 +52,19 @@
         number = len(self.sent)
         request = f"{self.name_}-{number}"
         unsafe = number % 3 == 0
-        start, status = time.monotonic(), None
-        try:
-            if self.connection is None:
-                self.connection = http.client.HTTPConnection(
-                    self.entry.front, timeout=4)
-            self.connection.request(
-                "POST" if unsafe else "GET",
-                f"{'/pay/' if unsafe else '/read/'}{request}",
-                body=b"pay" if unsafe else None,
-                headers={"Host": "shop.example", "X-Request-Id": request,
-                         "X-Deadline-Ms": "1500"})
-            answer = self.connection.getresponse()
-            body = answer.read()
-            status = answer.status
-            if status == 200:
-                check(body.endswith(f" ran {request}".encode()),
-                      f"{request} got {body}")
-            if answer.getheader("Connection") == "close":
-                raise OSError("the instance closes the connection")
-        except (OSError, http.client.HTTPException):
-            if self.connection is not None:
-                self.connection.close()
-                self.connection = None
-        self.sent.append((start, request, status))
+        start = time.monotonic()
+        answer = self.connection.send(
+            "POST" if unsafe else "GET",
+            f"{'/pay/' if unsafe else '/read/'}{request}", request,
+            b"pay" if unsafe else None, 1500)
+        self.sent.append((start, request, answer))
 
 
 def served_share(callers, begin, end):
     """The share of the requests sent in a time that were served, and their
     number."""
-    statuses = [status for caller in callers for start, _, status in caller.sent
-                if begin <= start < end]
+    statuses = [answer and answer.status for caller in callers
+                for start, _, answer in caller.sent if begin <= start < end]
     return statuses.count(200) / max(1, len(statuses)), len(statuses)
 
 
@@ -113,10 +94,15 @@
 
 
 def check_runs():
-    """Checks that no unsafe request ran twice and none that was refused ran."""
+    """Checks that no unsafe request ran twice, none that was refused ran, and
+    that each got its own answer."""
     runs = [run for target in targets for run in list(target.runs)]
     for caller in callers:
-        for _, request, status in list(caller.sent):
+        for _, request, answer in list(caller.sent):
+            status = answer and answer.status
+            check(status != 200
+                  or answer.body.endswith(f" ran {request}".encode()),
+                  f"{request} got {answer}")
             unsafe = int(request.rsplit("-", 1)[1]) % 3 == 0
             count = runs.count(request)
             check(not unsafe or count <= 1, f"{request} ran {count} times")
--- a/testsuite/platform_entry.py
+++ b/testsuite/platform_entry.py
@@ -1,5 +1,6 @@
 """Entry instances in platform mode, for the integration cases."""
 
+import http.client
 import json
 
 import harness
@@ -57,6 +58,32 @@
                             for key, value in settings.items()))
 
 
+class KeptConnection:
+    """A caller's connection, used until the instance closes it and then opened
+    anew. Requests aren't retried."""
+
+    def __init__(self, address, timeout_s):
+        self._connection = http.client.HTTPConnection(address,
+                                                      timeout=timeout_s)
+
+    def send(self, method, path, request, body, deadline_ms):
+        """Sends a request; returns the answer, or None without a whole one."""
+        try:
+            self._connection.request(
+                method, path, body=body,
+                headers={"Host": "shop.example", "X-Request-Id": request,
+                         "X-Deadline-Ms": str(deadline_ms)})
+            response = self._connection.getresponse()
+            answer = harness.Answer(response.status, response.getheaders(),
+                                    response.read())
+        except (OSError, http.client.HTTPException):
+            self._connection.close()
+            return None
+        if answer.header("Connection") == "close":
+            self._connection.close()
+        return answer
+
+
 class Entry(harness.Process):
     """An instance in platform mode."""
 
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -11,7 +11,6 @@
 
 Seeds that ever failed are listed in regressions.txt, each with its cause."""
 
-import http.client
 import os
 import pathlib
 import random
@@ -25,7 +24,8 @@
 import platform_standin as standin
 
 from harness import check, wait_until
-from platform_entry import Entry, front_of, ip_of, peers_of, peers_proxy_of
+from platform_entry import (Entry, KeptConnection, front_of, ip_of, peers_of,
+                            peers_proxy_of)
 
 CI_SEED = 1
 SECONDS = float(os.environ.get("SOAK_SECONDS", "15"))
@@ -87,24 +87,15 @@
         request = f"{'once' if once else 'safe'}-{self.number}-{len(self.sent)}"
         sent = RequestRecord(entry, request, f"{route}{request}", once)
         self.sent.append(sent)
-        connection = self.connections.get(entry) or http.client.HTTPConnection(
-            entry.callers_address, timeout=2 * CALLER_TIMEOUT_S)
-        self.connections[entry] = connection
-        try:
-            connection.request(
-                "POST" if once else "GET", sent.path,
-                body=b"pay" if once else None,
-                headers={"Host": "shop.example", "X-Request-Id": request,
-                         "X-Deadline-Ms": str(int(CALLER_TIMEOUT_S * 1000))})
-            answer = connection.getresponse()
-            sent.body = answer.read()
-            sent.signature = answer.getheader("X-Response-Signature")
-            sent.status = answer.status
-            if answer.getheader("Connection") == "close":
-                raise OSError("the instance closes the connection")
-        except (OSError, http.client.HTTPException):
-            connection.close()
-            del self.connections[entry]
+        if entry not in self.connections:
+            self.connections[entry] = KeptConnection(entry.callers_address,
+                                                     2 * CALLER_TIMEOUT_S)
+        answer = self.connections[entry].send(
+            "POST" if once else "GET", sent.path, request,
+            b"pay" if once else None, int(CALLER_TIMEOUT_S * 1000))
+        if answer is not None:
+            sent.body, sent.status = answer.body, answer.status
+            sent.signature = answer.header("X-Response-Signature")
         sent.ended = time.monotonic()
 
 
