Logs tell which run of a target changed, by whom and where in the store

`target changed` now has the run and heartbeat of the entry concerned, the store or the instance that it came from, the era and offset, and how old the known entry was. A message between instances that is refused, too large or can't be read is logged once for each connection and error, and counted in guavacross_peer_failed_messages; before, an exchange of records that failed left no trace.

--- a/src/include/guavacross/route_table.h
+++ b/src/include/guavacross/route_table.h
@@ -142,6 +142,17 @@
   std::map<std::string, std::vector<const Route*>, std::less<>> m_by_host;
 };
 
+/// Where an entry of a backend server, or its removal, came from.
+struct EntrySource {
+  /// The instance that passed it on; empty if it was read from the store.
+  std::string m_peer;
+  /// The store's era and the entry's offset in it.
+  std::uint64_t m_era = 0;
+  std::uint64_t m_offset = 0;
+
+  bool operator==(const EntrySource&) const = default;
+};
+
 /// One run of a backend server that has registered itself.
 struct RegisteredTarget {
   /// The target's name, unique among the targets of all services.
--- a/src/peers/grpc_transport.cc
+++ b/src/peers/grpc_transport.cc
@@ -59,11 +59,21 @@
   class ServerCall;
   class ClientCall;
 
+  struct CallResult {
+    bool m_timed_out = false;
+    // Why a message couldn't be sent, handled or read; empty if the peer was
+    // only unreachable.
+    std::string m_error;
+  };
+
   // The client's side of one peer.
   struct Connection {
     std::unique_ptr<Stub> m_stub;
     // Consecutive requests that timed out.
     int m_consecutive_timeouts = 0;
+    // The last error that was logged, so that a message that fails each time is
+    // logged once.
+    std::string m_logged_error;
   };
 
   TransportOptions m_options;
@@ -89,7 +99,7 @@
   void AcceptNext();
   void Post(std::function<void()> call);
   void CancelClientCalls();
-  void OnCallEnded(const Endpoint& peer, bool timed_out);
+  void OnCallEnded(const Endpoint& peer, const CallResult& result);
 };
 
 // One request from a peer: waits for it, passes it to the hook, sends the
@@ -196,11 +206,15 @@
       m_impl->m_counts.m_received_bytes += m_reply.ByteSizeLong();
       reply = std::move(m_reply);
     }
-    const bool timed_out =
-        m_status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
-    m_impl->Post([impl = m_impl, peer = m_peer, timed_out,
+    CallResult result{.m_timed_out = m_status.error_code() ==
+                                     grpc::StatusCode::DEADLINE_EXCEEDED,
+                      .m_error = Error(ok)};
+    if (!result.m_error.empty()) {
+      m_impl->m_counts.m_failed_messages += 1;
+    }
+    m_impl->Post([impl = m_impl, peer = m_peer, result = std::move(result),
                   done = std::move(m_done), reply = std::move(reply)] {
-      impl->OnCallEnded(peer, timed_out);
+      impl->OnCallEnded(peer, result);
       done(reply);
     });
     return true;
@@ -209,6 +223,19 @@
   void Cancel() { m_context.TryCancel(); }
 
  private:
+  std::string Error(bool ok) const {
+    switch (m_status.error_code()) {
+      case grpc::StatusCode::OK:
+        return ok ? "" : "the reply can't be read";
+      case grpc::StatusCode::CANCELLED:
+      case grpc::StatusCode::DEADLINE_EXCEEDED:
+      case grpc::StatusCode::UNAVAILABLE:
+        return "";
+      default:
+        return m_status.error_message();
+    }
+  }
+
   Impl* m_impl;
   Endpoint m_peer;
   Done m_done;
@@ -269,13 +296,20 @@
 }
 
 // Requests in progress keep using the connection that is replaced.
-void GrpcTransport::Impl::OnCallEnded(const Endpoint& peer, bool timed_out) {
+void GrpcTransport::Impl::OnCallEnded(const Endpoint& peer,
+                                      const CallResult& result) {
   const auto found = m_connections.find(peer);
   if (found == m_connections.end()) {
     return;
   }
+  if (!result.m_error.empty() &&
+      std::exchange(found->second.m_logged_error, result.m_error) !=
+          result.m_error) {
+    util::LogWarning("peers", "a message to or from a peer failed",
+                     {{"peer", ToString(peer)}, {"why", result.m_error}});
+  }
   int& unanswered = found->second.m_consecutive_timeouts;
-  unanswered = timed_out ? unanswered + 1 : 0;
+  unanswered = result.m_timed_out ? unanswered + 1 : 0;
   if (unanswered >= kTimeoutsBeforeReconnect) {
     util::LogChange(
         "peers", "connection replaced",
--- a/src/peers/grpc_transport.h
+++ b/src/peers/grpc_transport.h
@@ -37,6 +37,9 @@
   std::atomic<std::uint64_t> m_received_messages{0};
   std::atomic<std::uint64_t> m_received_bytes{0};
   std::atomic<std::uint64_t> m_overload_refusals{0};
+  /// Requests that failed although the peer was reachable: a message was too
+  /// large, couldn't be read or was refused.
+  std::atomic<std::uint64_t> m_failed_messages{0};
 };
 
 /// A gRPC server and the clients to other instances, on one completion queue
--- a/src/peers/peer_metrics.cc
+++ b/src/peers/peer_metrics.cc
@@ -57,6 +57,9 @@
   set("guavacross_peer_overload_refusals",
       "Requests from peers refused because too many were open",
       counts.m_overload_refusals);
+  set("guavacross_peer_failed_messages",
+      "Requests to peers that failed although the peer was reachable",
+      counts.m_failed_messages);
   for (const auto& [state, name] : kStates) {
     const auto count = std::count_if(
         members.begin(), members.end(),
--- a/src/routes/target_registry.cc
+++ b/src/routes/target_registry.cc
@@ -99,16 +99,16 @@
   }
 }
 
-std::vector<std::string> TargetRegistry::Expire(TimePoint now) {
-  std::vector<std::string> expired;
+std::vector<RegisteredTarget> TargetRegistry::Expire(TimePoint now) {
+  std::vector<RegisteredTarget> expired;
   for (const auto& [id, entry] : m_entries) {
     if (entry.m_lapses_at.has_value() && *entry.m_lapses_at <= now) {
-      expired.push_back(id);
+      expired.push_back(entry.m_target);
     }
   }
-  for (const std::string& id : expired) {
-    m_removed[id] = m_entries[id].m_target;
-    m_entries.erase(id);
+  for (const RegisteredTarget& target : expired) {
+    m_removed[target.m_id] = target;
+    m_entries.erase(target.m_id);
   }
   return expired;
 }
@@ -124,6 +124,13 @@
   return next;
 }
 
+std::optional<RegisteredTarget> TargetRegistry::Find(
+    const std::string& id) const {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? std::nullopt
+                                  : std::optional(found->second.m_target);
+}
+
 std::vector<RegisteredTarget> TargetRegistry::Targets() const {
   std::vector<RegisteredTarget> targets;
   targets.reserve(m_entries.size());
--- a/src/routes/target_registry.h
+++ b/src/routes/target_registry.h
@@ -55,13 +55,15 @@
   /// missing there are kept until the targets have had time to write again.
   void NoteStoreRestored(TimePoint now);
 
-  /// Removes the lapsed targets whose grace period is over, and returns their
-  /// ids.
-  std::vector<std::string> Expire(TimePoint now);
+  /// Removes the lapsed targets whose grace period is over, and returns them.
+  std::vector<RegisteredTarget> Expire(TimePoint now);
 
   /// When `Expire` next has something to do.
   std::optional<TimePoint> NextExpiry() const;
 
+  /// The entry of `id` that is in use; nothing if there is none.
+  std::optional<RegisteredTarget> Find(const std::string& id) const;
+
   /// The targets in use, draining ones included, by id.
   std::vector<RegisteredTarget> Targets() const;
 
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -113,9 +113,13 @@
     UpdateReady();
   }
 
-  void PutTarget(const RegisteredTarget& target) { m_plans->Put(target); }
+  void PutTarget(const RegisteredTarget& target, const EntrySource& source) {
+    m_plans->Put(target, source);
+  }
 
-  void RemoveTarget(const std::string& id) { m_plans->Remove(id); }
+  void RemoveTarget(const std::string& id, const EntrySource& source) {
+    m_plans->Remove(id, source);
+  }
 
   void ApplyTargets() {
     m_plans->Apply();
@@ -477,12 +481,14 @@
   m_impl->SetTable(table);
 }
 
-void RouteInstance::PutTarget(const RegisteredTarget& target) {
-  m_impl->PutTarget(target);
+void RouteInstance::PutTarget(const RegisteredTarget& target,
+                              const EntrySource& source) {
+  m_impl->PutTarget(target, source);
 }
 
-void RouteInstance::RemoveTarget(const std::string& id) {
-  m_impl->RemoveTarget(id);
+void RouteInstance::RemoveTarget(const std::string& id,
+                                 const EntrySource& source) {
+  m_impl->RemoveTarget(id, source);
 }
 
 void RouteInstance::ApplyTargets() {
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -96,8 +96,8 @@
 
   /// Stores a target's newest entry, or removes one. Changes take effect with
   /// `ApplyTargets`, so that a batch costs little more than a single change.
-  void PutTarget(const RegisteredTarget& target);
-  void RemoveTarget(const std::string& id);
+  void PutTarget(const RegisteredTarget& target, const EntrySource& source);
+  void RemoveTarget(const std::string& id, const EntrySource& source);
   /// Applies the stored changes. After the first call the target list counts as
   /// complete.
   void ApplyTargets();
--- a/src/serve/service_plans.cc
+++ b/src/serve/service_plans.cc
@@ -1,6 +1,7 @@
 #include "serve/service_plans.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 #include "util/log.h"
@@ -47,7 +48,8 @@
   return targets;
 }
 
-void ServicePlans::Put(const RegisteredTarget& target) {
+void ServicePlans::Put(const RegisteredTarget& target,
+                       const EntrySource& source) {
   const Change change = m_registry.Put(target);
   if (change == Change::kNone) {
     return;
@@ -57,13 +59,19 @@
     // The target may have moved here from another service.
     m_changed.insert(std::exchange(info.m_service, target.m_service));
   }
-  info.m_updated_at = m_clock.m_now();
-  NoteChange(change, target);
+  const TimePoint before = std::exchange(info.m_updated_at, m_clock.m_now());
+  const bool is_new = change == Change::kAdded || change == Change::kReplaced;
+  NoteChange(change, target,
+             is_new ? Duration::zero() : info.m_updated_at - before, &source);
 }
 
-void ServicePlans::Remove(const std::string& id) {
+void ServicePlans::Remove(const std::string& id, const EntrySource& source) {
+  const auto before = m_registry.Find(id);
   const Change change = m_registry.Remove(id, m_clock.m_now());
-  NoteChange(change, {.m_id = id, .m_service = m_entries[id].m_service});
+  if (before.has_value()) {
+    NoteChange(change, *before, m_clock.m_now() - m_entries[id].m_updated_at,
+               &source);
+  }
   if (change != Change::kLapsed) {
     m_entries.erase(id);
   }
@@ -96,7 +104,10 @@
   return ages;
 }
 
-void ServicePlans::NoteChange(Change change, const RegisteredTarget& target) {
+void ServicePlans::NoteChange(Change change,
+                              const RegisteredTarget& target,
+                              Duration known_for,
+                              const EntrySource* source) {
   if (change == Change::kNone || change == Change::kHeartbeat) {
     return;
   }
@@ -106,13 +117,22 @@
     // out other log lines.
     return;
   }
-  util::LogChange("targets", "target changed",
-                  {{"target", target.m_id},
-                   {"change", std::string(routes::RegistryChangeName(change))},
-                   {"service", target.m_service},
-                   {"incarnation", std::to_string(target.m_incarnation)},
-                   {"heartbeat", std::to_string(target.m_heartbeat)},
-                   {"address", ToString(target.m_address)}});
+  std::vector<util::LogField> fields = {
+      {"target", target.m_id},
+      {"change", std::string(routes::RegistryChangeName(change))},
+      {"service", target.m_service},
+      {"incarnation", std::to_string(target.m_incarnation)},
+      {"heartbeat", std::to_string(target.m_heartbeat)},
+      {"address", ToString(target.m_address)},
+      {"known_ms",
+       std::to_string(static_cast<std::int64_t>(Milliseconds(known_for)))}};
+  if (source != nullptr) {
+    fields.emplace_back("source",
+                        source->m_peer.empty() ? "store" : source->m_peer);
+    fields.emplace_back("era", std::to_string(source->m_era));
+    fields.emplace_back("offset", std::to_string(source->m_offset));
+  }
+  util::LogFields("targets", "target changed", fields);
 }
 
 void ServicePlans::PlanAll() {
@@ -170,10 +190,11 @@
   }
   const Duration delay = std::max(Duration::zero(), *next - m_clock.m_now());
   m_expiry_timer = m_clock.m_call_after(delay, [this] {
-    for (const std::string& id : m_registry.Expire(m_clock.m_now())) {
-      NoteChange(Change::kRemoved,
-                 {.m_id = id, .m_service = m_entries[id].m_service});
-      m_entries.erase(id);
+    const TimePoint now = m_clock.m_now();
+    for (const RegisteredTarget& target : m_registry.Expire(now)) {
+      NoteChange(Change::kRemoved, target,
+                 now - m_entries[target.m_id].m_updated_at, nullptr);
+      m_entries.erase(target.m_id);
     }
     PlanChanged();
     ScheduleExpiry();
--- a/src/serve/service_plans.h
+++ b/src/serve/service_plans.h
@@ -49,8 +49,8 @@
   }
 
   /// Stores a target's newest entry, or removes one; takes effect with `Apply`.
-  void Put(const RegisteredTarget& target);
-  void Remove(const std::string& id);
+  void Put(const RegisteredTarget& target, const EntrySource& source = {});
+  void Remove(const std::string& id, const EntrySource& source = {});
   void Apply();
 
   /// Whether `Apply` has been called; the target list then counts as complete.
@@ -73,7 +73,12 @@
     TimePoint m_updated_at;
   };
 
-  void NoteChange(Change change, const RegisteredTarget& target);
+  // Marks the service of a changed target, and logs the change. `source` is null
+  // for one that was due.
+  void NoteChange(Change change,
+                  const RegisteredTarget& target,
+                  Duration known_for,
+                  const EntrySource* source);
   void PlanAll();
   void PlanChanged();
   void Plan(const RoutedService& service,
