Tests that fail: removed targets are used again or for too long

The check is the rule: no instance that was undisturbed for 3 s, with a store that was, uses a run later than DrainMs after the store acknowledged that it leaves.

- RemovedTargetInAnOlderCopy: five of 6 instances use the target again after the store came back from a copy; 4.3 s after the removal they are in touch and still do.
The instance that reads the store ignores the entry, as it has seen later heartbeats; the others have seen none.
- RemovedTargetWithALateHeartbeat: the same after a late write.
- RemovedTargetWhileReadsPause: the store is taken for lost, and removals are kept; with 45 instances.
- RemovedTargetThatNoOtherInstanceHasSeen: an instance skips a removal that its peers' listings lack.
- RemovedTargetBehindARecordThatCantBePassedOn: an instance that is told of reads doesn't notice that it gets no records.

RemovedTargetLongAfterARestoration passes: that way was suspected and isn't one.

--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -28,10 +28,12 @@
 
 InstanceGroup::InstanceGroup(int size,
                              MakeOptions make_options,
-                             RecordRules rules)
+                             RecordRules rules,
+                             Hooks hooks)
     : m_store(&m_clock),
       m_make_options(std::move(make_options)),
       m_rules(std::move(rules)),
+      m_hooks(std::move(hooks)),
       m_store_disturbed_at(m_clock.now()) {
   for (int i = 0; i < size; ++i) {
     auto instance = std::make_unique<Instance>();
@@ -62,7 +64,10 @@
   instance.m_next_recipient = index;
   const Clock clock = m_clock.clock();
   instance.m_stream = std::make_unique<SharedStream>(
-      m_make_options(instance.m_name), clock, m_rules, Hooks(index));
+      m_make_options(instance.m_name), clock, m_rules, StreamHooks(index));
+  if (m_hooks.m_on_start) {
+    m_hooks.m_on_start(index);
+  }
   instance.m_stream->Start();
 }
 
@@ -91,9 +96,14 @@
   }
 }
 
-void InstanceGroup::Publish(int version) {
-  m_store.Append(kKey, "v" + std::to_string(version));
+void InstanceGroup::Append(const std::string& key,
+                           std::optional<std::string> value) {
+  m_store.Append(key, std::move(value));
   m_log_sizes[m_clock.now()] = m_store.m_log.size();
+}
+
+void InstanceGroup::Publish(int version) {
+  Append(kKey, "v" + std::to_string(version));
   m_acked.try_emplace(version, m_clock.now());
   m_published = std::max(m_published, version);
 }
@@ -132,11 +142,10 @@
   return {};
 }
 
-SharedStreamHooks InstanceGroup::Hooks(std::size_t index) {
-  Instance* const instance = m_instances[index].get();
-  SharedStreamHooks hooks;
-  hooks.m_calls.m_list = [this, index](const std::string&, Duration timeout,
-                                       PageDone done) {
+StoreCalls InstanceGroup::MakeCalls(std::size_t index) {
+  StoreCalls calls;
+  calls.m_list = [this, index](const std::string&, Duration timeout,
+                               PageDone done) {
     ++m_store.m_calls;
     m_pending.push_back({.m_caller = index,
                          .m_run = m_instances[index]->m_run,
@@ -144,8 +153,8 @@
                          .m_timeout_at = m_clock.now() + timeout,
                          .m_done = std::move(done)});
   };
-  hooks.m_calls.m_read = [this, index](std::uint64_t from, Duration wait,
-                                       Duration timeout, PageDone done) {
+  calls.m_read = [this, index](std::uint64_t from, Duration wait,
+                               Duration timeout, PageDone done) {
     ++m_store.m_calls;
     m_pending.push_back({.m_caller = index,
                          .m_run = m_instances[index]->m_run,
@@ -154,18 +163,38 @@
                          .m_timeout_at = m_clock.now() + timeout,
                          .m_done = std::move(done)});
   };
+  return calls;
+}
+
+SharedStreamHooks InstanceGroup::StreamHooks(std::size_t index) {
+  Instance* const instance = m_instances[index].get();
+  SharedStreamHooks hooks;
+  hooks.m_calls = MakeCalls(index);
   hooks.m_live_peers = [this, index] { return LivePeers(index); };
-  hooks.m_on_records = [instance](const std::vector<KeyedRecord>& records,
-                                  const std::string&) {
+  hooks.m_on_records = [this, index, instance](
+                           const std::vector<KeyedRecord>& records,
+                           const std::string& source) {
     for (const KeyedRecord& record : records) {
       instance->m_version = std::max(instance->m_version, VersionIn(record));
     }
+    if (m_hooks.m_on_records) {
+      m_hooks.m_on_records(index, records, source);
+    }
   };
   hooks.m_on_state_changed = [instance] { instance->m_notify = true; };
-  hooks.m_on_reachable = [](bool, const std::string&) {};
+  hooks.m_on_reachable = [this, index](bool reachable, const std::string&) {
+    if (m_hooks.m_on_reachable) {
+      m_hooks.m_on_reachable(index, reachable);
+    }
+  };
   return hooks;
 }
 
+bool InstanceGroup::CanCarry(const std::vector<KeyedRecord>& records) const {
+  return !m_hooks.m_can_carry ||
+         std::all_of(records.begin(), records.end(), m_hooks.m_can_carry);
+}
+
 void InstanceGroup::Step() {
   m_clock.Advance(kStep);
   if (m_store_away) {
@@ -316,7 +345,7 @@
     After(kPeerDelay, [this, from, to, run, begun_at, position,
                        records = m_instances[from]->m_stream->Since(
                            position, kMaxRecordBytes)] {
-      if (EndFetch(to, run, begun_at)) {
+      if (EndFetch(to, run, begun_at) && CanCarry(records)) {
         m_instances[to]->m_stream->MergeFromPeer(
             {.m_peer = m_instances[from]->m_name,
              .m_from = position,
--- a/src/feed/testing/instance_group.h
+++ b/src/feed/testing/instance_group.h
@@ -27,6 +27,21 @@
   using MakeOptions =
       std::function<SharedStreamOptions(const std::string& name)>;
 
+  /// What a test adds to the instances. All may be empty.
+  struct Hooks {
+    /// An instance starts a new run, without the state of an earlier one.
+    std::function<void(std::size_t index)> m_on_start;
+    /// An instance receives newer records; see `SharedStreamHooks`.
+    std::function<void(std::size_t index,
+                       const std::vector<KeyedRecord>&,
+                       const std::string& source)>
+        m_on_records;
+    std::function<void(std::size_t index, bool reachable)> m_on_reachable;
+    /// Whether a message between instances can carry a record. A reply with one
+    /// that it can't carry is lost.
+    std::function<bool(const KeyedRecord&)> m_can_carry;
+  };
+
   struct Instance {
     std::string m_name;
     bool m_running = false;
@@ -50,7 +65,8 @@
 
   InstanceGroup(int size,
                 MakeOptions make_options,
-                RecordRules rules = Rules());
+                RecordRules rules = Rules(),
+                Hooks hooks = {});
 
   void Start(std::size_t index);
   void Stop(std::size_t index);
@@ -60,6 +76,9 @@
   void BringStoreBack(std::optional<TimePoint> copied_at);
   /// Writes a version of the configuration, which counts as acknowledged.
   void Publish(int version);
+  /// Writes a record to the store, also while it is away: an entry may lapse
+  /// then.
+  void Append(const std::string& key, std::optional<std::string> value);
 
   /// Advances the time in small steps and calls `each` after each of them.
   void Run(Duration duration, const std::function<void()>& each = nullptr);
@@ -72,8 +91,17 @@
   TimePoint now() const { return m_clock.now(); }
   std::size_t size() const { return m_instances.size(); }
   Instance& operator[](std::size_t index) { return *m_instances[index]; }
+  const Instance& operator[](std::size_t index) const {
+    return *m_instances[index];
+  }
   int published() const { return m_published; }
+  Clock clock() { return m_clock.clock(); }
+  const StoreModel& store() const { return m_store; }
   bool store_away() const { return m_store_away; }
+  /// Whether the store has been there for `stable`.
+  bool IsStoreStable(Duration stable) const {
+    return !m_store_away && m_clock.now() - m_store_disturbed_at >= stable;
+  }
   int calls() const { return m_store.m_calls; }
 
  private:
@@ -89,7 +117,9 @@
     PageDone m_done;
   };
 
-  SharedStreamHooks Hooks(std::size_t index);
+  SharedStreamHooks StreamHooks(std::size_t index);
+  StoreCalls MakeCalls(std::size_t index);
+  bool CanCarry(const std::vector<KeyedRecord>& records) const;
   void Step();
   void AnswerCalls();
   void NoteLostVersions();
@@ -108,6 +138,7 @@
   StoreModel m_store;
   MakeOptions m_make_options;
   RecordRules m_rules;
+  Hooks m_hooks;
   std::vector<std::unique_ptr<Instance>> m_instances;
   std::vector<PendingCall> m_pending;
   std::deque<std::unique_ptr<Timer>> m_timers;
--- a/testsuite/store-restored-and-targets-leaving/run.py
+++ b/testsuite/store-restored-and-targets-leaving/run.py
@@ -99,7 +99,22 @@
                    and len(pausing.runs) > runs,
                    "the target is used again after the pause")
 
-    copy = store.copy()
+    withdrawn = Target(store, case.at(TARGET_PORT + 6), "t6", "s1")
+    wait_until(lambda: senders.send() == 200 and withdrawn.runs,
+               "a further target is used")
+    with case.section("a target that leaves without a word gets no more"):
+        # Instances that don't read the store aren't told of heartbeats.
+        for _ in range(3):
+            withdrawn.register()
+        copy = store.copy()
+        withdrawn.register()
+        withdrawn.deregister()
+        time.sleep(DRAIN_S)
+        withdrawn_runs = len(withdrawn.runs)
+        senders.send_many(60)
+        check(len(withdrawn.runs) == withdrawn_runs,
+              "the target that was withdrawn got a request")
+
     with case.section("a configuration and a target from after the copy"):
         put_config(store, 7, ["/shop/", "/late/"])
         late_target = Target(store, case.at(TARGET_PORT + 5), "t5", "s1")
@@ -122,6 +137,8 @@
         check(len(late_target.runs) > runs,
               "the target that the copy lacks is no longer used")
         check(len(leaving.runs) == left, "the target that had left is used")
+        check(len(withdrawn.runs) == withdrawn_runs,
+              "the target that was withdrawn is used")
         for entry in entries:
             wait_until(lambda: "restored from an older copy" in entry.log(),
                        "the restoration is logged")
