A removed target doesn't come back with an entry from before its removal

Callers' requests went to a target that had left, on all instances but the one that reads the store: seconds after the store came back from an older copy that still showed the target, or after it wrote a heartbeat late.

Cause: of an entry only significant changes are passed on between instances, not heartbeats. An instance that doesn't read the store so knew the heartbeat count of the target's start, and took any later count in an old entry for a new registration (TargetRegistry compares with the last count that it has seen). The class: what an instance knows of a run was allowed to fall back to an older state, since only the reader could tell that it was older.

A deletion now carries the newest value that was known before it, from the instance that read it to all others. SharedRecords keep it, and contents that aren't newer (by run, then heartbeat, RecordRules::m_revives) neither bring the key back nor are passed on; a deletion that names contents as new as the known ones counts whatever its offset, since an instance that took the old entry first has it at a higher one. A target that is alive writes a higher count and is used again. Older builds skip the new field and behave as before.

--- a/src/feed/keyed_feed.h
+++ b/src/feed/keyed_feed.h
@@ -20,6 +20,8 @@
   /// Empty if the key has been deleted.
   std::optional<std::string> m_value;
   std::uint64_t m_offset = 0;
+  /// Of a deleted key: its newest value before the deletion, if known.
+  std::optional<std::string> m_last_value;
 
   bool operator==(const KeyedRecord&) const = default;
 };
--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -12,29 +12,91 @@
   for (const KeyedRecord& record : records) {
     const auto [place, added] = m_known.try_emplace(record.m_key);
     Known& known = place->second;
-    const int order = added ? 1 : AgeOrder(known, record);
-    if (order < 0 && record.m_offset > known.m_newest) {
+    if (added) {
       known.m_newest = record.m_offset;
-      known.m_record.m_offset = record.m_offset;
-      m_changed_to = std::max(m_changed_to, record.m_offset + 1);
-    }
-    if (order < 0 || (order == 0 && record.m_offset <= known.m_newest)) {
+      if (m_rules.m_is_significant(nullptr, record)) {
+        Store(&known, record, record.m_last_value);
+      }
+    } else if (!MergeKnown(&known, record)) {
       continue;
     }
-    known.m_newest = std::max(known.m_newest, record.m_offset);
-    if (m_rules.m_is_significant(added ? nullptr : &known.m_record, record)) {
-      known.m_record = record;
-      // Newer contents may come at a lower offset, from a peer that knew them
-      // before the store was restored.
-      known.m_record.m_offset = known.m_newest;
-      m_changed_to = std::max(m_changed_to, known.m_newest + 1);
-      m_version = std::max(m_version, VersionOf({record}));
-    }
     newer.push_back(record);
   }
   return newer;
 }
 
+bool SharedRecords::MergeKnown(Known* known, const KeyedRecord& record) {
+  const Value& known_value = known->m_record.m_value;
+  const int order = AgeOrder(*known, record);
+  const bool comes_after_deletion =
+      !known_value.has_value() && record.m_value.has_value() &&
+      !Revives(record.m_key, known->m_record.m_last_value, record.m_value);
+  if (order < 0 || comes_after_deletion) {
+    if (record.m_offset > known->m_newest) {
+      known->m_newest = record.m_offset;
+      known->m_record.m_offset = record.m_offset;
+      m_changed_to = std::max(m_changed_to, record.m_offset + 1);
+    }
+    return false;
+  }
+  const bool was_deleted_since =
+      known_value.has_value() && !record.m_value.has_value() &&
+      record.m_last_value.has_value() &&
+      !Revives(record.m_key, record.m_last_value,
+               known->m_value.has_value() ? known->m_value : known_value);
+  const bool is_newer =
+      record.m_offset > known->m_newest || was_deleted_since || order > 0;
+  Value newest_value = NewestValue(*known, record);
+  known->m_newest = std::max(known->m_newest, record.m_offset);
+  if (is_newer && m_rules.m_is_significant(&known->m_record, record)) {
+    Store(known, record, std::move(newest_value));
+  } else if (known_value.has_value()) {
+    known->m_value = std::move(newest_value);
+  } else {
+    known->m_record.m_last_value = std::move(newest_value);
+  }
+  return is_newer;
+}
+
+void SharedRecords::Store(Known* known,
+                          const KeyedRecord& record,
+                          Value newest_value) {
+  known->m_record = record;
+  // Newer contents may come at a lower offset, from a peer that knew them
+  // before the store was restored.
+  known->m_record.m_offset = known->m_newest;
+  known->m_record.m_last_value =
+      record.m_value.has_value() ? std::nullopt : std::move(newest_value);
+  known->m_value.reset();
+  m_changed_to = std::max(m_changed_to, known->m_newest + 1);
+  m_version = std::max(m_version, VersionOf({record}));
+}
+
+// Whether `value` is newer than `last_value`. Unknown values don't tell.
+bool SharedRecords::Revives(const std::string& key,
+                            const Value& last_value,
+                            const Value& value) const {
+  return !m_rules.m_revives || !last_value.has_value() || !value.has_value() ||
+         m_rules.m_revives({.m_key = key, .m_value = last_value},
+                           {.m_key = key, .m_value = value});
+}
+
+SharedRecords::Value SharedRecords::NewestValue(
+    const Known& known,
+    const KeyedRecord& record) const {
+  if (!m_rules.m_revives) {
+    return std::nullopt;
+  }
+  const KeyedRecord& last = known.m_record;
+  const Value& before = known.m_value.has_value()  ? known.m_value
+                        : last.m_value.has_value() ? last.m_value
+                                                   : last.m_last_value;
+  const Value& now =
+      record.m_value.has_value() ? record.m_value : record.m_last_value;
+  const bool is_newer = now.has_value() && Revives(record.m_key, before, now);
+  return is_newer ? now : before;
+}
+
 std::uint64_t SharedRecords::VersionOf(
     const std::vector<KeyedRecord>& records) const {
   std::uint64_t version = 0;
@@ -99,7 +161,8 @@
   std::size_t bytes = 0;
   for (const Known* known : wanted) {
     bytes += known->m_record.m_key.size() +
-             known->m_record.m_value.value_or("").size();
+             known->m_record.m_value.value_or("").size() +
+             known->m_record.m_last_value.value_or("").size();
     if (bytes > max_bytes && !records.empty()) {
       break;
     }
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -32,11 +32,19 @@
   /// stream; 0 if it has none.
   using VersionOf = std::function<std::uint64_t(const KeyedRecord&)>;
 
+  /// Whether the contents `now` are newer than `last`, the newest ones before
+  /// the key was deleted. Others were written late or are from an older copy of
+  /// the store, and don't bring the key back.
+  using Revives =
+      std::function<bool(const KeyedRecord& last, const KeyedRecord& now)>;
+
   IsSignificant m_is_significant;
   /// May be empty: offsets alone tell the age then.
   CompareAge m_compare_age;
   /// May be empty: the contents have no version then.
   VersionOf m_version_of;
+  /// May be empty: any contents at a higher offset bring a deleted key back.
+  Revives m_revives;
 };
 
 /// The newest record of each key of a stream, whichever instance has read it.
@@ -45,7 +53,9 @@
 /// that an instance that the store refuses gets them as well. Of two records
 /// for a key, the one with the higher store offset counts, from whichever
 /// source. Insignificant records, such as heartbeats of targets, are accepted
-/// but not passed on to peers. No I/O; not thread safe.
+/// but not passed on to peers. A deletion is passed on with the newest value
+/// before it, so that all instances recognise older contents that come after
+/// it. No I/O; not thread safe.
 class SharedRecords {
  public:
   explicit SharedRecords(RecordRules rules) : m_rules(std::move(rules)) {}
@@ -88,9 +98,20 @@
     /// The last significant record, and the offset of the newest record.
     KeyedRecord m_record;
     std::uint64_t m_newest = 0;
+    /// A newer value that wasn't significant.
+    std::optional<std::string> m_value;
   };
+  using Value = std::optional<std::string>;
 
+  // Merges a record of a known key. Returns whether it is newer.
+  bool MergeKnown(Known* known, const KeyedRecord& record);
+  void Store(Known* known, const KeyedRecord& record, Value newest_value);
   int AgeOrder(const Known& known, const KeyedRecord& record) const;
+  bool Revives(const std::string& key,
+               const Value& last_value,
+               const Value& value) const;
+  // The newest value of a key, also of a deleted one, once `record` is merged.
+  Value NewestValue(const Known& known, const KeyedRecord& record) const;
 
   RecordRules m_rules;
   std::map<std::string, Known> m_known;
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -69,6 +69,9 @@
            if (message.has_value()) {
              record.m_value = message.value();
            }
+           if (message.has_last_value()) {
+             record.m_last_value = message.last_value();
+           }
            fetched.m_records.push_back(std::move(record));
          }
          m_hooks.m_streams.m_on_records(stream, fetched);
@@ -88,6 +91,9 @@
     if (record.m_value.has_value()) {
       message->set_value(*record.m_value);
     }
+    if (record.m_last_value.has_value()) {
+      message->set_last_value(*record.m_last_value);
+    }
   }
 }
 
