Instances that start are told which targets have left

An instance that started while the store showed an entry from before a target's removal (an older copy, a heartbeat that was written late) sent requests to the target until the entry lapsed again, up to 4.5 s later. All others knew better.

Each instance now says from which offset on it knows deletions (StreamState::m_deletions_from: its first listing, or earlier if a peer has told it), and one that knows fewer fetches its peer's deletions alone. Older builds say nothing and aren't asked.

PeersShareStoreRecords sends deletions and their last values over gRPC.

--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -6,6 +6,30 @@
 
 namespace guavacross::feed {
 
+namespace {
+
+bool IsEarlier(const KeyedRecord* a, const KeyedRecord* b) {
+  return a->m_offset < b->m_offset;
+}
+
+// The first records, limited to `max_bytes`, but at least one.
+std::vector<KeyedRecord> FirstOf(const std::vector<const KeyedRecord*>& wanted,
+                                 std::size_t max_bytes) {
+  std::vector<KeyedRecord> records;
+  std::size_t bytes = 0;
+  for (const KeyedRecord* const record : wanted) {
+    bytes += record->m_key.size() + record->m_value.value_or("").size() +
+             record->m_last_value.value_or("").size();
+    if (bytes > max_bytes && !records.empty()) {
+      break;
+    }
+    records.push_back(*record);
+  }
+  return records;
+}
+
+}  // namespace
+
 std::vector<KeyedRecord> SharedRecords::Merge(
     const std::vector<KeyedRecord>& records) {
   std::vector<KeyedRecord> newer;
@@ -148,27 +172,25 @@
 
 std::vector<KeyedRecord> SharedRecords::Since(std::uint64_t from,
                                               std::size_t max_bytes) const {
-  std::vector<const Known*> wanted;
+  std::vector<const KeyedRecord*> wanted;
   for (const auto& [key, known] : m_known) {
     if (known.m_record.m_offset >= from) {
-      wanted.push_back(&known);
+      wanted.push_back(&known.m_record);
     }
   }
-  std::sort(wanted.begin(), wanted.end(), [](const Known* a, const Known* b) {
-    return a->m_record.m_offset < b->m_record.m_offset;
-  });
-  std::vector<KeyedRecord> records;
-  std::size_t bytes = 0;
-  for (const Known* known : wanted) {
-    bytes += known->m_record.m_key.size() +
-             known->m_record.m_value.value_or("").size() +
-             known->m_record.m_last_value.value_or("").size();
-    if (bytes > max_bytes && !records.empty()) {
-      break;
+  std::sort(wanted.begin(), wanted.end(), IsEarlier);
+  return FirstOf(wanted, max_bytes);
+}
+
+std::vector<KeyedRecord> SharedRecords::Deletions(std::size_t max_bytes) const {
+  std::vector<const KeyedRecord*> wanted;
+  for (const auto& [key, known] : m_known) {
+    if (!known.m_record.m_value.has_value()) {
+      wanted.push_back(&known.m_record);
     }
-    records.push_back(known->m_record);
   }
-  return records;
+  std::sort(wanted.rbegin(), wanted.rend(), IsEarlier);
+  return FirstOf(wanted, max_bytes);
 }
 
 }  // namespace guavacross::feed
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -93,6 +93,9 @@
   std::vector<KeyedRecord> Since(std::uint64_t from,
                                  std::size_t max_bytes) const;
 
+  /// The deleted keys, the last deleted ones first. Limited as `Since`.
+  std::vector<KeyedRecord> Deletions(std::size_t max_bytes) const;
+
  private:
   struct Known {
     /// The last significant record, and the offset of the newest record.
@@ -133,6 +136,10 @@
   /// The offset from which on it has every record. It listed the stream at this
   /// offset, and doesn't know which keys were deleted before.
   std::uint64_t m_complete_from = 0;
+  /// The offset from which on it knows which keys were deleted, itself or from
+  /// a peer; nothing before its first listing. An instance that has started
+  /// needs earlier deletions to recognise an older copy of the store.
+  std::optional<std::uint64_t> m_deletions_from;
   /// When any instance last read the stream, as far as known. Sent as an age,
   /// so the transit time has to be added.
   std::optional<TimePoint> m_read_at;
@@ -148,6 +155,8 @@
   /// The offset from which on they were requested.
   std::uint64_t m_from = 0;
   std::vector<KeyedRecord> m_records;
+  /// Set if only deletions were requested: since when the peer knew them.
+  std::optional<std::uint64_t> m_deletions_from;
 
   bool operator==(const PeerRecords&) const = default;
 };
@@ -163,6 +172,12 @@
       m_records;
   std::function<void(const std::string& stream, const PeerRecords&)>
       m_on_records;
+  /// Returns the deleted keys of a stream.
+  std::function<std::vector<KeyedRecord>(const std::string& stream,
+                                         std::size_t max_bytes)>
+      m_deletions;
+  /// Whether a peer knows of deletions that this instance doesn't know.
+  std::function<bool(const StreamState&)> m_lacks_deletions;
   /// Receives a peer's state of a stream. Returns from which offset on to fetch
   /// its records, or nothing if it has none to offer.
   std::function<std::optional<std::uint64_t>(const std::string& peer,
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -46,6 +46,7 @@
                               std::uint64_t end) {
     const std::uint64_t before = m_records.changed_to();
     m_complete_from = std::max(m_complete_from, end);
+    m_deletions_from = m_deletions_from.value_or(end);
     Publish(m_records.MergeListing(records, end), before);
   };
   hooks.m_on_records = [this](const std::vector<KeyedRecord>& records) {
@@ -64,8 +65,9 @@
 }
 
 void SharedStream::Publish(const std::vector<KeyedRecord>& newer,
-                           std::uint64_t before) {
-  m_hooks.m_on_records(newer, {});
+                           std::uint64_t before,
+                           const std::string& source) {
+  m_hooks.m_on_records(newer, source);
   if (m_records.changed_to() != before) {
     m_hooks.m_on_state_changed();
   }
@@ -77,6 +79,7 @@
           .m_version = m_records.version(),
           .m_read_to = m_feed.offset(),
           .m_complete_from = m_complete_from,
+          .m_deletions_from = m_deletions_from,
           .m_read_at = m_read_at,
           .m_reaches_store = m_feed.listed() && m_feed.reachable()};
 }
@@ -86,6 +89,16 @@
   return m_records.Since(from, max_bytes);
 }
 
+std::vector<KeyedRecord> SharedStream::Deletions(std::size_t max_bytes) const {
+  return m_records.Deletions(max_bytes);
+}
+
+bool SharedStream::LacksDeletions(const StreamState& peer_state) const {
+  return m_deletions_from.has_value() &&
+         peer_state.m_deletions_from.has_value() &&
+         *peer_state.m_deletions_from < *m_deletions_from;
+}
+
 std::optional<std::uint64_t> SharedStream::OnPeerState(
     const std::string& peer,
     const StreamState& peer_state) {
@@ -130,6 +143,12 @@
 }
 
 void SharedStream::MergeFromPeer(const PeerRecords& fetched) {
+  if (fetched.m_deletions_from.has_value()) {
+    const std::uint64_t before = m_records.changed_to();
+    Publish(m_records.Merge(fetched.m_records), before, fetched.m_peer);
+    m_deletions_from = std::min(m_deletions_from, fetched.m_deletions_from);
+    return;
+  }
   const std::uint64_t version = m_records.version();
   m_hooks.m_on_records(m_records.MergeFromPeer(fetched.m_records),
                        fetched.m_peer);
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -65,6 +65,11 @@
   std::vector<KeyedRecord> Since(std::uint64_t from,
                                  std::size_t max_bytes) const;
 
+  /// Deleted keys; see `SharedRecords::Deletions`.
+  std::vector<KeyedRecord> Deletions(std::size_t max_bytes) const;
+  /// Whether a peer knows of deletions from before this instance's listing.
+  bool LacksDeletions(const StreamState& peer_state) const;
+
   /// Processes a peer's state.
   ///
   /// @return from which offset on to fetch the peer's records: all of them if
@@ -91,7 +96,9 @@
   bool HasPersistentGap();
   int Rank() const;
   void RecordRead(TimePoint at);
-  void Publish(const std::vector<KeyedRecord>& newer, std::uint64_t before);
+  void Publish(const std::vector<KeyedRecord>& newer,
+               std::uint64_t before,
+               const std::string& source = {});
 
   SharedStreamOptions m_options;
   Clock m_clock;
@@ -103,6 +110,7 @@
   bool m_reachable = true;
   std::string m_lost_reason;
   std::uint64_t m_complete_from = 0;
+  std::optional<std::uint64_t> m_deletions_from;
   // The highest version that peers have, and until when versions up to one that
   // couldn't be read here aren't requested again.
   std::uint64_t m_peer_version = 0;
--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -55,7 +55,7 @@
   }
   instance.m_running = true;
   instance.m_version = 0;
-  instance.m_fetch_turn = {};
+  instance.m_fetch_turns.clear();
   instance.m_notify = false;
   ++instance.m_run;
   // Spreads the heartbeats over the interval.
@@ -321,45 +321,56 @@
   const std::optional<std::uint64_t> fetch_from =
       receiver.m_stream->OnPeerState(m_instances[from]->m_name, state);
   if (fetch_from.has_value()) {
-    Fetch(from, to, *fetch_from);
+    Fetch(from, to, {.m_from = *fetch_from});
+  }
+  if (receiver.m_stream->LacksDeletions(state)) {
+    Fetch(from, to, {.m_deletions_from = state.m_deletions_from});
   }
 }
 
+// `wanted` is the answer but for its records.
 void InstanceGroup::Fetch(std::size_t from,
                           std::size_t to,
-                          std::uint64_t position) {
+                          PeerRecords wanted) {
   const TimePoint begun_at = m_clock.now();
-  if (!m_instances[to]->m_fetch_turn.TryBegin(begun_at)) {
+  const bool deletions = wanted.m_deletions_from.has_value();
+  if (!m_instances[to]->m_fetch_turns[deletions].TryBegin(begun_at)) {
     return;
   }
+  wanted.m_peer = m_instances[from]->m_name;
   const int run = m_instances[to]->m_run;
-  After(kPeerDelay, [this, from, to, run, position, begun_at] {
+  After(kPeerDelay, [this, from, to, run, wanted, deletions, begun_at] {
     if (!IsCurrent(to, run)) {
       return;
     }
     if (!Reaches(from, to)) {
-      After(kCallTimeout,
-            [this, to, run, begun_at] { EndFetch(to, run, begun_at); });
+      After(kCallTimeout, [this, to, run, deletions, begun_at] {
+        EndFetch(to, run, deletions, begun_at);
+      });
       return;
     }
-    After(kPeerDelay, [this, from, to, run, begun_at, position,
-                       records = m_instances[from]->m_stream->Since(
-                           position, kMaxRecordBytes)] {
-      if (EndFetch(to, run, begun_at) && CanCarry(records)) {
-        m_instances[to]->m_stream->MergeFromPeer(
-            {.m_peer = m_instances[from]->m_name,
-             .m_from = position,
-             .m_records = records});
+    PeerRecords fetched = wanted;
+    const SharedStream& stream = *m_instances[from]->m_stream;
+    fetched.m_records = deletions
+                            ? stream.Deletions(kMaxRecordBytes)
+                            : stream.Since(wanted.m_from, kMaxRecordBytes);
+    After(kPeerDelay, [this, to, run, deletions, begun_at, fetched] {
+      if (EndFetch(to, run, deletions, begun_at) &&
+          CanCarry(fetched.m_records)) {
+        m_instances[to]->m_stream->MergeFromPeer(fetched);
       }
     });
   });
 }
 
-bool InstanceGroup::EndFetch(std::size_t to, int run, TimePoint begun_at) {
+bool InstanceGroup::EndFetch(std::size_t to,
+                             int run,
+                             bool deletions,
+                             TimePoint begun_at) {
   if (!IsCurrent(to, run)) {
     return false;
   }
-  m_instances[to]->m_fetch_turn.End(begun_at);
+  m_instances[to]->m_fetch_turns[deletions].End(begun_at);
   return true;
 }
 
--- a/src/feed/testing/instance_group.h
+++ b/src/feed/testing/instance_group.h
@@ -59,7 +59,8 @@
     TimePoint m_silent_since;
     TimePoint m_next_heartbeat;
     std::size_t m_next_recipient = 0;
-    FetchTurn m_fetch_turn;
+    // Fetches of all records and of deletions only.
+    std::map<bool, FetchTurn> m_fetch_turns;
     bool m_notify = false;
   };
 
@@ -128,9 +129,9 @@
   void SendHeartbeats(std::size_t index);
   void Deliver(std::size_t from, std::size_t to, bool is_reply);
   void Receive(std::size_t from, std::size_t to, const StreamState& state);
-  void Fetch(std::size_t from, std::size_t to, std::uint64_t position);
+  void Fetch(std::size_t from, std::size_t to, PeerRecords wanted);
   // Returns whether the run that fetches still runs.
-  bool EndFetch(std::size_t to, int run, TimePoint begun_at);
+  bool EndFetch(std::size_t to, int run, bool deletions, TimePoint begun_at);
   void After(Duration delay, std::function<void()> call);
   std::vector<std::string> LivePeers(std::size_t index) const;
 
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -119,6 +119,9 @@
     message->set_read_to(stream.m_read_to);
     message->set_reads(stream.m_reaches_store);
     message->set_complete_from(stream.m_complete_from);
+    if (stream.m_deletions_from.has_value()) {
+      message->set_deletions_from(*stream.m_deletions_from);
+    }
     if (stream.m_read_at.has_value()) {
       // Relative to now: the local state may have been collected a while ago.
       message->set_read_age_ms(static_cast<std::uint32_t>(
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -42,6 +42,14 @@
     std::size_t m_known_members = 0;
   };
 
+  /// A request for records of a stream.
+  struct RecordFetch {
+    std::string m_stream;
+    std::uint64_t m_from = 0;
+    /// Set for a request of deletions: since when the peer knows them.
+    std::optional<std::uint64_t> m_deletions_from;
+  };
+
   /// A section that came into force recently.
   struct RecentSection {
     std::uint64_t m_number = 0;
@@ -94,9 +102,7 @@
   // Records of the store's streams (record_exchange.cc).
   void CompareStreams(const InstanceId& from,
                       const proto::Heartbeat& heartbeat);
-  void FetchRecords(const InstanceId& from,
-                    const std::string& stream,
-                    std::uint64_t from_offset);
+  void FetchRecords(const InstanceId& from, const RecordFetch& fetch);
   void AnswerRecords(const proto::RecordsRequest& request,
                      proto::RecordsReply* reply) const;
 
@@ -115,8 +121,8 @@
   std::deque<RecentSection> m_recent_sections;
   std::uint64_t m_last_section_number = 0;
   std::optional<LocalState> m_local;
-  /// Fetches of records in progress, by stream.
-  std::map<std::string, feed::FetchTurn> m_fetch_turns;
+  /// Fetches in progress, by stream and whether only deletions are fetched.
+  std::map<std::pair<std::string, bool>, feed::FetchTurn> m_fetch_turns;
   bool m_leaving = false;
   bool m_repairing = false;
   /// The repair in progress started without sections and isn't rate limited.
--- a/src/peers/peer_sharing_test.cc
+++ b/src/peers/peer_sharing_test.cc
@@ -45,7 +45,7 @@
   a.m_local.m_streams = {
       {.m_stream = "targets", .m_changed_to = 2, .m_read_at = read_at}};
   a.m_records = {{.m_key = "t1", .m_value = "ready", .m_offset = 0},
-                 {.m_key = "t2", .m_offset = 1}};
+                 {.m_key = "t2", .m_offset = 1, .m_last_value = "gone"}};
   b.SetListedPeer(a, "a");
 
   Section("missing records are fetched from a peer", [&] {
@@ -53,6 +53,16 @@
                   [&] { return b.m_received_records == a.m_records; });
   });
 
+  Section("an instance that knows fewer deletions fetches them", [&] {
+    b.m_deletions_from = 7;
+    b.m_received_records.clear();
+    a.m_local.m_streams[0].m_deletions_from = 4;
+    loop.RunUntil("the deletion arrives", [&] {
+      return b.m_deletions_from == 4 &&
+             b.m_received_records == std::vector{a.m_records[1]};
+    });
+  });
+
   Section("the age of a read grows from heartbeat to heartbeat", [&] {
     const TimePoint until = clock.m_now() + seconds(3);
     loop.RunUntil("time passed", [&] { return clock.m_now() >= until; });
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -21,70 +21,92 @@
                            .m_read_to = message.read_to(),
                            .m_complete_from = message.complete_from(),
                            .m_reaches_store = message.reads()};
+  if (message.has_deletions_from()) {
+    stream.m_deletions_from = message.deletions_from();
+  }
   if (message.has_read_age_ms()) {
     stream.m_read_at = now - std::chrono::milliseconds(message.read_age_ms());
   }
   return stream;
 }
 
+std::vector<feed::KeyedRecord> ToRecords(const proto::RecordsReply& reply) {
+  std::vector<feed::KeyedRecord> records;
+  for (const proto::StoreRecord& message : reply.records()) {
+    feed::KeyedRecord record{.m_key = message.key(),
+                             .m_offset = message.offset()};
+    if (message.has_value()) {
+      record.m_value = message.value();
+    }
+    if (message.has_last_value()) {
+      record.m_last_value = message.last_value();
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
 }  // namespace
 
 void PeerNetwork::Impl::CompareStreams(const InstanceId& from,
                                        const proto::Heartbeat& heartbeat) {
-  if (!m_hooks.m_streams.m_on_records || heartbeat.streams_size() == 0) {
+  const feed::StreamExchange& exchange = m_hooks.m_streams;
+  if (!exchange.m_on_records || heartbeat.streams_size() == 0) {
     return;
   }
-  for (const proto::StreamState& stream : heartbeat.streams()) {
-    const std::optional<std::uint64_t> fetch_from =
-        m_hooks.m_streams.m_on_stream(
-            from.m_name, ToStreamState(stream, m_options.m_clock.m_now()));
+  for (const proto::StreamState& message : heartbeat.streams()) {
+    const feed::StreamState state =
+        ToStreamState(message, m_options.m_clock.m_now());
+    const auto fetch_from = exchange.m_on_stream(from.m_name, state);
     if (fetch_from.has_value()) {
-      FetchRecords(from, stream.stream(), *fetch_from);
+      FetchRecords(from, {.m_stream = state.m_stream, .m_from = *fetch_from});
+    }
+    if (exchange.m_lacks_deletions && exchange.m_lacks_deletions(state)) {
+      FetchRecords(from, {.m_stream = state.m_stream,
+                          .m_deletions_from = state.m_deletions_from});
     }
   }
 }
 
 void PeerNetwork::Impl::FetchRecords(const InstanceId& from,
-                                     const std::string& stream,
-                                     std::uint64_t from_offset) {
+                                     const RecordFetch& fetch) {
   const auto member = FindMember(from);
   const TimePoint begun_at = m_options.m_clock.m_now();
-  if (!member || !m_fetch_turns[stream].TryBegin(begun_at)) {
+  const std::pair turn(fetch.m_stream, fetch.m_deletions_from.has_value());
+  if (!member || !m_fetch_turns[turn].TryBegin(begun_at)) {
     return;
   }
   proto::PeerRequest request;
-  request.mutable_records()->set_stream(stream);
-  request.mutable_records()->set_from(from_offset);
+  request.mutable_records()->set_stream(fetch.m_stream);
+  request.mutable_records()->set_from(fetch.m_from);
+  request.mutable_records()->set_deletions_only(
+      fetch.m_deletions_from.has_value());
   Send(*member, from.m_incarnation, std::move(request),
-       [this, stream, begun_at, from_offset,
+       [this, fetch, turn, begun_at,
         peer = from.m_name](const std::optional<proto::PeerReply>& reply) {
-         m_fetch_turns[stream].End(begun_at);
-         if (!reply || !reply->has_records()) {
-           return;
-         }
-         feed::PeerRecords fetched{.m_peer = peer, .m_from = from_offset};
-         for (const proto::StoreRecord& message : reply->records().records()) {
-           feed::KeyedRecord record{.m_key = message.key(),
-                                    .m_offset = message.offset()};
-           if (message.has_value()) {
-             record.m_value = message.value();
-           }
-           if (message.has_last_value()) {
-             record.m_last_value = message.last_value();
-           }
-           fetched.m_records.push_back(std::move(record));
+         m_fetch_turns[turn].End(begun_at);
+         if (reply && reply->has_records()) {
+           m_hooks.m_streams.m_on_records(
+               fetch.m_stream, {.m_peer = peer,
+                                .m_from = fetch.m_from,
+                                .m_records = ToRecords(reply->records()),
+                                .m_deletions_from = fetch.m_deletions_from});
          }
-         m_hooks.m_streams.m_on_records(stream, fetched);
        });
 }
 
 void PeerNetwork::Impl::AnswerRecords(const proto::RecordsRequest& request,
                                       proto::RecordsReply* reply) const {
-  if (!m_hooks.m_streams.m_records) {
+  const feed::StreamExchange& exchange = m_hooks.m_streams;
+  if (!exchange.m_records) {
     return;
   }
-  for (const feed::KeyedRecord& record : m_hooks.m_streams.m_records(
-           request.stream(), request.from(), kMaxRecordBytes)) {
+  const std::vector<feed::KeyedRecord> records =
+      request.deletions_only() && exchange.m_deletions
+          ? exchange.m_deletions(request.stream(), kMaxRecordBytes)
+          : exchange.m_records(request.stream(), request.from(),
+                               kMaxRecordBytes);
+  for (const feed::KeyedRecord& record : records) {
     proto::StoreRecord* const message = reply->add_records();
     message->set_key(record.m_key);
     message->set_offset(record.m_offset);
--- a/src/peers/testing/test_instance.h
+++ b/src/peers/testing/test_instance.h
@@ -135,11 +135,27 @@
       }
       return records;
     };
+    hooks.m_streams.m_deletions = [this](const std::string&, std::size_t) {
+      std::vector<feed::KeyedRecord> records = m_records;
+      std::erase_if(records, [](const feed::KeyedRecord& record) {
+        return record.m_value.has_value();
+      });
+      return records;
+    };
+    hooks.m_streams.m_lacks_deletions = [this](const feed::StreamState& state) {
+      return state.m_deletions_from.has_value() &&
+             m_deletions_from.has_value() &&
+             *state.m_deletions_from < *m_deletions_from;
+    };
     hooks.m_streams.m_on_records = [this](const std::string& stream,
                                           const feed::PeerRecords& fetched) {
       const std::vector<feed::KeyedRecord>& records = fetched.m_records;
       m_received_records.insert(m_received_records.end(), records.begin(),
                                 records.end());
+      if (fetched.m_deletions_from.has_value()) {
+        m_deletions_from = fetched.m_deletions_from;
+        return;
+      }
       const std::uint64_t read_to =
           records.empty() ? 0 : records.back().m_offset + 1;
       m_local.m_streams = {{.m_stream = stream, .m_changed_to = read_to}};
@@ -213,6 +229,7 @@
   std::vector<feed::KeyedRecord> m_records;
   std::vector<feed::KeyedRecord> m_received_records;
   std::vector<TimePoint> m_reported_reads;
+  std::optional<std::uint64_t> m_deletions_from;
   std::unique_ptr<PeerNetwork> m_network;
 };
 
