An instance cut off from the store doesn't skip what its peers never saw

A target that left while one instance was cut off from the store, and while all others started again, got that instance's requests for good: also once the instance reached the store again.

Cause: an instance that can't read takes the records of any peer, and moved on to the offset that the peer had read to. A peer that has just listed the store doesn't have the deletions from before its listing, so that the removal lay in the part that was skipped. What a peer has read was taken for what this instance knows.

--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -111,18 +111,20 @@
     m_peer_version = std::max(m_peer_version, peer_state.m_version);
     fetch_from = 0;
   }
-  const bool lacks_records = m_feed.offset() < peer_state.m_complete_from;
-  if (lacks_records && m_feed.listed() && m_feed.reachable()) {
+  if (m_feed.offset() < peer_state.m_complete_from) {
     m_gap_to = std::max(m_gap_to, peer_state.m_complete_from);
     m_gap_since = m_gap_since.value_or(m_clock.m_now());
-    return fetch_from;
-  }
-  if (lacks_records) {
-    m_complete_from = std::max(m_complete_from, peer_state.m_complete_from);
+    if (m_feed.listed() && m_feed.reachable()) {
+      return fetch_from;
+    }
+    // An instance that can't read takes what the peer has.
+    m_follows_incomplete = true;
   }
   if (peer_state.m_changed_to <= m_records.changed_to()) {
-    // There is no significant record up to there.
-    m_feed.SkipTo(peer_state.m_read_to);
+    if (!m_follows_incomplete) {
+      // There is no significant record up to there.
+      m_feed.SkipTo(peer_state.m_read_to);
+    }
     return fetch_from;
   }
   return fetch_from.value_or(m_records.changed_to());
@@ -137,6 +139,7 @@
 bool SharedStream::HasPersistentGap() {
   if (m_feed.offset() >= m_gap_to) {
     m_gap_since.reset();
+    m_follows_incomplete = false;
   }
   return m_gap_since.has_value() &&
          m_clock.m_now() - *m_gap_since >= kMaxGapTime;
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -120,6 +120,9 @@
   // and the time since when this gap has existed.
   std::uint64_t m_gap_to = 0;
   std::optional<TimePoint> m_gap_since;
+  // Whether records of a peer with such a gap were taken. Then no peer's offset
+  // tells what this instance lacks, and only reading the store closes the gap.
+  bool m_follows_incomplete = false;
   KeyedFeed m_feed;
 };
 
