An instance whose peers' changes don't arrive reads the store itself

Requests went on to a target that had left, from all instances that don't read the store themselves, for as long as one record couldn't be passed on.

Cause: states and records travel apart. An instance counted as up to date by the time of the last read of any instance, also while each fetch of the records failed, so that it neither got the changes nor read for itself. What others have read was taken for what this instance knows.

An instance now notes up to where a peer has offered changes. As long as changes keep arriving the time begins anew, so that bursts of changes cause no reads.

SharedStreamHasOneReader, which counts calls of the store, still holds.

--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -127,6 +127,10 @@
     }
     return fetch_from;
   }
+  if (!IsBehind()) {
+    m_behind_to = peer_state.m_changed_to;
+    m_behind_since = m_clock.m_now();
+  }
   return fetch_from.value_or(m_records.changed_to());
 }
 
@@ -136,13 +140,18 @@
   return version > m_records.version() && !is_unreadable;
 }
 
+bool SharedStream::IsBehind() const {
+  return std::max(m_feed.offset(), m_records.changed_to()) < m_behind_to;
+}
+
 bool SharedStream::HasPersistentGap() {
   if (m_feed.offset() >= m_gap_to) {
     m_gap_since.reset();
     m_follows_incomplete = false;
   }
-  return m_gap_since.has_value() &&
-         m_clock.m_now() - *m_gap_since >= kMaxGapTime;
+  const TimePoint due = m_clock.m_now() - kMaxGapTime;
+  return m_gap_since.value_or(TimePoint::max()) <= due ||
+         (IsBehind() && m_behind_since <= due);
 }
 
 void SharedStream::MergeFromPeer(const PeerRecords& fetched) {
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -91,9 +91,11 @@
   // Whether a peer's contents are newer by their version, and may be readable.
   bool IsNewerVersion(std::uint64_t version) const;
   Duration Postpone();
-  // Whether this instance must read the store itself, because records that it
-  // and a peer lack have been missing for too long.
+  // Whether this instance must read the store itself, because it has lacked
+  // records for too long that no peer can supply, or that don't arrive.
   bool HasPersistentGap();
+  // Whether changes that a peer has offered haven't arrived.
+  bool IsBehind() const;
   int Rank() const;
   void RecordRead(TimePoint at);
   void Publish(const std::vector<KeyedRecord>& newer,
@@ -123,6 +125,11 @@
   // Whether records of a peer with such a gap were taken. Then no peer's offset
   // tells what this instance lacks, and only reading the store closes the gap.
   bool m_follows_incomplete = false;
+  // Up to which offset a peer has changes that this instance has lacked since
+  // the given time. They may never arrive: that others have read the store
+  // doesn't make this instance's records recent.
+  std::uint64_t m_behind_to = 0;
+  TimePoint m_behind_since;
   KeyedFeed m_feed;
 };
 
