Keys that aren't text are passed on between instances

One entry of another writer, whose key isn't text, stopped the exchange of entries between instances for all targets: the key was a string in peers.proto, for which the codec refuses other bytes, so that the whole reply with the readable records in it was refused, each time. Callers' requests went to targets that had said they leave.

--- a/src/peers/peer_sharing_test.cc
+++ b/src/peers/peer_sharing_test.cc
@@ -43,9 +43,10 @@
   const Clock clock = loop.clock();
   const TimePoint read_at = clock.m_now();
   a.m_local.m_streams = {
-      {.m_stream = "targets", .m_changed_to = 2, .m_read_at = read_at}};
+      {.m_stream = "targets", .m_changed_to = 3, .m_read_at = read_at}};
   a.m_records = {{.m_key = "t1", .m_value = "ready", .m_offset = 0},
-                 {.m_key = "t2", .m_offset = 1, .m_last_value = "gone"}};
+                 {.m_key = "t2", .m_offset = 1, .m_last_value = "gone"},
+                 {.m_key = "t\xff", .m_value = "\xfe", .m_offset = 2}};
   b.SetListedPeer(a, "a");
 
   Section("missing records are fetched from a peer", [&] {
