Entries that can't be read change nothing and aren't passed on

An operator of a similar system reports that one odd entry among those of the targets ended the machines that read the list, or stopped them from following it. What can happen here: the entry itself named no target before, but was kept, passed on to all instances, and counted as a significant change each time it was written again (values that can't be read never compared as equal), with a warning each time on each instance. In a listing with more pages, a key that isn't text could be the last of a page and bring the same page again for ever, so that an instance never became ready.

RecordRules::m_is_readable leaves such records out before they are compared. A key under which one stands isn't taken for deleted. One line is logged for each key until it can be read again. A listing that doesn't get past a key ends: the rest follows from the log, and no key counts as deleted by it.

--- a/src/feed/keyed_feed.cc
+++ b/src/feed/keyed_feed.cc
@@ -79,13 +79,17 @@
     m_listing_offset = page.m_end;
     m_listed_records.clear();
   }
+  // A key that isn't text is shown changed, so that the listing may go on with
+  // the same page.
   const bool has_more_pages = page.m_has_more && !page.m_records.empty();
-  if (has_more_pages) {
+  const bool has_ended =
+      !has_more_pages || page.m_records.back().m_key == m_list_after;
+  if (!has_ended) {
     m_list_after = page.m_records.back().m_key;
   }
   std::move(page.m_records.begin(), page.m_records.end(),
             std::back_inserter(m_listed_records));
-  if (has_more_pages) {
+  if (!has_ended) {
     List();
     return;
   }
@@ -93,7 +97,13 @@
   m_needs_listing = false;
   m_listed = true;
   m_offset = m_listing_offset;
-  m_hooks.m_on_listing(std::exchange(m_listed_records, {}), m_offset);
+  const std::vector<KeyedRecord> listed = std::exchange(m_listed_records, {});
+  if (has_more_pages) {
+    // Keys that are missing may be on pages that can't be listed.
+    m_hooks.m_on_records(listed);
+  } else {
+    m_hooks.m_on_listing(listed, m_offset);
+  }
   ScheduleCall(m_options.m_min_interval);
 }
 
--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -34,6 +34,9 @@
     const std::vector<KeyedRecord>& records) {
   std::vector<KeyedRecord> newer;
   for (const KeyedRecord& record : records) {
+    if (!CheckReadable(record)) {
+      continue;
+    }
     const auto [place, added] = m_known.try_emplace(record.m_key);
     Known& known = place->second;
     if (added) {
@@ -49,6 +52,23 @@
   return newer;
 }
 
+bool SharedRecords::CheckReadable(const KeyedRecord& record) {
+  if (!m_rules.m_is_readable || !record.m_value.has_value() ||
+      m_rules.m_is_readable(record)) {
+    m_unreadable_keys.erase(record.m_key);
+    return true;
+  }
+  if (m_unreadable_keys.size() < kMaxUnreadable &&
+      m_unreadable_keys.insert(record.m_key).second) {
+    m_unreadable.push_back(record);
+  }
+  return false;
+}
+
+std::vector<KeyedRecord> SharedRecords::TakeUnreadable() {
+  return std::exchange(m_unreadable, {});
+}
+
 bool SharedRecords::MergeKnown(Known* known, const KeyedRecord& record) {
   const Value& known_value = known->m_record.m_value;
   const int order = AgeOrder(*known, record);
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
   using Revives =
       std::function<bool(const KeyedRecord& last, const KeyedRecord& now)>;
 
+  /// Whether a value can be read.
+  using IsReadable = std::function<bool(const KeyedRecord&)>;
+
   IsSignificant m_is_significant;
   /// May be empty: offsets alone tell the age then.
   CompareAge m_compare_age;
@@ -45,6 +49,9 @@
   VersionOf m_version_of;
   /// May be empty: any contents at a higher offset bring a deleted key back.
   Revives m_revives;
+  /// May be empty: all values are kept. A value that can't be read changes
+  /// nothing and isn't passed on.
+  IsReadable m_is_readable;
 };
 
 /// The newest record of each key of a stream, whichever instance has read it.
@@ -93,6 +100,10 @@
   std::vector<KeyedRecord> Since(std::uint64_t from,
                                  std::size_t max_bytes) const;
 
+  /// Records that can't be read, once for each key; see
+  /// `RecordRules::m_is_readable`.
+  std::vector<KeyedRecord> TakeUnreadable();
+
   /// The deleted keys, the last deleted ones first. Limited as `Since`.
   std::vector<KeyedRecord> Deletions(std::size_t max_bytes) const;
 
@@ -106,6 +117,11 @@
   };
   using Value = std::optional<std::string>;
 
+  // Most keys with unreadable values that are remembered.
+  static constexpr std::size_t kMaxUnreadable = 1024;
+
+  // Returns whether the record's value can be read.
+  bool CheckReadable(const KeyedRecord& record);
   // Merges a record of a known key. Returns whether it is newer.
   bool MergeKnown(Known* known, const KeyedRecord& record);
   void Store(Known* known, const KeyedRecord& record, Value newest_value);
@@ -118,6 +134,9 @@
 
   RecordRules m_rules;
   std::map<std::string, Known> m_known;
+  // Keys whose last value can't be read, and the records not yet taken.
+  std::set<std::string> m_unreadable_keys;
+  std::vector<KeyedRecord> m_unreadable;
   std::uint64_t m_changed_to = 0;
   std::uint64_t m_version = 0;
 };
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -67,6 +67,11 @@
 void SharedStream::Publish(const std::vector<KeyedRecord>& newer,
                            std::uint64_t before,
                            const std::string& source) {
+  for (const KeyedRecord& record : m_records.TakeUnreadable()) {
+    if (m_hooks.m_on_unreadable) {
+      m_hooks.m_on_unreadable(record);
+    }
+  }
   m_hooks.m_on_records(newer, source);
   if (m_records.changed_to() != before) {
     m_hooks.m_on_state_changed();
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -35,6 +35,9 @@
   std::function<void(const std::vector<KeyedRecord>&,
                      const std::string& source)>
       m_on_records;
+  /// Receives a record that can't be read, once for its key until a readable
+  /// one follows. May be empty.
+  std::function<void(const KeyedRecord&)> m_on_unreadable;
   /// Called when the peers should be notified of a changed state.
   std::function<void()> m_on_state_changed;
   /// Called when no instance has read the stream for `m_lost_after`, with the
