Removals are kept only after an outage that some instance's calls have met

Callers' requests went to targets whose entries had been removed, for up to 3.6 s, when a zone lost power at the same time: also from instances that were in touch with a store that was never away.

Cause: an instance that hears of no read for 1.5 s took the store for lost, and for back with the next read that it hears of. For 2.2 s from then on it kept removed targets as lapsed. Others' silence was taken for a fact about the store, and the grace time began when an instance learned something, not when it happened; 2.2 s alone are more than the bound of 2 s.

Instances now tell each other of the reads themselves: the spell without an outage, from its first read to the last (policy::ReadSpell). An outage is a pause longer than all instances need to take over reading, in which calls of some instance failed, or a restoration of the store. It ends with the first read of any instance, the same moment for all. An instance that was cut off and thinks that there was one is corrected by the first peer that read meanwhile; one that has only started proves none. Removals that are read later than 2.2 s after that moment are final whenever an instance learns of them; a reply with records carries the sender's state, so that they aren't judged by an older one.

Older builds tell no spell; their reads extend the known one.

TargetRegistry::SetStoreReachable and NoteStoreRestored become SetOutageEnd, and their tests are written anew for it; a removal that arrives while the store is away can't be read and has no case any more.

--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "feed/keyed_feed.h"
+#include "policy/read_spell.h"
 
 namespace guavacross::feed {
 
@@ -42,6 +43,10 @@
   /// Whether a value can be read.
   using IsReadable = std::function<bool(const KeyedRecord&)>;
 
+  /// The epoch of an offset, which rises when the store has been restored from
+  /// an older copy.
+  using EpochOf = std::function<std::uint64_t(std::uint64_t offset)>;
+
   IsSignificant m_is_significant;
   /// May be empty: offsets alone tell the age then.
   CompareAge m_compare_age;
@@ -52,6 +57,8 @@
   /// May be empty: all values are kept. A value that can't be read changes
   /// nothing and isn't passed on.
   IsReadable m_is_readable;
+  /// May be empty: there is one epoch.
+  EpochOf m_epoch_of;
 };
 
 /// The newest record of each key of a stream, whichever instance has read it.
@@ -162,6 +169,9 @@
   /// When any instance last read the stream, as far as known. Sent as an age,
   /// so the transit time has to be added.
   std::optional<TimePoint> m_read_at;
+  /// The time without an outage that the reads show; its last read is
+  /// `m_read_at`. Nothing if the instance doesn't say.
+  std::optional<policy::ReadSpell> m_spell;
   /// Whether this instance itself reaches the store.
   bool m_reaches_store = false;
 
@@ -195,6 +205,8 @@
   std::function<std::vector<KeyedRecord>(const std::string& stream,
                                          std::size_t max_bytes)>
       m_deletions;
+  /// The current state of a stream; nothing if it isn't known.
+  std::function<std::optional<StreamState>(const std::string& stream)> m_state;
   /// Whether a peer knows of deletions that this instance doesn't know.
   std::function<bool(const StreamState&)> m_lacks_deletions;
   /// Receives a peer's state of a stream. Returns from which offset on to fetch
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -31,6 +31,7 @@
     : m_options(std::move(options)),
       m_clock(std::move(clock)),
       m_hooks(std::move(hooks)),
+      m_epoch_of(rules.m_epoch_of),
       m_records(std::move(rules)),
       m_feed(m_options.m_feed, m_clock, MakeFeedHooks()) {}
 
@@ -45,6 +46,8 @@
   hooks.m_on_listing = [this](const std::vector<KeyedRecord>& records,
                               std::uint64_t end) {
     const std::uint64_t before = m_records.changed_to();
+    const TimePoint now = m_clock.m_now();
+    JoinSpell({.m_epoch = EpochOf(end), .m_since = now, .m_until = now});
     m_complete_from = std::max(m_complete_from, end);
     m_deletions_from = m_deletions_from.value_or(end);
     Publish(m_records.MergeListing(records, end), before);
@@ -53,7 +56,15 @@
     const std::uint64_t before = m_records.changed_to();
     Publish(m_records.Merge(records), before);
   };
-  hooks.m_on_answered = [this] { RecordRead(m_clock.m_now()); };
+  hooks.m_on_answered = [this] {
+    const TimePoint now = m_clock.m_now();
+    RecordRead(now);
+    if (m_feed.listed()) {
+      JoinSpell({.m_epoch = EpochOf(m_feed.offset()),
+                 .m_since = now,
+                 .m_until = now});
+    }
+  };
   hooks.m_on_reachable = [this](bool reachable, const std::string& why) {
     m_lost_reason = why;
     if (!reachable) {
@@ -86,6 +97,7 @@
           .m_complete_from = m_complete_from,
           .m_deletions_from = m_deletions_from,
           .m_read_at = m_read_at,
+          .m_spell = m_spell,
           .m_reaches_store = m_feed.listed() && m_feed.reachable()};
 }
 
@@ -107,10 +119,15 @@
 std::optional<std::uint64_t> SharedStream::OnPeerState(
     const std::string& peer,
     const StreamState& peer_state) {
-  m_peer_reaches_store[peer] = peer_state.m_reaches_store;
   if (peer_state.m_read_at.has_value()) {
-    RecordRead(*peer_state.m_read_at - kAssumedTransitTime);
+    const TimePoint read_at = *peer_state.m_read_at - kAssumedTransitTime;
+    RecordRead(read_at);
+    policy::ReadSpell spell = peer_state.m_spell.value_or(policy::ReadSpell{
+        .m_epoch = EpochOf(peer_state.m_read_to), .m_since = read_at});
+    spell.m_until = read_at;
+    JoinSpell(spell);
   }
+  m_peer_reaches_store[peer] = peer_state.m_reaches_store;
   std::optional<std::uint64_t> fetch_from;
   if (IsNewerVersion(peer_state.m_version)) {
     m_peer_version = std::max(m_peer_version, peer_state.m_version);
@@ -199,6 +216,34 @@
   }
 }
 
+void SharedStream::JoinSpell(const policy::ReadSpell& spell) {
+  const std::optional<TimePoint> before = OutageEnd();
+  m_spell =
+      policy::JoinSpells(m_spell, spell, DoCallsFail(), m_options.m_max_pause);
+  if (OutageEnd() != before && m_hooks.m_on_outage_end) {
+    m_hooks.m_on_outage_end(OutageEnd());
+  }
+}
+
+std::optional<TimePoint> SharedStream::OutageEnd() const {
+  return m_spell.has_value() && m_spell->m_after_outage
+             ? std::optional(m_spell->m_since)
+             : std::nullopt;
+}
+
+std::uint64_t SharedStream::EpochOf(std::uint64_t offset) const {
+  return m_epoch_of ? m_epoch_of(offset) : 0;
+}
+
+bool SharedStream::DoCallsFail() const {
+  const std::vector<std::string> peers = m_hooks.m_live_peers();
+  return !m_feed.reachable() ||
+         std::any_of(peers.begin(), peers.end(), [this](const auto& peer) {
+           const auto reaches = m_peer_reaches_store.find(peer);
+           return reaches != m_peer_reaches_store.end() && !reaches->second;
+         });
+}
+
 Duration SharedStream::Postpone() {
   if (HasPersistentGap()) {
     return Duration::zero();
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -24,6 +24,9 @@
   policy::ReadFailover m_duty;
   /// The store counts as lost if no instance has read the stream for this long.
   Duration m_lost_after = std::chrono::milliseconds(1500);
+  /// How long reads may pause while the store is there: until the last instance
+  /// would take over reading.
+  Duration m_max_pause = std::chrono::milliseconds(1500);
 };
 
 struct SharedStreamHooks {
@@ -43,6 +46,9 @@
   /// Called when no instance has read the stream for `m_lost_after`, with the
   /// reason if known, and when one has read it again.
   std::function<void(bool reachable, const std::string& why)> m_on_reachable;
+  /// Called when it is learned that the store is back from an outage or from an
+  /// older copy, and since when; with nothing if there was none. May be empty.
+  std::function<void(std::optional<TimePoint> ended_at)> m_on_outage_end;
 };
 
 /// A stream of the store that all instances follow together.
@@ -101,6 +107,11 @@
   bool IsBehind() const;
   int Rank() const;
   void RecordRead(TimePoint at);
+  void JoinSpell(const policy::ReadSpell& spell);
+  std::optional<TimePoint> OutageEnd() const;
+  std::uint64_t EpochOf(std::uint64_t offset) const;
+  // Whether the store refuses this instance or a live peer, or doesn't answer.
+  bool DoCallsFail() const;
   void Publish(const std::vector<KeyedRecord>& newer,
                std::uint64_t before,
                const std::string& source = {});
@@ -108,10 +119,12 @@
   SharedStreamOptions m_options;
   Clock m_clock;
   SharedStreamHooks m_hooks;
+  RecordRules::EpochOf m_epoch_of;
   SharedRecords m_records;
   // Whether each peer reaches the store, by peer name.
   std::map<std::string, bool> m_peer_reaches_store;
   std::optional<TimePoint> m_read_at;
+  std::optional<policy::ReadSpell> m_spell;
   bool m_reachable = true;
   std::string m_lost_reason;
   std::uint64_t m_complete_from = 0;
--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -182,9 +182,10 @@
     }
   };
   hooks.m_on_state_changed = [instance] { instance->m_notify = true; };
-  hooks.m_on_reachable = [this, index](bool reachable, const std::string&) {
-    if (m_hooks.m_on_reachable) {
-      m_hooks.m_on_reachable(index, reachable);
+  hooks.m_on_reachable = [](bool, const std::string&) {};
+  hooks.m_on_outage_end = [this, index](std::optional<TimePoint> ended_at) {
+    if (m_hooks.m_on_outage_end) {
+      m_hooks.m_on_outage_end(index, ended_at);
     }
   };
   return hooks;
@@ -307,6 +308,9 @@
       // Sent as an age, so that it seems more recent by the delay.
       *received.m_read_at += m_clock.now() - sent_at;
     }
+    if (received.m_spell.has_value()) {
+      received.m_spell->m_since += m_clock.now() - sent_at;
+    }
     Receive(from, to, received);
     if (!is_reply) {
       Deliver(to, from, /*is_reply=*/true);
@@ -351,12 +355,14 @@
     }
     PeerRecords fetched = wanted;
     const SharedStream& stream = *m_instances[from]->m_stream;
+    const StreamState state = stream.state();
     fetched.m_records = deletions
                             ? stream.Deletions(kMaxRecordBytes)
                             : stream.Since(wanted.m_from, kMaxRecordBytes);
-    After(kPeerDelay, [this, to, run, deletions, begun_at, fetched] {
+    After(kPeerDelay, [this, to, run, deletions, begun_at, fetched, state] {
       if (EndFetch(to, run, deletions, begun_at) &&
           CanCarry(fetched.m_records)) {
+        m_instances[to]->m_stream->OnPeerState(fetched.m_peer, state);
         m_instances[to]->m_stream->MergeFromPeer(fetched);
       }
     });
--- a/src/feed/testing/instance_group.h
+++ b/src/feed/testing/instance_group.h
@@ -36,7 +36,8 @@
                        const std::vector<KeyedRecord>&,
                        const std::string& source)>
         m_on_records;
-    std::function<void(std::size_t index, bool reachable)> m_on_reachable;
+    std::function<void(std::size_t index, std::optional<TimePoint> ended_at)>
+        m_on_outage_end;
     /// Whether a message between instances can carry a record. A reply with one
     /// that it can't carry is lost.
     std::function<bool(const KeyedRecord&)> m_can_carry;
--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -112,21 +112,9 @@
   out->set_fold_digest(local.m_fold_digest);
   out->set_notices_digest(NoticesDigest());
   for (const feed::StreamState& stream : local.m_streams) {
-    proto::StreamState* const message = out->add_streams();
-    message->set_stream(stream.m_stream);
-    message->set_changed_to(stream.m_changed_to);
-    message->set_version(stream.m_version);
-    message->set_read_to(stream.m_read_to);
-    message->set_reads(stream.m_reaches_store);
-    message->set_complete_from(stream.m_complete_from);
-    if (stream.m_deletions_from.has_value()) {
-      message->set_deletions_from(*stream.m_deletions_from);
-    }
-    if (stream.m_read_at.has_value()) {
-      // Relative to now: the local state may have been collected a while ago.
-      message->set_read_age_ms(static_cast<std::uint32_t>(
-          Milliseconds(m_options.m_clock.m_now() - *stream.m_read_at)));
-    }
+    // Ages are relative to now: the local state may have been collected a while
+    // ago.
+    FromStreamState(stream, m_options.m_clock.m_now(), out->add_streams());
   }
   PeerState& peer_state = m_peer_states[peer];
   out->set_members(static_cast<std::uint32_t>(m_table.LiveCount()));
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -22,6 +22,11 @@
 
 namespace guavacross::peers {
 
+/// Encodes an instance's state of a stream, with ages as of `now`.
+void FromStreamState(const feed::StreamState& stream,
+                     TimePoint now,
+                     proto::StreamState* out);
+
 /// Implementation of `PeerNetwork`. All functions must be called on the control
 /// thread.
 struct PeerNetwork::Impl {
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -27,9 +27,45 @@
   if (message.has_read_age_ms()) {
     stream.m_read_at = now - std::chrono::milliseconds(message.read_age_ms());
   }
+  if (message.has_sound_age_ms() && stream.m_read_at.has_value()) {
+    stream.m_spell = policy::ReadSpell{
+        .m_epoch = message.epoch(),
+        .m_since = now - std::chrono::milliseconds(message.sound_age_ms()),
+        .m_until = *stream.m_read_at,
+        .m_after_outage = message.after_outage()};
+  }
   return stream;
 }
 
+}  // namespace
+
+void FromStreamState(const feed::StreamState& stream,
+                     TimePoint now,
+                     proto::StreamState* out) {
+  const auto age_ms = [now](TimePoint time) {
+    return static_cast<std::uint32_t>(Milliseconds(now - time));
+  };
+  out->set_stream(stream.m_stream);
+  out->set_changed_to(stream.m_changed_to);
+  out->set_version(stream.m_version);
+  out->set_read_to(stream.m_read_to);
+  out->set_reads(stream.m_reaches_store);
+  out->set_complete_from(stream.m_complete_from);
+  if (stream.m_deletions_from.has_value()) {
+    out->set_deletions_from(*stream.m_deletions_from);
+  }
+  if (stream.m_read_at.has_value()) {
+    out->set_read_age_ms(age_ms(*stream.m_read_at));
+  }
+  if (stream.m_spell.has_value()) {
+    out->set_sound_age_ms(age_ms(stream.m_spell->m_since));
+    out->set_after_outage(stream.m_spell->m_after_outage);
+    out->set_epoch(stream.m_spell->m_epoch);
+  }
+}
+
+namespace {
+
 std::vector<feed::KeyedRecord> ToRecords(const proto::RecordsReply& reply) {
   std::vector<feed::KeyedRecord> records;
   for (const proto::StoreRecord& message : reply.records()) {
@@ -85,13 +121,20 @@
        [this, fetch, turn, begun_at,
         peer = from.m_name](const std::optional<proto::PeerReply>& reply) {
          m_fetch_turns[turn].End(begun_at);
-         if (reply && reply->has_records()) {
-           m_hooks.m_streams.m_on_records(
-               fetch.m_stream, {.m_peer = peer,
-                                .m_from = fetch.m_from,
-                                .m_records = ToRecords(reply->records()),
-                                .m_deletions_from = fetch.m_deletions_from});
+         if (!reply || !reply->has_records()) {
+           return;
+         }
+         if (reply->records().has_state()) {
+           // It may tell of an outage by which to judge the records.
+           m_hooks.m_streams.m_on_stream(
+               peer, ToStreamState(reply->records().state(),
+                                   m_options.m_clock.m_now()));
          }
+         m_hooks.m_streams.m_on_records(
+             fetch.m_stream, {.m_peer = peer,
+                              .m_from = fetch.m_from,
+                              .m_records = ToRecords(reply->records()),
+                              .m_deletions_from = fetch.m_deletions_from});
        });
 }
 
@@ -106,6 +149,11 @@
           ? exchange.m_deletions(request.stream(), kMaxRecordBytes)
           : exchange.m_records(request.stream(), request.from(),
                                kMaxRecordBytes);
+  const auto state =
+      exchange.m_state ? exchange.m_state(request.stream()) : std::nullopt;
+  if (state.has_value()) {
+    FromStreamState(*state, m_options.m_clock.m_now(), reply->mutable_state());
+  }
   for (const feed::KeyedRecord& record : records) {
     proto::StoreRecord* const message = reply->add_records();
     message->set_key(record.m_key);
--- a/src/routes/target_registry.cc
+++ b/src/routes/target_registry.cc
@@ -66,12 +66,8 @@
     return Change::kNone;
   }
   Entry& entry = found->second;
-  const bool may_have_lapsed = !m_reachable || now < m_reregistration_until;
-  if (may_have_lapsed && !entry.m_target.m_draining) {
-    if (!entry.m_lapses_at.has_value()) {
-      entry.m_lapses_at =
-          m_reachable ? m_reregistration_until : TimePoint::max();
-    }
+  if (now < m_reregistration_until && !entry.m_target.m_draining) {
+    entry.m_lapses_at = m_reregistration_until;
     return Change::kLapsed;
   }
   m_removed[id] = entry.m_target;
@@ -79,19 +75,9 @@
   return Change::kRemoved;
 }
 
-void TargetRegistry::SetStoreReachable(bool reachable, TimePoint now) {
-  if (reachable == m_reachable) {
-    return;
-  }
-  m_reachable = reachable;
-  if (!reachable) {
-    return;
-  }
-  NoteStoreRestored(now);
-}
-
-void TargetRegistry::NoteStoreRestored(TimePoint now) {
-  m_reregistration_until = now + kReregistrationTime;
+void TargetRegistry::SetOutageEnd(std::optional<TimePoint> ended_at) {
+  m_reregistration_until =
+      ended_at.has_value() ? *ended_at + kReregistrationTime : TimePoint();
   for (auto& [id, entry] : m_entries) {
     if (entry.m_lapses_at.has_value()) {
       entry.m_lapses_at = m_reregistration_until;
--- a/src/routes/target_registry.h
+++ b/src/routes/target_registry.h
@@ -18,7 +18,8 @@
 /// again, and an older heartbeat is ignored. While the store is unavailable the
 /// last known targets stay in use. Their entries may lapse meanwhile although
 /// the targets are alive, so an entry that is missing after the outage is kept
-/// for as long as live targets take to register again. No I/O; not thread safe.
+/// for as long as live targets take to register again. What the store removes
+/// later has left. No I/O; not thread safe.
 class TargetRegistry {
  public:
   /// How long after an outage of the store a lapsed entry may still be
@@ -48,12 +49,10 @@
   /// Processes the removal of the entry of `id` from the store.
   Change Remove(const std::string& id, TimePoint now);
 
-  /// Records that the store has become reachable or unreachable.
-  void SetStoreReachable(bool reachable, TimePoint now);
-
-  /// Records that the store has come back from an older copy. Entries that are
-  /// missing there are kept until the targets have had time to write again.
-  void NoteStoreRestored(TimePoint now);
+  /// Sets when the store was last back from an outage, or from an older copy;
+  /// nothing if neither is known, also if an outage that was suspected turns
+  /// out not to have been one.
+  void SetOutageEnd(std::optional<TimePoint> ended_at);
 
   /// Removes the lapsed targets whose grace period is over, and returns them.
   std::vector<RegisteredTarget> Expire(TimePoint now);
@@ -80,9 +79,8 @@
   // The last entry of each removed id: an older entry that is written late must
   // not restore it.
   std::map<std::string, RegisteredTarget> m_removed;
-  bool m_reachable = true;
   // Until then a missing entry may have lapsed during an outage of the store.
-  TimePoint m_reregistration_until = TimePoint::min();
+  TimePoint m_reregistration_until;
 };
 
 /// The change's name in logs.
--- a/src/routes/target_registry_test.cc
+++ b/src/routes/target_registry_test.cc
@@ -67,44 +67,62 @@
   });
 }
 
-GUAVACROSS_TEST_CASE(TargetRegistryDuringStoreOutage) {
+GUAVACROSS_TEST_CASE(TargetRegistryAfterStoreOutage) {
   TargetRegistry registry;
   TimePoint now{};
+  now += seconds(60);
   registry.Put(Target(10, 1));
-  registry.SetStoreReachable(false, now);
 
-  Section("an entry that lapses during the outage is kept", [&] {
-    CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kLapsed);
-    now += seconds(30);
-    CPPUNIT_ASSERT(registry.Expire(now).empty());
+  Section("an entry that is removed while the store is there has left", [&] {
+    CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kRemoved);
+    CPPUNIT_ASSERT(registry.Targets().empty());
+    registry.Put(Target(10, 2));
   });
 
-  registry.SetStoreReachable(true, now);
-
-  Section("it is kept for about two seconds after the outage", [&] {
-    now += milliseconds(1900);
-    CPPUNIT_ASSERT(registry.Expire(now).empty());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.Targets().size());
-    Section("and is removed after that", [&] {
-      now += milliseconds(400);
-      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.Expire(now).size());
-      CPPUNIT_ASSERT(registry.Targets().empty());
-    });
-  });
+  registry.SetOutageEnd(now);
+
+  Section("one that lapsed is kept for about two seconds after the outage",
+          [&] {
+            now += milliseconds(300);
+            CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kLapsed);
+            now += milliseconds(1600);
+            CPPUNIT_ASSERT(registry.Expire(now).empty());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.Targets().size());
+            Section("however late the removal is learned of", [&] {
+              CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kLapsed);
+            });
+            Section("and is removed after that", [&] {
+              now += milliseconds(400);
+              CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.Expire(now).size());
+              CPPUNIT_ASSERT(registry.Targets().empty());
+            });
+          });
 
   Section("a target that registers again in time stays", [&] {
     registry.Put(Target(10, 5));
-    registry.SetStoreReachable(false, now);
+    registry.SetOutageEnd(now);
     registry.Remove("t1", now);
-    registry.SetStoreReachable(true, now);
     registry.Put(Target(10, 6));
     now += seconds(5);
     CPPUNIT_ASSERT(registry.Expire(now).empty());
   });
 
-  Section("a draining target is removed even during an outage", [&] {
-    registry.Put(Draining(10, 7));
-    registry.SetStoreReachable(false, now);
+  Section("a removal after that time is none of a lapse", [&] {
+    CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kRemoved);
+    registry.Put(Target(10, 7));
+  });
+
+  Section("nothing is kept for an outage that turns out to be none", [&] {
+    registry.SetOutageEnd(now);
+    CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kLapsed);
+    registry.SetOutageEnd(std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, registry.Expire(now).size());
+  });
+
+  Section("a draining target is removed even after an outage", [&] {
+    registry.Put(Target(10, 8));
+    registry.Put(Draining(10, 9));
+    registry.SetOutageEnd(now);
     CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kRemoved);
   });
 }
@@ -113,7 +131,7 @@
   TargetRegistry registry;
   TimePoint now{};
   registry.Put(Target(10, 5));
-  registry.NoteStoreRestored(now);
+  registry.SetOutageEnd(now);
 
   Section("an entry that the copy lacks is kept for about two seconds", [&] {
     CPPUNIT_ASSERT(registry.Remove("t1", now) == Change::kLapsed);
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -147,7 +147,6 @@
   }
 
   void SetStoreReachable(bool reachable, const std::string& why) {
-    m_plans->SetStoreReachable(reachable);
     m_store_error = reachable ? "" : why;
     if (reachable) {
       util::LogChange("store", "the store answers again");
@@ -158,7 +157,18 @@
 
   void SetTableCurrent(bool current) { m_classifier->SetCurrent(current); }
 
-  void NoteStoreRestored() { m_plans->NoteStoreRestored(); }
+  void SetOutageEnd(std::optional<TimePoint> ended_at) {
+    if (ended_at.has_value()) {
+      const Duration ago = m_clock.m_now() - *ended_at;
+      util::LogChange(
+          "store", "an outage of the store has ended",
+          {{"ago_ms",
+            std::to_string(static_cast<std::int64_t>(Milliseconds(ago)))}});
+    } else {
+      util::LogChange("store", "there was no outage of the store");
+    }
+    m_plans->SetOutageEnd(ended_at);
+  }
 
   void Reload(const RouteInstanceOptions& options) {
     m_options.m_seeds = options.m_seeds;
@@ -523,8 +533,8 @@
   m_impl->SetTableCurrent(current);
 }
 
-void RouteInstance::NoteStoreRestored() {
-  m_impl->NoteStoreRestored();
+void RouteInstance::SetOutageEnd(std::optional<TimePoint> ended_at) {
+  m_impl->SetOutageEnd(ended_at);
 }
 
 void RouteInstance::Reload(const RouteInstanceOptions& options) {
--- a/src/serve/route_instance.h
+++ b/src/serve/route_instance.h
@@ -120,9 +120,10 @@
   /// Sets whether the table is known to be recent.
   void SetTableCurrent(bool current);
 
-  /// The store has come back from an older copy: entries of targets that are
-  /// missing may only not have been written again yet.
-  void NoteStoreRestored();
+  /// Sets when the store was last back from an outage or from an older copy;
+  /// nothing if neither is known. Entries of targets that are missing for some
+  /// time after that may only not have been written again yet.
+  void SetOutageEnd(std::optional<TimePoint> ended_at);
 
   /// Applies changed seeds, budgets and grace time. Addresses, name, region and
   /// zone keep the values from the start.
--- a/src/serve/service_plans.cc
+++ b/src/serve/service_plans.cc
@@ -86,13 +86,8 @@
   ScheduleExpiry();
 }
 
-void ServicePlans::SetStoreReachable(bool reachable) {
-  m_registry.SetStoreReachable(reachable, m_clock.m_now());
-  ScheduleExpiry();
-}
-
-void ServicePlans::NoteStoreRestored() {
-  m_registry.NoteStoreRestored(m_clock.m_now());
+void ServicePlans::SetOutageEnd(std::optional<TimePoint> ended_at) {
+  m_registry.SetOutageEnd(ended_at);
   ScheduleExpiry();
 }
 
@@ -185,7 +180,7 @@
 
 void ServicePlans::ScheduleExpiry() {
   const auto next = m_registry.NextExpiry();
-  if (!next.has_value() || *next == TimePoint::max()) {
+  if (!next.has_value()) {
     return;
   }
   const Duration delay = std::max(Duration::zero(), *next - m_clock.m_now());
--- a/src/serve/service_plans.h
+++ b/src/serve/service_plans.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -56,10 +57,9 @@
   /// Whether `Apply` has been called; the target list then counts as complete.
   bool listed() const { return m_listed; }
 
-  /// Sets whether the store is reachable. An entry that disappears during an
-  /// outage may only have expired, so it is kept for a while.
-  void SetStoreReachable(bool reachable);
-  void NoteStoreRestored();
+  /// Sets when the store was last back from an outage; see
+  /// `routes::TargetRegistry::SetOutageEnd`.
+  void SetOutageEnd(std::optional<TimePoint> ended_at);
 
   /// Time since each target's entry was last updated, by target name.
   std::map<std::string, Duration> EntryAges() const;
@@ -73,8 +73,8 @@
     TimePoint m_updated_at;
   };
 
-  // Marks the service of a changed target, and logs the change. `source` is null
-  // for one that was due.
+  // Marks the service of a changed target, and logs the change. `source` is
+  // null for one that was due.
   void NoteChange(Change change,
                   const RegisteredTarget& target,
                   Duration known_for,
--- a/src/serve/service_plans_test.cc
+++ b/src/serve/service_plans_test.cc
@@ -89,10 +89,9 @@
     CPPUNIT_ASSERT(plans.TakeCalls().empty());
   });
   Section("an entry removed during a store outage is kept for a while", [&] {
-    plans.m_plans.SetStoreReachable(false);
+    plans.m_plans.SetOutageEnd(plans.m_clock.now());
     plans.m_plans.Remove("t2");
     plans.m_plans.Apply();
-    plans.m_plans.SetStoreReachable(true);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plans.m_targets["b"]);
     plans.m_clock.Advance(seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, plans.m_targets["b"]);
