Deletions are asked for only from a peer that has read up to the own listing

In one of about 300 drawn histories of 3 instances a target that had left was used again after a restoration, 5.1 s after its removal.

Cause: two instances had started and asked the third for the deletions from before their listings. It told what it knew, but had itself not yet read up to there: the removal lay in between, was read by it 0.2 s later, and neither listed by the two nor asked for again. A claim of what a peer knows was used beyond the offset to which it holds.

A peer's deletions are now asked for once its state says that it has read up to this instance's first listing.

--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -49,7 +49,10 @@
     const TimePoint now = m_clock.m_now();
     JoinSpell({.m_epoch = EpochOf(end), .m_since = now, .m_until = now});
     m_complete_from = std::max(m_complete_from, end);
-    m_deletions_from = m_deletions_from.value_or(end);
+    if (!m_deletions_from.has_value()) {
+      m_deletions_from = end;
+      m_first_listing = end;
+    }
     Publish(m_records.MergeListing(records, end), before);
   };
   hooks.m_on_records = [this](const std::vector<KeyedRecord>& records) {
@@ -113,7 +116,8 @@
 bool SharedStream::LacksDeletions(const StreamState& peer_state) const {
   return m_deletions_from.has_value() &&
          peer_state.m_deletions_from.has_value() &&
-         *peer_state.m_deletions_from < *m_deletions_from;
+         *peer_state.m_deletions_from < *m_deletions_from &&
+         peer_state.m_read_to >= m_first_listing;
 }
 
 std::optional<std::uint64_t> SharedStream::OnPeerState(
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -76,7 +76,8 @@
 
   /// Deleted keys; see `SharedRecords::Deletions`.
   std::vector<KeyedRecord> Deletions(std::size_t max_bytes) const;
-  /// Whether a peer knows of deletions from before this instance's listing.
+  /// Whether a peer knows of deletions from before this instance's listing, and
+  /// all of them up to it.
   bool LacksDeletions(const StreamState& peer_state) const;
 
   /// Processes a peer's state.
@@ -129,6 +130,8 @@
   std::string m_lost_reason;
   std::uint64_t m_complete_from = 0;
   std::optional<std::uint64_t> m_deletions_from;
+  // A peer can tell the earlier deletions once it has read up to here.
+  std::uint64_t m_first_listing = 0;
   // The highest version that peers have, and until when versions up to one that
   // couldn't be read here aren't requested again.
   std::uint64_t m_peer_version = 0;
