An instance that could not read the store tries again within 0.7 s

The only instance that ran had been cut off from the store, which it can't tell from an outage: with no other instance to correct it, it dates the end of the outage to its own first read, up to 1.2 s after the cut had healed, and keeps removals for 2.2 s from then on. Such an instance is in touch again 3 s after the cut.

The backoff ends at 0.7 s, with jitter downwards only (0.35 to 0.7 s instead of 0.4 to 1.2 s), so that both times together are below 3 s. The price is about half as many calls again while the store is away.

--- a/src/feed/keyed_feed.cc
+++ b/src/feed/keyed_feed.cc
@@ -9,9 +9,13 @@
 
 // Backoff after the first failed call; doubled with each further failure up to
 // the maximum. The end of an outage must be noticed within some tenths of a
-// second.
+// second: an instance that was cut off can't tell that from an outage, whose
+// end it dates to its own first read.
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(100);
-constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
+constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(700);
+
+// Part of the backoff that is drawn, so that instances don't call together.
+constexpr double kJitter = 0.5;
 
 // A postponed read is reconsidered after at most this time.
 constexpr Duration kMaxPostponement = std::chrono::milliseconds(300);
@@ -144,7 +148,8 @@
   const Duration backoff = std::min(
       kMaxRetryDelay, kFirstRetryDelay * (1 << std::min(m_failures, 6)));
   ++m_failures;
-  ScheduleCall(FromSeconds(Seconds(backoff) * (0.5 + m_random.Uniform())));
+  ScheduleCall(
+      FromSeconds(Seconds(backoff) * (1 - kJitter * m_random.Uniform())));
 }
 
 void KeyedFeed::SetReachable(bool reachable, const std::string& why) {
