A request isn't sent again on a connection that has carried its id

A charge's caller was told 503, not run, while its target ran the charge. The target had refused it, took it when it was sent again 60 ms later on the same connection, and its refusal arrived once more: the copy bears the request's own id, so that it was taken for the answer to the second send.

Cause: answers are told apart by the id alone, which says nothing once the same id has been sent twice on one connection. That happens when the pool of targets falls back to one that was tried, as no other is left.

Connections remember the ids of the last 32 requests, and the pool passes over those that have carried the id of the request to be sent; at the limit of connections one of them makes room for a new one. Hedges and tries on other targets use other connections anyway, peers send no second answers, and a copy for another request is skipped by its id.

--- a/src/backends/attempt.cc
+++ b/src/backends/attempt.cc
@@ -4,6 +4,7 @@
 
 #include "backends/backend_connection.h"
 #include "backends/backend_pool.h"
+#include "util/hash.h"
 
 namespace guavacross::backends {
 
@@ -12,6 +13,7 @@
       m_hooks(std::move(hooks)),
       m_pending_bytes(http::Serialize(request.m_head)),
       m_address(std::move(request.m_address)),
+      m_id_hash(request.m_id.empty() ? 0 : util::Hash(request.m_id)),
       m_head_request(request.m_head.m_method == "HEAD"),
       m_chunked(request.m_head.m_framing == http::BodyFraming::kChunked),
       m_without_body(request.m_head.m_framing == http::BodyFraming::kNone),
--- a/src/backends/attempt.h
+++ b/src/backends/attempt.h
@@ -2,6 +2,7 @@
 #define GUAVACROSS_BACKENDS_ATTEMPT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -62,6 +63,10 @@
   /// Use only a new or recently used connection, because the request can't be
   /// sent again if the connection turns out to be closed.
   bool m_fresh_connection = false;
+  /// Identifies the request in responses; empty if it has no id. It isn't sent
+  /// on a connection that has carried the same id: a second copy of the earlier
+  /// response couldn't be told from its own.
+  std::string m_id;
 };
 
 /// One request sent once to one backend server. Created by
@@ -109,6 +114,8 @@
   // Serialized request bytes, sent once a connection is assigned.
   std::string m_pending_bytes;
   Endpoint m_address;
+  // Hash of the request's id; 0 if it has none.
+  std::uint64_t m_id_hash;
   bool m_head_request;
   bool m_chunked;
   bool m_without_body;
--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -35,6 +35,10 @@
 // too.
 constexpr Duration kUnresponsiveAfter = std::chrono::milliseconds(500);
 
+// Number of requests on a connection whose ids are remembered: more than it
+// carries while one of them may be sent again.
+constexpr std::size_t kMaxCarriedIds = 32;
+
 bool IsInterim(int status) {
   return status >= 100 && status < 200;
 }
@@ -72,6 +76,12 @@
   m_response_started = false;
   m_keep_alive = false;
   ++m_request_count;
+  if (attempt->m_id_hash != 0) {
+    m_carried_ids.push_back(attempt->m_id_hash);
+    if (m_carried_ids.size() > kMaxCarriedIds) {
+      m_carried_ids.erase(m_carried_ids.begin());
+    }
+  }
   StartReader();
   if (m_stream == nullptr) {
     Connect();
@@ -150,6 +160,11 @@
   m_connect_timer.reset();
 }
 
+bool BackendConnection::HasCarried(std::uint64_t id_hash) const {
+  return id_hash != 0 && std::find(m_carried_ids.begin(), m_carried_ids.end(),
+                                   id_hash) != m_carried_ids.end();
+}
+
 bool BackendConnection::Usable() const {
   return m_idle && !m_stream->HasPendingInput();
 }
--- a/src/backends/backend_connection.h
+++ b/src/backends/backend_connection.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "backends/attempt.h"
 #include "guavacross/time.h"
@@ -40,6 +41,9 @@
   /// carry another request.
   bool Usable() const;
 
+  /// Whether it has carried a request with this id.
+  bool HasCarried(std::uint64_t id_hash) const;
+
   void Write(std::string_view bytes) { m_stream->Write(bytes); }
   std::size_t unsent() const { return m_stream ? m_stream->unsent() : 0; }
   void SetReading(bool reading);
@@ -94,6 +98,8 @@
   bool m_moving = false;
   std::optional<Duration> m_idle_limit;
   int m_request_count = 0;
+  // Hashes of the ids of the last requests, the oldest first.
+  std::vector<std::uint64_t> m_carried_ids;
   bool m_connected = false;
   bool m_idle = false;
   bool m_unacknowledged_limited = false;
--- a/src/backends/backend_pool.cc
+++ b/src/backends/backend_pool.cc
@@ -32,7 +32,7 @@
 }
 
 void BackendPool::StartOn(Target* target, Attempt* attempt) {
-  BackendConnection* connection = TakeIdle(target, attempt->m_fresh_connection);
+  BackendConnection* connection = TakeIdle(target, *attempt);
   const std::size_t limit = m_options.m_max_connections_per_target;
   if (connection == nullptr && target->m_connections.size() >= limit &&
       !target->m_idle.empty()) {
@@ -53,20 +53,26 @@
   connection->Begin(attempt);
 }
 
-BackendConnection* BackendPool::TakeIdle(Target* target, bool fresh) {
-  while (!target->m_idle.empty()) {
-    BackendConnection* const connection = target->m_idle.back();
+BackendConnection* BackendPool::TakeIdle(Target* target,
+                                         const Attempt& attempt) {
+  // Closing a connection removes it, and may let a waiting attempt take others.
+  for (std::size_t i = target->m_idle.size();
+       (i = std::min(i, target->m_idle.size())) > 0; --i) {
+    BackendConnection* const connection = target->m_idle[i - 1];
     const Duration age = m_clock.m_now() - connection->detached_since();
     const std::optional<Duration> keep_alive_time = connection->idle_limit();
-    if (fresh && age > keep_alive_time.value_or(m_options.m_max_fresh_idle)) {
+    if (attempt.m_fresh_connection &&
+        age > keep_alive_time.value_or(m_options.m_max_fresh_idle)) {
       return nullptr;
     }
-    if (connection->Usable() &&
-        age <= keep_alive_time.value_or(m_options.m_max_idle)) {
-      target->m_idle.pop_back();
+    if (!connection->Usable() ||
+        age > keep_alive_time.value_or(m_options.m_max_idle)) {
+      connection->Cancel();
+    } else if (!connection->HasCarried(attempt.m_id_hash)) {
+      target->m_idle.erase(target->m_idle.begin() +
+                           static_cast<std::ptrdiff_t>(i - 1));
       return connection;
     }
-    connection->Cancel();
   }
   return nullptr;
 }
--- a/src/backends/backend_pool.h
+++ b/src/backends/backend_pool.h
@@ -65,7 +65,9 @@
     std::deque<Attempt*> m_waiting;
   };
 
-  BackendConnection* TakeIdle(Target* target, bool fresh);
+  // The idle connection last used that can carry the attempt, or null. Closes
+  // those that are of no use any more.
+  BackendConnection* TakeIdle(Target* target, const Attempt& attempt);
   void StartOn(Target* target, Attempt* attempt);
   void RemoveWaiting(Attempt* attempt);
   // Called by connections.
--- a/src/backends/backend_pool_test.cc
+++ b/src/backends/backend_pool_test.cc
@@ -33,7 +33,8 @@
       : m_pool(&m_sockets, m_clock.clock(), options), m_server(&m_sockets) {}
 
   std::unique_ptr<SentRequest> Send(const std::string& target,
-                                    bool fresh = false) {
+                                    bool fresh = false,
+                                    const std::string& id = {}) {
     auto sent = std::make_unique<SentRequest>();
     SentRequest* const raw = sent.get();
     AttemptHooks hooks;
@@ -47,6 +48,7 @@
     request.m_head.m_target = target;
     request.m_head.m_fields.Add("Host", "shop");
     request.m_fresh_connection = fresh;
+    request.m_id = id;
     sent->m_attempt = m_pool.Start(std::move(request), std::move(hooks));
     return sent;
   }
@@ -178,6 +180,49 @@
   });
 }
 
+// A target refuses a request, takes it when it is sent again, and sends its
+// refusal once more.
+GUAVACROSS_TEST_CASE(RefusalThatArrivesTwice) {
+  PoolFixture fixture;
+  const auto first = fixture.Send("/first", true, "1");
+  TestPeer& refusing = fixture.m_server.Peer(0);
+  WaitUntil([&] { return refusing.Received("/first"); });
+  refusing.Send(kReply);
+  WaitUntil([&] { return first->m_ended; });
+
+  Section("the request isn't sent again on the same connection", [&] {
+    const auto again = fixture.Send("/again", true, "1");
+    TestPeer& second = fixture.m_server.Peer(1);
+    WaitUntil([&] { return second.Received("/again"); });
+    CPPUNIT_ASSERT(!refusing.Received("/again"));
+    second.Send(kReply);
+    WaitUntil([&] { return again->m_ended; });
+  });
+  Section("others are, and requests without an id", [&] {
+    for (const std::string id : {"2", ""}) {
+      const auto other = fixture.Send("/other" + id, true, id);
+      TestPeer& last = fixture.m_server.Peer(1);
+      WaitUntil([&] { return last.Received("/other" + id); });
+      last.Send(kReply);
+      WaitUntil([&] { return other->m_ended; });
+    }
+    CPPUNIT_ASSERT_EQUAL(2, fixture.m_pool.connections());
+  });
+  Section("nor is it queued for it at the limit of connections", [&] {
+    PoolFixture limited({.m_max_connections_per_target = 1});
+    const auto refused = limited.Send("/refused", true, "1");
+    TestPeer& only = limited.m_server.Peer(0);
+    WaitUntil([&] { return only.Received("/refused"); });
+    const auto again = limited.Send("/again", true, "1");
+    only.Send(kReply);
+    WaitUntil([&] {
+      return limited.m_server.peers().size() == 2 &&
+             limited.m_server.Peer(1).Received("/again");
+    });
+    CPPUNIT_ASSERT(refused->m_ended && only.gone());
+  });
+}
+
 GUAVACROSS_TEST_CASE(BackendFailures) {
   PoolFixture fixture;
 
--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -355,10 +355,9 @@
   if (id.has_value()) {
     return id == own_id;
   }
-  const bool must_have_id =
-      !m_request.m_service->m_request_id_header.empty() ||
-      (context().m_target_dialect->m_responses_have_id && own_id.has_value() &&
-       grant.m_peer.empty());
+  const bool must_have_id = !m_request.m_service->m_request_id_header.empty() ||
+                            (context().m_target_dialect->m_responses_have_id &&
+                             own_id.has_value() && grant.m_peer.empty());
   return !must_have_id;
 }
 
@@ -369,6 +368,7 @@
   request.m_body = m_body.TakeForAttempt();
   request.m_body_complete = m_body.complete();
   request.m_fresh_connection = fresh_connection;
+  request.m_id = request.m_head.m_fields.Find(RequestIdHeader()).value_or("");
 
   backends::AttemptHooks hooks;
   hooks.m_on_head = [this, sent](const http::ResponseHead& head) {
