What an incomplete peer passed on isn't offered as complete

Cause: an instance that follows a peer which has only listed the store lacks the deletions from before that listing, as the peer does. Others took its records without the removal, and then skipped past it.

Such an instance tells the offset of the gap that it follows. Deletions that are fetched alone don't count as a state up to their offsets either (SharedRecords::MergeDeletions): the records between them aren't known.

--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -169,6 +169,14 @@
   return newer;
 }
 
+std::vector<KeyedRecord> SharedRecords::MergeDeletions(
+    const std::vector<KeyedRecord>& records) {
+  const std::uint64_t changed_to = m_changed_to;
+  std::vector<KeyedRecord> newer = Merge(records);
+  m_changed_to = changed_to;
+  return newer;
+}
+
 std::vector<KeyedRecord> SharedRecords::MergeListing(
     const std::vector<KeyedRecord>& records,
     std::uint64_t end) {
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -84,6 +84,11 @@
   std::vector<KeyedRecord> MergeFromPeer(
       const std::vector<KeyedRecord>& records);
 
+  /// Merges deletions that a peer knows, without the other records between
+  /// them: `changed_to` stays. Returns the same as `Merge`.
+  std::vector<KeyedRecord> MergeDeletions(
+      const std::vector<KeyedRecord>& records);
+
   /// Merges a listing of all keys as of the offset `end`. Known keys that are
   /// not in the listing have been deleted.
   ///
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -79,25 +79,28 @@
 }
 
 void SharedStream::Publish(const std::vector<KeyedRecord>& newer,
-                           std::uint64_t before,
-                           const std::string& source) {
+                           std::uint64_t before) {
   for (const KeyedRecord& record : m_records.TakeUnreadable()) {
     if (m_hooks.m_on_unreadable) {
       m_hooks.m_on_unreadable(record);
     }
   }
-  m_hooks.m_on_records(newer, source);
+  m_hooks.m_on_records(newer, {});
   if (m_records.changed_to() != before) {
     m_hooks.m_on_state_changed();
   }
 }
 
 StreamState SharedStream::state() const {
+  // Records of an incomplete peer aren't complete here either.
+  const std::uint64_t complete_from = m_follows_incomplete
+                                          ? std::max(m_complete_from, m_gap_to)
+                                          : m_complete_from;
   return {.m_stream = m_options.m_name,
           .m_changed_to = m_records.changed_to(),
           .m_version = m_records.version(),
           .m_read_to = m_feed.offset(),
-          .m_complete_from = m_complete_from,
+          .m_complete_from = complete_from,
           .m_deletions_from = m_deletions_from,
           .m_read_at = m_read_at,
           .m_spell = m_spell,
@@ -182,8 +185,8 @@
 
 void SharedStream::MergeFromPeer(const PeerRecords& fetched) {
   if (fetched.m_deletions_from.has_value()) {
-    const std::uint64_t before = m_records.changed_to();
-    Publish(m_records.Merge(fetched.m_records), before, fetched.m_peer);
+    m_hooks.m_on_records(m_records.MergeDeletions(fetched.m_records),
+                         fetched.m_peer);
     m_deletions_from = std::min(m_deletions_from, fetched.m_deletions_from);
     return;
   }
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -113,9 +113,7 @@
   std::uint64_t EpochOf(std::uint64_t offset) const;
   // Whether the store refuses this instance or a live peer, or doesn't answer.
   bool DoCallsFail() const;
-  void Publish(const std::vector<KeyedRecord>& newer,
-               std::uint64_t before,
-               const std::string& source = {});
+  void Publish(const std::vector<KeyedRecord>& newer, std::uint64_t before);
 
   SharedStreamOptions m_options;
   Clock m_clock;
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -340,6 +340,9 @@
         self.arrived.append(time.monotonic())
         load = [("X-Server-Load", "1,0,4,100"), ("X-Instance-Id", self.name),
                 *self._announcements()]
+        request = handler.headers.get("X-Request-Id")
+        if request:
+            load.append(("X-Request-Id", request))
         if handler.path == "/health" and self.fault == "deaf":
             # Longer than the time-out of a health check.
             time.sleep(3)
@@ -352,7 +355,6 @@
             self.misdirected += 1
             handler.answer(421, b"", load)
             return
-        request = handler.headers["X-Request-Id"]
         self.requests[request] = SentRequest(
             f"{handler.command} {handler.path}", dict(handler.headers), body)
         if self.pause_s > 0:
