Instances that were cut off, or start, learn which targets said that they leave

Cause: deletions were asked for by the offset of the first listing alone.

Each instance says up to where it knew changes when the store was last restored (StreamState::m_earlier_changed_to), and asks a peer that knew more. Records that say that their key is about to be deleted (RecordRules::m_is_leaving) are handed over with the deletions.

--- a/src/feed/shared_records.cc
+++ b/src/feed/shared_records.cc
@@ -112,6 +112,12 @@
   known->m_record.m_last_value =
       record.m_value.has_value() ? std::nullopt : std::move(newest_value);
   known->m_value.reset();
+  if (record.m_value.has_value() && m_rules.m_is_leaving &&
+      m_rules.m_is_leaving(record)) {
+    m_leaving.insert(record.m_key);
+  } else {
+    m_leaving.erase(record.m_key);
+  }
   m_changed_to = std::max(m_changed_to, known->m_newest + 1);
   m_version = std::max(m_version, VersionOf({record}));
 }
@@ -213,7 +219,7 @@
 std::vector<KeyedRecord> SharedRecords::Deletions(std::size_t max_bytes) const {
   std::vector<const KeyedRecord*> wanted;
   for (const auto& [key, known] : m_known) {
-    if (!known.m_record.m_value.has_value()) {
+    if (!known.m_record.m_value.has_value() || m_leaving.contains(key)) {
       wanted.push_back(&known.m_record);
     }
   }
--- a/src/feed/shared_records.h
+++ b/src/feed/shared_records.h
@@ -43,6 +43,9 @@
   /// Whether a value can be read.
   using IsReadable = std::function<bool(const KeyedRecord&)>;
 
+  /// Whether contents say that the key is about to be deleted.
+  using IsLeaving = std::function<bool(const KeyedRecord&)>;
+
   /// The epoch of an offset, which rises when the store has been restored from
   /// an older copy.
   using EpochOf = std::function<std::uint64_t(std::uint64_t offset)>;
@@ -59,6 +62,8 @@
   IsReadable m_is_readable;
   /// May be empty: there is one epoch.
   EpochOf m_epoch_of;
+  /// May be empty: no contents say so.
+  IsLeaving m_is_leaving;
 };
 
 /// The newest record of each key of a stream, whichever instance has read it.
@@ -116,7 +121,8 @@
   /// `RecordRules::m_is_readable`.
   std::vector<KeyedRecord> TakeUnreadable();
 
-  /// The deleted keys, the last deleted ones first. Limited as `Since`.
+  /// The deleted keys and those about to be, the last ones first. Limited as
+  /// `Since`.
   std::vector<KeyedRecord> Deletions(std::size_t max_bytes) const;
 
  private:
@@ -146,6 +152,8 @@
 
   RecordRules m_rules;
   std::map<std::string, Known> m_known;
+  // Keys whose contents say that they are about to be deleted.
+  std::set<std::string> m_leaving;
   // Keys whose last value can't be read, and the records not yet taken.
   std::set<std::string> m_unreadable_keys;
   std::vector<KeyedRecord> m_unreadable;
@@ -171,6 +179,9 @@
   /// a peer; nothing before its first listing. An instance that has started
   /// needs earlier deletions to recognise an older copy of the store.
   std::optional<std::uint64_t> m_deletions_from;
+  /// Its `m_changed_to` when the store was last restored: which deletions it
+  /// knows that an older copy may lack.
+  std::uint64_t m_earlier_changed_to = 0;
   /// When any instance last read the stream, as far as known. Sent as an age,
   /// so the transit time has to be added.
   std::optional<TimePoint> m_read_at;
@@ -189,8 +200,9 @@
   /// The offset from which on they were requested.
   std::uint64_t m_from = 0;
   std::vector<KeyedRecord> m_records;
-  /// Set if only deletions were requested: since when the peer knew them.
-  std::optional<std::uint64_t> m_deletions_from;
+  /// Set if only deletions were requested: the peer's state, which tells which
+  /// of them it knows.
+  std::optional<StreamState> m_deletions_of;
 
   bool operator==(const PeerRecords&) const = default;
 };
--- a/src/feed/shared_stream.cc
+++ b/src/feed/shared_stream.cc
@@ -49,8 +49,8 @@
     const TimePoint now = m_clock.m_now();
     JoinSpell({.m_epoch = EpochOf(end), .m_since = now, .m_until = now});
     m_complete_from = std::max(m_complete_from, end);
-    if (!m_deletions_from.has_value()) {
-      m_deletions_from = end;
+    m_deletions_from = m_deletions_from.value_or(end);
+    if (m_first_listing == 0 || EpochOf(m_first_listing) < EpochOf(end)) {
       m_first_listing = end;
     }
     Publish(m_records.MergeListing(records, end), before);
@@ -85,6 +85,7 @@
       m_hooks.m_on_unreadable(record);
     }
   }
+  NoteEpoch(before);
   m_hooks.m_on_records(newer, {});
   if (m_records.changed_to() != before) {
     m_hooks.m_on_state_changed();
@@ -102,6 +103,7 @@
           .m_read_to = m_feed.offset(),
           .m_complete_from = complete_from,
           .m_deletions_from = m_deletions_from,
+          .m_earlier_changed_to = m_earlier_changed_to,
           .m_read_at = m_read_at,
           .m_spell = m_spell,
           .m_reaches_store = m_feed.listed() && m_feed.reachable()};
@@ -119,7 +121,8 @@
 bool SharedStream::LacksDeletions(const StreamState& peer_state) const {
   return m_deletions_from.has_value() &&
          peer_state.m_deletions_from.has_value() &&
-         *peer_state.m_deletions_from < *m_deletions_from &&
+         (*peer_state.m_deletions_from < *m_deletions_from ||
+          peer_state.m_earlier_changed_to > m_earlier_changed_to) &&
          peer_state.m_read_to >= m_first_listing;
 }
 
@@ -184,15 +187,21 @@
 }
 
 void SharedStream::MergeFromPeer(const PeerRecords& fetched) {
-  if (fetched.m_deletions_from.has_value()) {
+  if (fetched.m_deletions_of.has_value()) {
     m_hooks.m_on_records(m_records.MergeDeletions(fetched.m_records),
                          fetched.m_peer);
-    m_deletions_from = std::min(m_deletions_from, fetched.m_deletions_from);
+    m_deletions_from =
+        std::min(m_deletions_from, fetched.m_deletions_of->m_deletions_from);
+    m_earlier_changed_to = std::max(
+        m_earlier_changed_to, fetched.m_deletions_of->m_earlier_changed_to);
     return;
   }
   const std::uint64_t version = m_records.version();
-  m_hooks.m_on_records(m_records.MergeFromPeer(fetched.m_records),
-                       fetched.m_peer);
+  const std::uint64_t before = m_records.changed_to();
+  const std::vector<KeyedRecord> newer =
+      m_records.MergeFromPeer(fetched.m_records);
+  NoteEpoch(before);
+  m_hooks.m_on_records(newer, fetched.m_peer);
   if (m_records.version() > version) {
     // Most peers aren't sent a heartbeat by the instance that read it.
     m_hooks.m_on_state_changed();
@@ -242,6 +251,12 @@
   return m_epoch_of ? m_epoch_of(offset) : 0;
 }
 
+void SharedStream::NoteEpoch(std::uint64_t changed_before) {
+  if (EpochOf(m_records.changed_to()) > EpochOf(changed_before)) {
+    m_earlier_changed_to = std::max(m_earlier_changed_to, changed_before);
+  }
+}
+
 bool SharedStream::DoCallsFail() const {
   const std::vector<std::string> peers = m_hooks.m_live_peers();
   return !m_feed.reachable() ||
--- a/src/feed/shared_stream.h
+++ b/src/feed/shared_stream.h
@@ -111,6 +111,8 @@
   void JoinSpell(const policy::ReadSpell& spell);
   std::optional<TimePoint> OutageEnd() const;
   std::uint64_t EpochOf(std::uint64_t offset) const;
+  // Notes up to where changes were known before records of a later epoch came.
+  void NoteEpoch(std::uint64_t changed_before);
   // Whether the store refuses this instance or a live peer, or doesn't answer.
   bool DoCallsFail() const;
   void Publish(const std::vector<KeyedRecord>& newer, std::uint64_t before);
@@ -128,8 +130,10 @@
   std::string m_lost_reason;
   std::uint64_t m_complete_from = 0;
   std::optional<std::uint64_t> m_deletions_from;
-  // A peer can tell the earlier deletions once it has read up to here.
+  // A peer can tell the earlier deletions once it has read up to here: the end
+  // of this instance's first listing since the store was last restored.
   std::uint64_t m_first_listing = 0;
+  std::uint64_t m_earlier_changed_to = 0;
   // The highest version that peers have, and until when versions up to one that
   // couldn't be read here aren't requested again.
   std::uint64_t m_peer_version = 0;
--- a/src/feed/testing/instance_group.cc
+++ b/src/feed/testing/instance_group.cc
@@ -328,7 +328,7 @@
     Fetch(from, to, {.m_from = *fetch_from});
   }
   if (receiver.m_stream->LacksDeletions(state)) {
-    Fetch(from, to, {.m_deletions_from = state.m_deletions_from});
+    Fetch(from, to, {.m_deletions_of = state});
   }
 }
 
@@ -337,7 +337,7 @@
                           std::size_t to,
                           PeerRecords wanted) {
   const TimePoint begun_at = m_clock.now();
-  const bool deletions = wanted.m_deletions_from.has_value();
+  const bool deletions = wanted.m_deletions_of.has_value();
   if (!m_instances[to]->m_fetch_turns[deletions].TryBegin(begun_at)) {
     return;
   }
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -51,8 +51,8 @@
   struct RecordFetch {
     std::string m_stream;
     std::uint64_t m_from = 0;
-    /// Set for a request of deletions: since when the peer knows them.
-    std::optional<std::uint64_t> m_deletions_from;
+    /// Set for a request of deletions only; see `feed::PeerRecords`.
+    std::optional<feed::StreamState> m_deletions_of;
   };
 
   /// A section that came into force recently.
--- a/src/peers/record_exchange.cc
+++ b/src/peers/record_exchange.cc
@@ -20,6 +20,7 @@
                            .m_version = message.version(),
                            .m_read_to = message.read_to(),
                            .m_complete_from = message.complete_from(),
+                           .m_earlier_changed_to = message.earlier_changed_to(),
                            .m_reaches_store = message.reads()};
   if (message.has_deletions_from()) {
     stream.m_deletions_from = message.deletions_from();
@@ -51,6 +52,7 @@
   out->set_read_to(stream.m_read_to);
   out->set_reads(stream.m_reaches_store);
   out->set_complete_from(stream.m_complete_from);
+  out->set_earlier_changed_to(stream.m_earlier_changed_to);
   if (stream.m_deletions_from.has_value()) {
     out->set_deletions_from(*stream.m_deletions_from);
   }
@@ -98,8 +100,7 @@
       FetchRecords(from, {.m_stream = state.m_stream, .m_from = *fetch_from});
     }
     if (exchange.m_lacks_deletions && exchange.m_lacks_deletions(state)) {
-      FetchRecords(from, {.m_stream = state.m_stream,
-                          .m_deletions_from = state.m_deletions_from});
+      FetchRecords(from, {.m_stream = state.m_stream, .m_deletions_of = state});
     }
   }
 }
@@ -108,7 +109,7 @@
                                      const RecordFetch& fetch) {
   const auto member = FindMember(from);
   const TimePoint begun_at = m_options.m_clock.m_now();
-  const std::pair turn(fetch.m_stream, fetch.m_deletions_from.has_value());
+  const std::pair turn(fetch.m_stream, fetch.m_deletions_of.has_value());
   if (!member || !m_fetch_turns[turn].TryBegin(begun_at)) {
     return;
   }
@@ -116,7 +117,7 @@
   request.mutable_records()->set_stream(fetch.m_stream);
   request.mutable_records()->set_from(fetch.m_from);
   request.mutable_records()->set_deletions_only(
-      fetch.m_deletions_from.has_value());
+      fetch.m_deletions_of.has_value());
   Send(*member, from.m_incarnation, std::move(request),
        [this, fetch, turn, begun_at,
         peer = from.m_name](const std::optional<proto::PeerReply>& reply) {
@@ -134,7 +135,7 @@
              fetch.m_stream, {.m_peer = peer,
                               .m_from = fetch.m_from,
                               .m_records = ToRecords(reply->records()),
-                              .m_deletions_from = fetch.m_deletions_from});
+                              .m_deletions_of = fetch.m_deletions_of});
        });
 }
 
--- a/src/peers/testing/test_instance.h
+++ b/src/peers/testing/test_instance.h
@@ -152,8 +152,8 @@
       const std::vector<feed::KeyedRecord>& records = fetched.m_records;
       m_received_records.insert(m_received_records.end(), records.begin(),
                                 records.end());
-      if (fetched.m_deletions_from.has_value()) {
-        m_deletions_from = fetched.m_deletions_from;
+      if (fetched.m_deletions_of.has_value()) {
+        m_deletions_from = fetched.m_deletions_of->m_deletions_from;
         return;
       }
       const std::uint64_t read_to =
