--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -229,8 +229,9 @@
 
     `fault` is empty or one of `mute` (runs the request, never answers), `lost`
     (runs it, closes without an answer), `full` (refuses it as not executed),
-    `extra` (first sends an answer to another request), `deaf` (doesn't answer
-    health checks). With `leaving` it says so in all its answers, and with `limit`
+    `full once` (refuses each request once, and sends the refusal again before
+    the next answer on the connection), `extra` (first sends an answer to another
+    request), `deaf` (doesn't answer health checks). With `leaving` it says so in all its answers, and with `limit`
     it names that many requests a second; with `pause_s` it refuses requests and
     asks for a pause of that length. `cut` cuts it off from one source address."""
 
@@ -363,6 +364,13 @@
                                              ("Retry-After",
                                               str(self.pause_s))])
             return
+        if copy := handler.__dict__.pop("refusal", None):
+            handler.answer(*copy)
+        if self.fault == "full once" and request not in self.refused:
+            self.refused.append(request)
+            handler.refusal = (503, b"", load + [("X-Not-Executed", "1")])
+            handler.answer(*handler.refusal)
+            return
         if self.fault == "full":
             self.refused.append(request)
             handler.answer(503, b"", load + [("X-Not-Executed", "1")])
