Heartbeats that fail at once count once another message has come

Cause: a heartbeat without a reply makes its receiver suspect only if another member has sent a message since, else this instance may itself be cut off. A call on a connection that waits to connect again fails at once, before any message can arrive; such misses were dropped, the next one in the same way, and silence alone takes 8.1 s with 45 instances.

A miss is now kept until the next message and judged then; if none had come for long, this instance was paused or cut off and the miss says nothing. So that an instance that is back isn't suspected by connections that still wait, the first news of a run replaces a connection whose last call failed.

ConnectionToAPeerThatIsUpAgain is red without the replacement.

--- a/src/peers/grpc_transport.cc
+++ b/src/peers/grpc_transport.cc
@@ -60,6 +60,7 @@
   class ClientCall;
 
   struct CallResult {
+    bool m_failed = false;
     bool m_timed_out = false;
     // Why a message couldn't be sent, handled or read; empty if the peer was
     // only unreachable.
@@ -69,6 +70,7 @@
   // The client's side of one peer.
   struct Connection {
     std::unique_ptr<Stub> m_stub;
+    bool m_last_call_failed = false;
     // Consecutive requests that timed out.
     int m_consecutive_timeouts = 0;
     // The last error that was logged, so that a message that fails each time is
@@ -206,7 +208,8 @@
       m_impl->m_counts.m_received_bytes += m_reply.ByteSizeLong();
       reply = std::move(m_reply);
     }
-    CallResult result{.m_timed_out = m_status.error_code() ==
+    CallResult result{.m_failed = !reply.has_value(),
+                      .m_timed_out = m_status.error_code() ==
                                      grpc::StatusCode::DEADLINE_EXCEEDED,
                       .m_error = Error(ok)};
     if (!result.m_error.empty()) {
@@ -302,6 +305,7 @@
   if (found == m_connections.end()) {
     return;
   }
+  found->second.m_last_call_failed = result.m_failed;
   if (!result.m_error.empty() &&
       std::exchange(found->second.m_logged_error, result.m_error) !=
           result.m_error) {
@@ -403,8 +407,12 @@
   started->Begin(stub.get(), request, timeout);
 }
 
-void GrpcTransport::CloseConnection(const Endpoint& peer) {
-  m_impl->m_connections.erase(peer);
+void GrpcTransport::RenewFailedConnection(const Endpoint& peer) {
+  const auto found = m_impl->m_connections.find(peer);
+  if (found != m_impl->m_connections.end() &&
+      found->second.m_last_call_failed) {
+    m_impl->m_connections.erase(found);
+  }
 }
 
 const TransportCounts& GrpcTransport::counts() const {
--- a/src/peers/grpc_transport.h
+++ b/src/peers/grpc_transport.h
@@ -71,8 +71,9 @@
             Duration timeout,
             std::function<void(std::optional<proto::PeerReply>)> done);
 
-  /// Closes the connection to an address that no member uses any more.
-  void CloseConnection(const Endpoint& peer);
+  /// Replaces the connection if its last call failed: it may wait to connect
+  /// again, and fail calls until then, although the peer can be reached.
+  void RenewFailedConnection(const Endpoint& peer);
 
   const TransportCounts& counts() const;
 
--- a/src/peers/grpc_transport_test.cc
+++ b/src/peers/grpc_transport_test.cc
@@ -73,4 +73,36 @@
   });
 }
 
+// Guards against calls that fail although the peer is up again, as long as the
+// connection waits to connect: the peer was taken for lost.
+GUAVACROSS_TEST_CASE(ConnectionToAPeerThatIsUpAgain) {
+  End server("127.0.7.6");
+  End client("127.0.7.7");
+  standin::Proxy proxy("way", server.m_transport.listen_address(),
+                       util::QtClock());
+  CPPUNIT_ASSERT(proxy.Listen({.m_ip = "127.0.7.8"}));
+  WaitUntil([&] { return client.Ask(proxy.endpoint()); });
+
+  Section("a connection that works is kept", [&] {
+    const int accepted = proxy.Counters()["accepted"].toInt();
+    client.m_transport.RenewFailedConnection(proxy.endpoint());
+    CPPUNIT_ASSERT(client.Ask(proxy.endpoint()));
+    CPPUNIT_ASSERT_EQUAL(accepted, proxy.Counters()["accepted"].toInt());
+  });
+  Section("one that fails calls at once is replaced", [&] {
+    CPPUNIT_ASSERT(
+        proxy.SetFaults({{"reset_on_connect", true}, {"reset_now", true}})
+            .isEmpty());
+    // The time between attempts to connect rises with each that fails.
+    const int resets = proxy.Counters()["resets"].toInt();
+    WaitUntil([&] {
+      return !client.Ask(proxy.endpoint()) &&
+             proxy.Counters()["resets"].toInt() > resets + 6;
+    });
+    CPPUNIT_ASSERT(proxy.SetFaults({{"reset_on_connect", false}}).isEmpty());
+    client.m_transport.RenewFailedConnection(proxy.endpoint());
+    CPPUNIT_ASSERT(client.Ask(proxy.endpoint()));
+  });
+}
+
 }  // namespace guavacross::peers
--- a/src/peers/member_table.cc
+++ b/src/peers/member_table.cc
@@ -98,13 +98,29 @@
   if (!is_same) {
     BeginRun(&entry);
   }
-  m_last_message_at = now;
   entry.m_missed_at = TimePoint::min();
   RecordEvidence(&entry, state, now);
   SetState(&entry, state);
+  RecordMessageAt(now);
   return true;
 }
 
+// A call fails at once while its connection is in back-off, before any message
+// can show that this instance isn't cut off.
+void MemberTable::RecordMessageAt(TimePoint now) {
+  const TimePoint last = std::exchange(m_last_message_at, now);
+  if (now == last) {
+    return;
+  }
+  const bool was_cut_off =
+      last == TimePoint::min() || now - last > m_options.m_suspect_after;
+  for (const MissedReply& missed : std::exchange(m_unconfirmed_misses, {})) {
+    if (!was_cut_off) {
+      ApplyMissedReply(missed);
+    }
+  }
+}
+
 void MemberTable::RecordEvidence(Entry* entry,
                                  MemberState state,
                                  TimePoint evidence) {
@@ -158,15 +174,27 @@
 
 void MemberTable::UpdateFromMissedReply(const InstanceId& id,
                                         TimePoint sent_at) {
-  const auto found = m_entries.find(id.m_name);
-  if (found == m_entries.end() || m_last_message_at <= sent_at) {
+  if (m_last_message_at > sent_at) {
+    ApplyMissedReply({.m_id = id, .m_sent_at = sent_at});
+    return;
+  }
+  std::erase_if(m_unconfirmed_misses, [&](const MissedReply& missed) {
+    return missed.m_id.m_name == id.m_name;
+  });
+  m_unconfirmed_misses.push_back({.m_id = id, .m_sent_at = sent_at});
+}
+
+void MemberTable::ApplyMissedReply(const MissedReply& missed) {
+  const auto found = m_entries.find(missed.m_id.m_name);
+  if (found == m_entries.end()) {
     return;
   }
   Entry& entry = found->second;
-  if (entry.m_member.m_id != id || entry.m_evidence_at > sent_at) {
+  if (entry.m_member.m_id != missed.m_id ||
+      entry.m_evidence_at > missed.m_sent_at) {
     return;
   }
-  entry.m_missed_at = std::max(entry.m_missed_at, sent_at);
+  entry.m_missed_at = std::max(entry.m_missed_at, missed.m_sent_at);
   if (entry.m_member.m_state == MemberState::kLive) {
     SetState(&entry, MemberState::kSuspect);
   }
--- a/src/peers/member_table.h
+++ b/src/peers/member_table.h
@@ -77,9 +77,9 @@
   void UpdateFromRumor(const Rumor& rumor, TimePoint now);
 
   /// Processes that a heartbeat which was sent at `sent_at` got no reply: the
-  /// member is suspect if there is no evidence of it since. Says nothing if no
-  /// other member has sent a message since either, as while this instance is
-  /// paused or cut off.
+  /// member is suspect if there is no evidence of it since. Counts once another
+  /// member has sent a message since, unless none had come for long, as while
+  /// this instance is paused or cut off.
   void UpdateFromMissedReply(const InstanceId& id, TimePoint sent_at);
 
   /// Processes another instance's list of suspects: those without recent
@@ -130,7 +130,15 @@
     TimePoint m_died_at;
   };
 
+  // A heartbeat without a reply.
+  struct MissedReply {
+    InstanceId m_id;
+    TimePoint m_sent_at;
+  };
+
   Entry& FindOrAddEntry(const std::string& name, TimePoint now);
+  void RecordMessageAt(TimePoint now);
+  void ApplyMissedReply(const MissedReply& missed);
   void RecordEvidence(Entry* entry, MemberState state, TimePoint evidence);
   // Forgets what is known of an earlier run of the member.
   static void BeginRun(Entry* entry);
@@ -151,6 +159,8 @@
   std::set<std::string> m_to_check;
   // When a member last sent a message to this instance.
   TimePoint m_last_message_at = TimePoint::min();
+  // Those since which no message has arrived.
+  std::vector<MissedReply> m_unconfirmed_misses;
   std::string m_last_rumor;
 };
 
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -296,6 +296,9 @@
                     {{"peer", change.m_id.m_name},
                      {"incarnation", std::to_string(change.m_id.m_incarnation)},
                      {"state", std::string(MemberStateName(change.m_state))}});
+    if (change.m_state == MemberState::kLive) {
+      RenewFailedConnection(change.m_id);
+    }
     if (change.m_state == MemberState::kDead) {
       for (const auto& [service, counts] :
            std::exchange(m_peer_states[change.m_id.m_name].m_in_flight, {})) {
@@ -311,6 +314,12 @@
   }
 }
 
+void PeerNetwork::Impl::RenewFailedConnection(const InstanceId& id) {
+  if (const auto member = FindMember(id)) {
+    m_transport->RenewFailedConnection(member->m_peers);
+  }
+}
+
 void PeerNetwork::Impl::PublishMembers() {
   std::vector<Member> members = m_table.Members();
   const std::lock_guard lock(m_mutex);
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -113,6 +113,7 @@
 
   // Members.
   void OnMembersChanged();
+  void RenewFailedConnection(const InstanceId& id);
   void PublishMembers();
 
   PeerOptions m_options;
