Evidence that was passed on counts once, by the number of its heartbeat

Cause: a rumor names the age of a member's last message, and its receiver adds 50 ms for the transit. A message that takes longer makes the evidence younger than it is, each instance keeps the youngest and passes it on, and the error adds up until it is later than the missed reply that had shown the end.

Heartbeats are now numbered within a run, and a rumor names the number that it tells of. Of evidence with the same number only the first counts, so that the evidence of a run that has ended can't become younger on its way. Older builds send no number; their evidence is judged by dates as before.

Ruled out: a larger assumed transit (the error is bounded by nothing that an instance knows), and other machines' clocks (they may step).

Evidence: InstanceThatOthersTellOfAfterItsEnd (45 and 123 instances, messages that take 0.4 s) is red without the numbers.

--- a/src/peers/heartbeat_exchange.cc
+++ b/src/peers/heartbeat_exchange.cc
@@ -104,6 +104,7 @@
   if (m_hooks.m_reach) {
     FromReach(m_hooks.m_reach(), out->mutable_reach());
   }
+  out->set_number(++m_last_heartbeat_number);
   out->set_leaving(m_leaving);
   out->set_load(static_cast<float>(local.m_load));
   out->set_config_digest(local.m_config_digest);
@@ -231,7 +232,7 @@
                       .m_load = std::clamp<double>(heartbeat.load(), 0, 1),
                       .m_config_digest = heartbeat.config_digest(),
                       .m_config_version = heartbeat.config_version()};
-  if (!m_table.UpdateFromMessage(member, now)) {
+  if (!m_table.UpdateFromMessage(member, now, heartbeat.number())) {
     m_metrics.CountRefusal("old-incarnation");
     return false;
   }
--- a/src/peers/member_loss_test.cc
+++ b/src/peers/member_loss_test.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "peers/member_table.h"
@@ -18,15 +20,18 @@
 constexpr Duration kInterval = milliseconds(250);
 constexpr std::size_t kFanout = 5;
 constexpr std::size_t kRumors = 4;
+// Added to the age of a rumor by its receiver.
+constexpr Duration kAssumedTransit = milliseconds(50);
 
 // By when every instance must have noticed that another has lost power: callers
 // are given its address until then.
 constexpr Duration kNoticeBound = seconds(6);
 
-// The tables of a number of instances that send each other heartbeats.
+// The tables of a number of instances that send each other heartbeats, which
+// take `transit` on their way.
 class TableGroup {
  public:
-  explicit TableGroup(int count) {
+  explicit TableGroup(int count, Duration transit = {}) : m_transit(transit) {
     for (int i = 0; i < count; ++i) {
       m_names.push_back("m" + std::to_string(1000 + i));
       m_tables.emplace_back(
@@ -54,6 +59,9 @@
     for (int i = 0; i < intervals; ++i) {
       for (std::size_t from = 0; from < m_tables.size(); ++from) {
         m_now += kInterval / static_cast<int>(m_tables.size());
+        while (!m_on_the_way.empty() && m_on_the_way.begin()->first <= m_now) {
+          m_on_the_way.extract(m_on_the_way.begin()).mapped()();
+        }
         SendHeartbeats(from);
       }
       each_interval();
@@ -105,29 +113,45 @@
       if (m_unreachable.contains(from) || m_unreachable.contains(to)) {
         sender.UpdateFromMissedReply(member.m_id, m_now);
       } else {
-        Deliver(from, to, {});
-        Deliver(to, from, sender.Suspects());
+        Send(from, to, {});
+        Send(to, from, sender.Suspects());
       }
     }
   }
 
-  void Deliver(std::size_t from,
-               std::size_t to,
-               const std::vector<std::string>& asked) {
+  void Send(std::size_t from,
+            std::size_t to,
+            const std::vector<std::string>& asked) {
     MemberTable& sender = m_tables[from];
-    MemberTable& receiver = m_tables[to];
-    receiver.UpdateFromMessage(MemberNamed(m_names[from]), m_now);
-    for (const Rumor& rumor : sender.NextRumors(kRumors, m_now)) {
-      receiver.UpdateFromRumor(rumor, m_now);
-    }
+    std::vector<Rumor> rumors = sender.NextRumors(kRumors, m_now);
     for (const Rumor& rumor : sender.RumorsOf(asked, m_now)) {
-      receiver.UpdateFromRumor(rumor, m_now);
+      rumors.push_back(rumor);
+    }
+    for (Rumor& rumor : rumors) {
+      rumor.m_age += kAssumedTransit;
     }
-    receiver.CheckSuspectsOf(sender.Suspects(), m_now);
+    m_on_the_way.emplace(
+        m_now + m_transit,
+        [this, from, to, rumors = std::move(rumors),
+         suspects = sender.Suspects(), number = ++m_last_number] {
+          if (m_unreachable.contains(to)) {
+            return;
+          }
+          MemberTable& receiver = m_tables[to];
+          receiver.UpdateFromMessage(MemberNamed(m_names[from]), m_now, number);
+          for (const Rumor& rumor : rumors) {
+            receiver.UpdateFromRumor(rumor, m_now);
+          }
+          receiver.CheckSuspectsOf(suspects, m_now);
+        });
   }
 
   std::vector<std::string> m_names;
   std::vector<MemberTable> m_tables;
+  Duration m_transit;
+  // Messages by when they arrive.
+  std::multimap<TimePoint, std::function<void()>> m_on_the_way;
+  std::uint64_t m_last_number = 0;
   TimePoint m_now{std::chrono::hours(1)};
 };
 
@@ -169,4 +193,27 @@
   }
 }
 
+// Guards against evidence of a run that has ended which seems more recent with
+// each instance that passes it on: messages that take longer than assumed made
+// instances take the lost one for live again.
+GUAVACROSS_TEST_CASE(InstanceThatOthersTellOfAfterItsEnd) {
+  for (const int count : {45, 123}) {
+    Section("of " + std::to_string(count) + " instances", [&] {
+      constexpr Duration kTransit = milliseconds(400);
+      const auto lost = static_cast<std::size_t>(count / 2);
+      TableGroup group(count, kTransit);
+      group.m_unreachable = {lost};
+      int live = group.LiveAt(lost);
+      // What was on the way, and what was passed on of it, has arrived.
+      group.Run(seconds(4), [&] { live = group.LiveAt(lost); });
+      group.Run(seconds(15), [&] {
+        const int before = std::exchange(live, group.LiveAt(lost));
+        CPPUNIT_ASSERT_MESSAGE("live at more instances than before",
+                               live <= before);
+      });
+      CPPUNIT_ASSERT_EQUAL(0, live);
+    });
+  }
+}
+
 }  // namespace guavacross::peers
--- a/src/peers/member_table.cc
+++ b/src/peers/member_table.cc
@@ -77,7 +77,9 @@
   return entry;
 }
 
-bool MemberTable::UpdateFromMessage(const Member& member, TimePoint now) {
+bool MemberTable::UpdateFromMessage(const Member& member,
+                                    TimePoint now,
+                                    std::uint64_t number) {
   if (member.m_id.m_name == m_options.m_self) {
     return false;
   }
@@ -99,7 +101,7 @@
     BeginRun(&entry);
   }
   entry.m_missed_at = TimePoint::min();
-  RecordEvidence(&entry, state, now);
+  RecordEvidence(&entry, state, number, now);
   SetState(&entry, state);
   RecordMessageAt(now);
   return true;
@@ -123,9 +125,12 @@
 
 void MemberTable::RecordEvidence(Entry* entry,
                                  MemberState state,
+                                 std::uint64_t number,
                                  TimePoint evidence) {
+  const bool is_known = number > 0 && number <= entry->m_evidence_number;
   const bool is_newer =
-      !entry->m_has_evidence || evidence > entry->m_evidence_at;
+      !entry->m_has_evidence || (!is_known && evidence > entry->m_evidence_at);
+  entry->m_evidence_number = std::max(entry->m_evidence_number, number);
   if (is_newer) {
     entry->m_has_evidence = true;
     entry->m_evidence_at = evidence;
@@ -140,6 +145,7 @@
 void MemberTable::BeginRun(Entry* entry) {
   entry->m_member.m_state = MemberState::kSuspect;
   entry->m_has_evidence = false;
+  entry->m_evidence_number = 0;
   entry->m_missed_at = TimePoint::min();
 }
 
@@ -169,7 +175,7 @@
   RecordEvidence(&entry,
                  rumor.m_leaving || was_leaving ? MemberState::kLeaving
                                                 : MemberState::kLive,
-                 now - rumor.m_age);
+                 rumor.m_number, now - rumor.m_age);
 }
 
 void MemberTable::UpdateFromMissedReply(const InstanceId& id,
@@ -284,7 +290,8 @@
   return {.m_id = entry.m_member.m_id,
           .m_age = now - entry.m_evidence_at,
           .m_leaving = entry.m_member.m_state == MemberState::kLeaving,
-          .m_peers = entry.m_member.m_peers};
+          .m_peers = entry.m_member.m_peers,
+          .m_number = entry.m_evidence_number};
 }
 
 std::vector<Rumor> MemberTable::RumorsOf(const std::vector<std::string>& names,
--- a/src/peers/member_table.h
+++ b/src/peers/member_table.h
@@ -33,6 +33,8 @@
   Duration m_age{};
   bool m_leaving = false;
   Endpoint m_peers;
+  /// The number of the member's heartbeat that is the evidence; 0 if not known.
+  std::uint64_t m_number = 0;
 
   bool operator==(const Rumor&) const = default;
 };
@@ -58,7 +60,9 @@
 ///
 /// Evidence is dated to the member's own message, however many instances have
 /// passed it on, so that a dead member's doesn't stay recent among instances
-/// that hear of it from each other.
+/// that hear of it from each other. The dates are too late by what messages
+/// take on their way, which adds up; of evidence with the same number only the
+/// first counts.
 class MemberTable {
  public:
   explicit MemberTable(MemberTableOptions options);
@@ -67,11 +71,13 @@
   void SetListed(const std::vector<ListedInstance>& listed, TimePoint now);
 
   /// Updates a member from a message that it sent; `member.m_state` is
-  /// `kLeaving` or `kLive`.
+  /// `kLeaving` or `kLive`, and `number` the message's, 0 if it has none.
   ///
   /// @return false if the message is from an older incarnation or carries this
   /// instance's own name.
-  bool UpdateFromMessage(const Member& member, TimePoint now);
+  bool UpdateFromMessage(const Member& member,
+                         TimePoint now,
+                         std::uint64_t number = 0);
 
   /// Updates a member from second-hand evidence.
   void UpdateFromRumor(const Rumor& rumor, TimePoint now);
@@ -122,6 +128,8 @@
     // When the member last sent a message as far as known; without evidence,
     // when it was first listed.
     TimePoint m_evidence_at;
+    // The highest number of its messages that is known of; 0 if none is.
+    std::uint64_t m_evidence_number = 0;
     // Part of the time since then that isn't counted as silence.
     Duration m_excused{};
     // When the last heartbeat was sent to it that got no reply. Older evidence
@@ -139,7 +147,10 @@
   Entry& FindOrAddEntry(const std::string& name, TimePoint now);
   void RecordMessageAt(TimePoint now);
   void ApplyMissedReply(const MissedReply& missed);
-  void RecordEvidence(Entry* entry, MemberState state, TimePoint evidence);
+  void RecordEvidence(Entry* entry,
+                      MemberState state,
+                      std::uint64_t number,
+                      TimePoint evidence);
   // Forgets what is known of an earlier run of the member.
   static void BeginRun(Entry* entry);
   void SetState(Entry* entry, MemberState state);
--- a/src/peers/peer_codec.cc
+++ b/src/peers/peer_codec.cc
@@ -114,13 +114,15 @@
   out->set_age_ms(static_cast<std::uint32_t>(ToWireMilliseconds(rumor.m_age)));
   out->set_leaving(rumor.m_leaving);
   FromEndpoint(rumor.m_peers, out->mutable_peers());
+  out->set_number(rumor.m_number);
 }
 
 Rumor ToRumor(const proto::Rumor& in) {
   return {.m_id = {.m_name = in.name(), .m_incarnation = in.incarnation()},
           .m_age = FromWireMilliseconds(in.age_ms()),
           .m_leaving = in.leaving(),
-          .m_peers = ToEndpoint(in.peers())};
+          .m_peers = ToEndpoint(in.peers()),
+          .m_number = in.number()};
 }
 
 void FromSection(const SectionState& section, proto::Section* out) {
--- a/src/peers/peer_network_impl.h
+++ b/src/peers/peer_network_impl.h
@@ -126,6 +126,7 @@
   std::map<std::string, PeerState> m_peer_states;
   std::deque<RecentSection> m_recent_sections;
   std::uint64_t m_last_section_number = 0;
+  std::uint64_t m_last_heartbeat_number = 0;
   std::optional<LocalState> m_local;
   /// Fetches in progress, by stream and whether only deletions are fetched.
   std::map<std::pair<std::string, bool>, feed::FetchTurn> m_fetch_turns;
