A leaving instance closes a connection after the last request received on it

Cause: while an instance leaves, each answer says that the connection will be closed, unless requests behind it have been forwarded already. Those that had only been read, or wait in the kernel, weren't asked for, and were dropped. An answer that is decided while its request is parsed closed the connection as well, since it wasn't known yet what follows.

The connection now closes after the last request that has been received, and an answer that is decided in the parser is sent after it. The requests behind are served or refused as not run by the time that is left.

Ruled out: serving them on another instance (they have been read here), and a wait before the close (it would hold every connection of a leaving instance).

--- a/src/callers/caller_connection.cc
+++ b/src/callers/caller_connection.cc
@@ -59,9 +59,11 @@
 void CallerConnection::OnReadable() {
   if (m_request_complete && !m_lingering && !MayForwardPipelined()) {
     // What follows, or the caller's close, is read after the response is sent.
+    m_has_unread_input = true;
     m_stream->SetReading(false);
     return;
   }
+  m_has_unread_input = false;
   const net::Stream::ReadResult read =
       m_stream->Read(m_worker->m_sockets.scratch());
   switch (read.m_status) {
@@ -122,6 +124,7 @@
     bytes = Feed(bytes);
   } while (PrepareNextRequest() && !bytes.empty());
   m_processing = false;
+  m_has_unparsed_input = false;
   if (!m_closed && !m_lingering) {
     m_pipelined_bytes.assign(bytes);
     ForwardPipelined();
@@ -134,23 +137,27 @@
   if (!m_reader.has_value()) {
     StartReader();
   }
+  m_parsing = true;
   const auto taken = util::Catch([&] { return m_reader->Feed(bytes); });
+  m_parsing = false;
   if (m_closed) {
     return {};
   }
-  if (!taken) {
+  const std::string_view rest =
+      taken ? bytes.substr(*taken.m_value) : std::string_view();
+  m_has_unparsed_input = !rest.empty();
+  m_request_complete = taken && m_reader->done();
+  m_keep_alive = m_keep_alive && taken;
+  if (m_answer_after_parsing.has_value()) {
+    SendWhole(*std::exchange(m_answer_after_parsing, std::nullopt));
+  } else if (!taken) {
     OnReadError(taken.m_error);
-    return {};
-  }
-  if (m_reader->done()) {
-    m_request_complete = true;
-    if (m_exchange != nullptr) {
-      m_exchange->OnBodyEnd();
-    }
+  } else if (m_exchange != nullptr && m_request_complete) {
+    m_exchange->OnBodyEnd();
   } else if (m_exchange != nullptr && !m_exchange->WantsBody()) {
     m_stream->SetReading(false);
   }
-  return bytes.substr(*taken.m_value);
+  return rest;
 }
 
 void CallerConnection::StartReader() {
@@ -281,7 +288,7 @@
   m_exchange->Start();
   const bool expects_continue =
       m_has_body && head.m_fields.HasToken("Expect", "100-continue");
-  if (expects_continue && !m_http_10 &&
+  if (expects_continue && !m_http_10 && !m_answer_after_parsing.has_value() &&
       m_response_state == ResponseState::kNone) {
     m_stream->Write(kContinueResponse);
   }
@@ -352,6 +359,7 @@
   m_response_state = ResponseState::kNone;
   m_request_complete = false;
   m_caller_probed = false;
+  m_answered_early = false;
   m_pipeline_blocked = false;
   m_last_progress = now();
   m_stream->SetReading(true);
--- a/src/callers/caller_connection.h
+++ b/src/callers/caller_connection.h
@@ -103,6 +103,10 @@
   void CancelPipelined();
 
   // Response handling.
+  // Whether anything has been received after the current request.
+  bool HasMoreInput() const;
+  // While bytes are being parsed, the answer is sent afterwards: only then is
+  // it known what follows the request.
   void SendWhole(const forwarding::CompleteAnswer& answer);
   void SendHead(http::ResponseHead head);
   void SendBody(std::string_view bytes);
@@ -133,6 +137,13 @@
   std::string m_pipelined_bytes;
   // The current request, if it was forwarded before its turn.
   std::unique_ptr<PipelinedRequest> m_delivered;
+  // Bytes of the caller, or its close, wait in the kernel.
+  bool m_has_unread_input = false;
+  // Bytes after the current request wait in the buffer that is being processed.
+  bool m_has_unparsed_input = false;
+  // Set while `m_reader` parses bytes.
+  bool m_parsing = false;
+  std::optional<forwarding::CompleteAnswer> m_answer_after_parsing;
   // Requests that have been forwarded behind the current one.
   std::deque<std::unique_ptr<PipelinedRequest>> m_pipelined;
   // The next request has to wait for its turn.
@@ -149,6 +160,8 @@
   bool m_head_request = false;
   bool m_repeatable = false;
   bool m_caller_probed = false;
+  // Answered before its body was read.
+  bool m_answered_early = false;
   http::BodyFraming m_response_framing = http::BodyFraming::kNone;
 
   bool m_peer_half_closed = false;
--- a/src/callers/caller_connection_answer.cc
+++ b/src/callers/caller_connection_answer.cc
@@ -33,7 +33,17 @@
   return hooks;
 }
 
+bool CallerConnection::HasMoreInput() const {
+  return !m_pipelined.empty() || !m_pipelined_bytes.empty() ||
+         m_has_unparsed_input || m_has_unread_input;
+}
+
 void CallerConnection::SendWhole(const forwarding::CompleteAnswer& answer) {
+  if (m_parsing) {
+    m_answered_early = true;
+    m_answer_after_parsing = answer;
+    return;
+  }
   SendHead(answer.m_head);
   SendBody(answer.m_body);
   SendEnd();
@@ -51,13 +61,17 @@
 
 void CallerConnection::SendHead(http::ResponseHead head) {
   m_response_state = ResponseState::kStarted;
-  const bool body_unread = m_has_body && !m_request_complete;
+  // An answer that is decided before the body is read ends the connection,
+  // unless more requests have been received by the time that it is sent.
+  const bool body_unread =
+      m_has_body &&
+      (!m_request_complete || (m_answered_early && !HasMoreInput()));
   const ServerState& state = *m_worker->m_state;
   const bool leaving =
       state.m_shutting_down ||
       (state.m_leaving && m_worker->m_options.m_close_while_leaving);
-  // Pipelined requests that have been forwarded are still answered.
-  if (m_http_10 || body_unread || (leaving && m_pipelined.empty())) {
+  // Pipelined requests that have been received are still answered.
+  if (m_http_10 || body_unread || (leaving && !HasMoreInput())) {
     m_keep_alive = false;
   }
   const bool length_unknown =
--- a/src/callers/pipelined_requests_test.cc
+++ b/src/callers/pipelined_requests_test.cc
@@ -126,4 +126,30 @@
   });
 }
 
+// Guards against requests that a leaving server has received, and closes the
+// connection on after the answer to the one before.
+GUAVACROSS_TEST_CASE(PipelinedRequestsWhileTheServerLeaves) {
+  WorkerFixture fixture;
+  fixture.MakeWorker({.m_close_while_leaving = true});
+  TestPeer& caller = fixture.Caller();
+
+  Section("are served, if they had been read when it began to leave", [&] {
+    caller.Send(Get("/one") + Post("/charge", "x", "Idempotency-Key: k\r\n"));
+    TestPeer& first = LatestBackend(&fixture, "GET /one ");
+    fixture.m_state.m_leaving = true;
+    first.Send(Reply("first"));
+    LatestBackend(&fixture, "POST /charge ");
+    CPPUNIT_ASSERT(!caller.Received("Connection: close"));
+  });
+  Section("and if they waited in the kernel", [&] {
+    caller.Send(Get("/two"));
+    RunEvents();
+    LatestBackend(&fixture, "POST /charge ").Send(Reply("charged"));
+    LatestBackend(&fixture, "GET /two ").Send(Reply("second"));
+    WaitUntil([&] { return caller.ended(); });
+    CPPUNIT_ASSERT(IsBefore(caller.received(), "charged", "second"));
+    CPPUNIT_ASSERT(IsBefore(caller.received(), "charged", "Connection: close"));
+  });
+}
+
 }  // namespace guavacross::callers
