Requests that are left at the end of a planned stop are answered, not reset

Callers whose requests waited for a target until the end of the grace time got no answer: all connections were reset 0.2 s before it. Such requests hadn't run, and a true "not run" would have sent their callers on (LOST: read whole, ended without an answer, the target not at work on them).

Cause: the shutdown limit knew connections only, not what their requests were waiting for.

Requests that haven't been sent and may wait beyond the end are now refused as not run when the instance stops accepting, 0.9 s before the end. At 0.3 s all requests whose answer hasn't begun are answered, those at work with a 502 that promises nothing, and 0.1 s later the connections that are left are reset.

--- a/src/callers/caller_server.cc
+++ b/src/callers/caller_server.cc
@@ -181,6 +181,9 @@
           [worker, on_worker_done] { worker->Finish(on_worker_done); });
     }
     if (m_options.m_shutdown_limit > Duration::zero()) {
+      const TimePoint end =
+          m_hooks.m_clock.m_now() + m_options.m_shutdown_limit;
+      ForEachWorker([end](CallerWorker* each) { each->RefuseWaiting(end); });
       m_shutdown_timer = m_hooks.m_clock.m_call_after(
           m_options.m_shutdown_limit, [this] { OnShutdownLimit(); });
     }
@@ -195,9 +198,7 @@
   }
 
   void SetLimits(const CallerLimits& limits) {
-    for (CallerWorker* const worker : m_workers) {
-      worker->tasks().Post([worker, limits] { worker->SetLimits(limits); });
-    }
+    ForEachWorker([limits](CallerWorker* each) { each->SetLimits(limits); });
   }
 
   CallerServerOptions m_options;
@@ -217,10 +218,19 @@
 
   void OnShutdownLimit() {
     util::LogWarning("callers",
-                     "shutdown time limit reached; aborting open requests",
+                     "shutdown time limit reached; ending open requests",
                      {{"requests", std::to_string(RequestsInFlight())}});
+    ForEachWorker([](CallerWorker* each) { each->EndUnanswered(); });
+    m_shutdown_timer =
+        m_hooks.m_clock.m_call_after(m_options.m_last_answer_time, [this] {
+          ForEachWorker([](CallerWorker* each) { each->AbortAll(); });
+        });
+  }
+
+  // Calls a function for each worker, on its thread.
+  void ForEachWorker(const std::function<void(CallerWorker*)>& call) {
     for (CallerWorker* const worker : m_workers) {
-      worker->tasks().Post([worker] { worker->AbortAll(); });
+      worker->tasks().Post([worker, call] { call(worker); });
     }
   }
 
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -54,7 +54,11 @@
   /// How long callers may cache an address response.
   Duration m_address_lifetime = std::chrono::seconds(5);
   /// Longest time that `Finish` waits for open requests; zero means no limit.
+  /// Those that are left are answered then, as not run if they haven't been
+  /// sent.
   Duration m_shutdown_limit = Duration::zero();
+  /// How long these answers may take to be sent before connections are reset.
+  Duration m_last_answer_time = std::chrono::milliseconds(100);
   CallerLimits m_limits;
   /// The address on which peers pass on requests; port 0 disables it.
   Endpoint m_peer_listen;
--- a/src/callers/caller_worker.cc
+++ b/src/callers/caller_worker.cc
@@ -24,6 +24,11 @@
   return pool;
 }
 
+Error ShuttingDown() {
+  return {.m_kind = ErrorKind::kShuttingDown,
+          .m_text = "this instance is shutting down"};
+}
+
 }  // namespace
 
 CallerWorker::CallerWorker(const CallerServerOptions& options,
@@ -108,6 +113,14 @@
   }
 }
 
+void CallerWorker::RefuseWaiting(TimePoint end) {
+  m_forwarder.RefuseWaiting(end, ShuttingDown());
+}
+
+void CallerWorker::EndUnanswered() {
+  m_forwarder.EndUnanswered(ShuttingDown());
+}
+
 void CallerWorker::AbortAll() {
   while (!m_connections.empty()) {
     m_connections.begin()->second->Abort();
--- a/src/callers/caller_worker.h
+++ b/src/callers/caller_worker.h
@@ -55,6 +55,12 @@
   /// Calls `on_done` once no connection and no request is open.
   void Finish(std::function<void()> on_done);
 
+  /// Refuses the requests that haven't been sent and may wait beyond `end`.
+  void RefuseWaiting(TimePoint end);
+
+  /// Answers the requests whose answer hasn't begun.
+  void EndUnanswered();
+
   /// Aborts all connections and requests.
   void AbortAll();
 
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -74,6 +74,10 @@
   void OnClaim(ClaimDecision decision);
   void OnGrant(util::Expected<Grant> grant);
   bool WantsGrant(std::uint64_t generation) const;
+  // Ends a request that hasn't been sent and may wait beyond `end`.
+  void RefuseIfWaiting(TimePoint end, const Error& error);
+  // Ends a request whose answer hasn't begun.
+  void EndIfUnanswered(const Error& error);
   void Abandon();
 
   // Before the first attempt.
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -338,6 +338,23 @@
       context().m_clock.m_call_after(kMaxDetachedTime, [this] { Abandon(); });
 }
 
+void Exchange::RefuseIfWaiting(TimePoint end, const Error& error) {
+  if (m_active_attempts.empty() && m_request.m_deadline > end) {
+    EndIfUnanswered(error);
+  }
+}
+
+// Requests with claims end by the rules of the ledger.
+void Exchange::EndIfUnanswered(const Error& error) {
+  if (!m_caller_waiting || m_winner != nullptr || claims()) {
+    return;
+  }
+  if (AnySent()) {
+    m_worst_outcome = Outcome::kUnknown;
+  }
+  FailRequest(error);
+}
+
 void Exchange::Abandon() {
   m_caller_waiting = false;
   if (AnySent()) {
--- a/src/forwarding/request_forwarder.cc
+++ b/src/forwarding/request_forwarder.cc
@@ -1,6 +1,7 @@
 #include "forwarding/request_forwarder.h"
 
 #include <utility>
+#include <vector>
 
 #include "forwarding/exchange.h"
 
@@ -28,6 +29,26 @@
   }
 }
 
+void RequestForwarder::RefuseWaiting(TimePoint end, const Error& error) {
+  ForEach([&](Exchange* each) { each->RefuseIfWaiting(end, error); });
+}
+
+void RequestForwarder::EndUnanswered(const Error& error) {
+  ForEach([&](Exchange* each) { each->EndIfUnanswered(error); });
+}
+
+void RequestForwarder::ForEach(const std::function<void(Exchange*)>& call) {
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, exchange] : m_exchanges) {
+    ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    if (const auto found = m_exchanges.find(id); found != m_exchanges.end()) {
+      call(found->second.get());
+    }
+  }
+}
+
 Exchange* RequestForwarder::Begin(ForwardRequest request, AnswerHooks hooks) {
   const std::uint64_t id = m_next_id++;
   auto exchange = std::make_unique<Exchange>(this, id, std::move(request),
--- a/src/forwarding/request_forwarder.h
+++ b/src/forwarding/request_forwarder.h
@@ -125,6 +125,14 @@
   ///     ends within `Begin`: call `Exchange::Start` next.
   Exchange* Begin(ForwardRequest request, AnswerHooks hooks);
 
+  /// Refuses the requests that haven't been sent to a target and may wait
+  /// beyond `end`.
+  void RefuseWaiting(TimePoint end, const Error& error);
+
+  /// Answers the requests whose answer hasn't begun with `error`; those that
+  /// may have run as unknown.
+  void EndUnanswered(const Error& error);
+
   /// Ends all exchanges without an answer; claims that may have run end as
   /// unknown.
   void AbandonAll();
@@ -158,6 +166,8 @@
                const std::shared_ptr<const RequestTraits>& traits,
                util::Expected<Grant> grant);
   void Remove(std::uint64_t id);
+  // Calls a function for each exchange, which may end it.
+  void ForEach(const std::function<void(Exchange*)>& call);
 
   ForwardContext m_context;
   std::uint64_t m_next_id = 1;
--- a/src/peers/member_loss_test.cc
+++ b/src/peers/member_loss_test.cc
@@ -22,6 +22,7 @@
 constexpr std::size_t kRumors = 4;
 // Added to the age of a rumor by its receiver.
 constexpr Duration kAssumedTransit = milliseconds(50);
+constexpr Duration kLongTransit = milliseconds(400);
 
 // By when every instance must have noticed that another has lost power: callers
 // are given its address until then.
@@ -199,9 +200,8 @@
 GUAVACROSS_TEST_CASE(InstanceThatOthersTellOfAfterItsEnd) {
   for (const int count : {45, 123}) {
     Section("of " + std::to_string(count) + " instances", [&] {
-      constexpr Duration kTransit = milliseconds(400);
       const auto lost = static_cast<std::size_t>(count / 2);
-      TableGroup group(count, kTransit);
+      TableGroup group(count, kLongTransit);
       group.m_unreachable = {lost};
       int live = group.LiveAt(lost);
       // What was on the way, and what was passed on of it, has arrived.
--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -40,10 +40,10 @@
 
 // Times before the end of the grace time: by when the last answer must be sent
 // (requests that may take longer are refused), when open connections are
-// finished, and when the remaining ones are closed.
+// finished, and when the requests that are left are answered.
 constexpr Duration kLastAnswerMargin = std::chrono::milliseconds(400);
 constexpr Duration kFinishMargin = std::chrono::milliseconds(900);
-constexpr Duration kCutOffMargin = std::chrono::milliseconds(200);
+constexpr Duration kCutOffMargin = std::chrono::milliseconds(300);
 
 // One worker thread is enough: the machines have only a fraction of one core.
 constexpr int kWorkers = 1;
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -78,13 +78,19 @@
     def log_message(self, *_):
         pass
 
-    def answer(self, status, body=b"", headers=()):
+    def answer(self, status, body=b"", headers=(), body_s=0):
+        """Sends an answer, whose body takes `body_s`."""
         self.send_response(status)
         for name, value in headers:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        if not body_s:
+            self.wfile.write(body)
+            return
+        for byte in body:
+            self.wfile.write(bytes([byte]))
+            time.sleep(body_s / len(body))
 
 
 class Store:
@@ -231,9 +237,11 @@
     (runs it, closes without an answer), `full` (refuses it as not executed),
     `full once` (refuses each request once, and sends the refusal again before
     the next answer on the connection), `extra` (first sends an answer to another
-    request), `deaf` (doesn't answer health checks). With `leaving` it says so in all its answers, and with `limit`
-    it names that many requests a second; with `pause_s` it refuses requests and
-    asks for a pause of that length. `cut` cuts it off from one source address."""
+    request), `deaf` (doesn't answer health checks). With `leaving` it says so in
+    all its answers, and with `limit` it names that many requests a second; with
+    `pause_s` it refuses requests and asks for a pause of that length; with
+    `body_s` it takes that long for the body of an answer. `cut` cuts it off from
+    one source address."""
 
     def __init__(self, store, address, name, service, work_s=0.0,
                  registered_address=None):
@@ -246,6 +254,7 @@
         self.fault = ""
         self.leaving = False
         self.pause_s = 0
+        self.body_s = 0
         # A header value, sent as it is; None sends none.
         self.limit = None
         # Times in s at which requests and health checks arrived.
@@ -394,7 +403,8 @@
     def _answer_as(self, handler, request):
         handler.answer(200, f"{self.name} ran {request}".encode(),
                        [*self._announcements(), ("X-Request-Id", request),
-                        ("X-Response-Signature", f"s.{self.name}")])
+                        ("X-Response-Signature", f"s.{self.name}")],
+                       self.body_s)
 
 
 def config(version, routes, services):
