Claim records whose time can't be represented are refused

Cause: a claim record names the wall-clock time in milliseconds as 64 bits without a sign, and was converted to nanoseconds unchecked. A record with a time beyond the year 2262 made the multiplication overflow, which is undefined; the fold would have dated the record anywhere.

Such a record is malformed now, as others of another format are: it is refused where it is decoded, the one way into the fold and the carried claims.

--- a/src/ledger/claim_fold_test.cc
+++ b/src/ledger/claim_fold_test.cc
@@ -169,6 +169,13 @@
         [&] { return DecodeClaimRecord(EncodeClaimRecord(record)); });
     CPPUNIT_ASSERT(read.m_value == record);
   });
+  Section("a time that can't be represented is an error", [] {
+    const ClaimRecord late{.m_claimant = kA,
+                           .m_wall_ms = std::uint64_t{1} << 63};
+    const auto read =
+        util::Catch([&] { return DecodeClaimRecord(EncodeClaimRecord(late)); });
+    CPPUNIT_ASSERT(read.m_error.m_kind == ErrorKind::kBadMessage);
+  });
   Section("malformed data is rejected", [] {
     const auto read = util::Catch([] { return DecodeClaimRecord("\xff\x01"); });
     CPPUNIT_ASSERT(read.m_error.m_kind == ErrorKind::kBadMessage);
--- a/src/ledger/claim_record.cc
+++ b/src/ledger/claim_record.cc
@@ -1,7 +1,9 @@
 #include "ledger/claim_record.h"
 
+#include <chrono>
 #include <map>
 
+#include "guavacross/time.h"
 #include "ledger.pb.h"
 
 namespace guavacross::ledger {
@@ -10,6 +12,10 @@
 
 constexpr std::uint32_t kVersion = 1;
 
+// The latest time that `WallTime` can hold.
+constexpr std::uint64_t kMaxWallMs =
+    std::chrono::floor<std::chrono::milliseconds>(Duration::max()).count();
+
 void Write(const Claim& claim, proto::Claim* out) {
   out->set_key_high(claim.m_key.m_high);
   out->set_key_low(claim.m_key.m_low);
@@ -90,6 +96,10 @@
     return Fail(ErrorKind::kBadMessage,
                 "not a claim record of the current format version");
   }
+  if (in.wall_ms() > kMaxWallMs) {
+    return Fail(ErrorKind::kBadMessage,
+                "the time of a claim record is out of range");
+  }
   ClaimRecord record{.m_claimant = {.m_name = in.claimant(),
                                     .m_incarnation = in.incarnation()},
                      .m_wall_ms = in.wall_ms()};
