Answers with a status outside of 100 to 599 are malformed

Safe and unsafe requests alike; 001, 099 and 600 to 999 were passed on too.

Cause: Beast's parser accepts any three digits as a status, and nothing behind MessageReader asks for more: what may be a status is a question of the protocol (RFC 9110, 15), which that reader has to answer for all who use it.

Why it works: the head is refused before any hook sees it, so that the attempt ends as a bad answer: a safe request goes to another target, an unsafe one is answered 502 with its outcome unknown and isn't sent again. Status codes of two or four digits, signs and blanks were refused before; the tests keep that.

The same reader serves answers of targets, of peers to requests passed on, of health checks and of the load client.

--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -14,6 +14,10 @@
 using ErrorCode = boost::beast::error_code;
 using StringView = boost::beast::string_view;
 
+// Status codes of the protocol (RFC 9110, 15). Beast accepts any three digits.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
 std::string_view ToStd(StringView text) {
   return {text.data(), text.size()};
 }
@@ -250,7 +254,11 @@
   void on_response_impl(int status,
                         StringView reason,
                         int version,
-                        ErrorCode&) override {
+                        ErrorCode& code) override {
+    if (status < kMinStatus || status > kMaxStatus) {
+      Reject("status code outside of 100 to 599", &code);
+      return;
+    }
     m_response.m_status = status;
     m_response.m_reason = ToStd(reason);
     m_version = version;
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -22,8 +22,9 @@
 
 /// Incremental parser for one HTTP/1.1 message, built on Boost.Beast's parser
 /// with stricter checks: Content-Length with Transfer-Encoding, differing
-/// lengths, folded header lines, bare line feeds, control characters and
-/// transfer codings other than `chunked` are errors.
+/// lengths, folded header lines, bare line feeds, control characters, transfer
+/// codings other than `chunked` and status codes outside of 100 to 599 are
+/// errors.
 ///
 /// Set the hooks, then call `Feed` until `done()`. Body bytes are passed on as
 /// they arrive, without chunk framing. Use a new reader for each message. A
--- a/src/http/message_reader_test.cc
+++ b/src/http/message_reader_test.cc
@@ -48,11 +48,11 @@
   return outcome;
 }
 
-// The kind of error for a request, if any. Checks that reading it whole and
+// The kind of error for a message, if any. Checks that reading it whole and
 // byte by byte agree on whether there is one.
-std::optional<ErrorKind> RequestError(const std::string& bytes) {
-  const ReadOutcome whole = Read(true, bytes, bytes.size());
-  const ReadOutcome pieces = Read(true, bytes, 1);
+std::optional<ErrorKind> MessageError(bool request, const std::string& bytes) {
+  const ReadOutcome whole = Read(request, bytes, bytes.size());
+  const ReadOutcome pieces = Read(request, bytes, 1);
   CPPUNIT_ASSERT_EQUAL(whole.m_error.has_value(), pieces.m_error.has_value());
   if (!whole.m_error) {
     return std::nullopt;
@@ -60,6 +60,14 @@
   return whole.m_error->m_kind;
 }
 
+std::optional<ErrorKind> RequestError(const std::string& bytes) {
+  return MessageError(true, bytes);
+}
+
+std::optional<ErrorKind> ResponseError(const std::string& bytes) {
+  return MessageError(false, bytes);
+}
+
 }  // namespace
 
 GUAVACROSS_TEST_CASE(RequestReading) {
@@ -181,4 +189,23 @@
   });
 }
 
+// A status that isn't one reached callers as an answer.
+GUAVACROSS_TEST_CASE(ResponseStatus) {
+  const auto error_for = [](const std::string& status) {
+    return ResponseError("HTTP/1.1 " + status +
+                         " Text\r\nContent-Length: 2\r\n\r\nok");
+  };
+  for (const std::string status :
+       {"000", "001", "099", "600", "700", "999", "20", "2000", "+20", "-10",
+        "0x1", " 200", "2 00"}) {
+    Section("'" + status + "' is malformed", [&] {
+      CPPUNIT_ASSERT(error_for(status) == ErrorKind::kBackendBadAnswer);
+    });
+  }
+  for (const std::string status : {"100", "200", "299", "404", "599"}) {
+    Section("'" + status + "' is read",
+            [&] { CPPUNIT_ASSERT(!error_for(status).has_value()); });
+  }
+}
+
 }  // namespace guavacross::http
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -8,6 +8,7 @@
 import contextlib
 import http.server
 import json
+import os
 import socket
 import struct
 import threading
@@ -65,6 +66,12 @@
         """Ignores errors: instances reset connections in normal operation."""
 
 
+def reset(connection):
+    """Resets a connection at once, without a regular end before."""
+    _Server._reset(connection)
+    os.close(connection.detach())
+
+
 def _serve(address, handler):
     ip, port = address.rsplit(":", 1)
     server = _Server((ip, int(port)), handler)
@@ -241,7 +248,9 @@
     all its answers, and with `limit` it names that many requests a second; with
     `pause_s` it refuses requests and asks for a pause of that length; with
     `body_s` it takes that long for the body of an answer. `cut` cuts it off from
-    one source address."""
+    one source address. `broken`, if set, writes the answers to requests by hand:
+    it is called with the connection and the lines of a genuine head, before the
+    request's body is read; the connection ends with the answer."""
 
     def __init__(self, store, address, name, service, work_s=0.0,
                  registered_address=None):
@@ -255,6 +264,7 @@
         self.leaving = False
         self.pause_s = 0
         self.body_s = 0
+        self.broken = None
         # A header value, sent as it is; None sends none.
         self.limit = None
         # Times in s at which requests and health checks arrived.
@@ -345,6 +355,9 @@
         handler.close_connection = True
 
     def _run(self, handler):
+        if self.broken and handler.path != "/health":
+            self._answer_by_hand(handler)
+            return
         length = int(handler.headers.get("Content-Length") or 0)
         body = handler.rfile.read(length)
         self.arrived.append(time.monotonic())
@@ -394,6 +407,14 @@
             self._answer_as(handler, "another")
         self._answer_as(handler, request)
 
+    def _answer_by_hand(self, handler):
+        request = handler.headers.get("X-Request-Id")
+        self.started.append((time.monotonic(), request))
+        self.broken(handler.connection,
+                    f"X-Request-Id: {request}\r\n"
+                    f"X-Response-Signature: s.{self.name}\r\n")
+        handler.close_connection = True
+
     def _announcements(self):
         """The headers that all its answers have."""
         leaving = [("Server-Leaving", "1")] if self.leaving else []
