A reset that a send meets first no longer reads as the end of an answer

Callers saw: a target answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a connection's error once, to whichever call comes first. Stream::Send dropped what sendmsg reported, since the event loop was to report it. The next recv then returned 0, as at a regular end, and an answer without length ends there.

Evidence, before the change: AnswersWithoutLengthThatAreReset fails in its first section (upload with a length on a new connection); PeerThatBreaksOff in the new section with a peer as sender; broken-answers-reach-no-caller at upload 0, whose answer ends in `0\r\n\r\n`. All pass with it, also on kept connections and for uploads in chunks.

Why it works: the stream remembers that a send was given the connection's error and Read then reports a failure once all bytes received are read. Whoever reads from a Stream gets it: answers of targets, of peers, and requests of callers.

What must stay right: a target that ends its answer regularly while the upload goes on, and resets the connection only for later bytes, has answered in full. The kernel reports that reset as EPIPE, which doesn't count. Such answers were whole before and are now (AnswersWithoutLengthThatEndBeforeTheUpload, through a peer, and 8 of 8 uploads with real processes).

--- a/src/forwarding/broken_answers_test.cc
+++ b/src/forwarding/broken_answers_test.cc
@@ -1,5 +1,6 @@
 // Backend servers whose answers are broken, and what their callers get.
 
+#include <functional>
 #include <string>
 
 #include "callers/worker_fixture.h"
@@ -14,10 +15,71 @@
 using callers::Post;
 using callers::Reply;
 using callers::WorkerFixture;
+using net::RunEvents;
 using net::TestPeer;
 using net::WaitUntil;
 using util::Section;
 
+constexpr char kHeadWithoutLength[] = "HTTP/1.1 200 OK\r\n\r\n";
+constexpr std::size_t kUploadBytes = std::size_t{5} << 20;
+
+// A request whose body fills all buffers on the way to a backend server that
+// doesn't read it.
+std::string Upload(const std::string& path, bool chunked) {
+  const std::string body(kUploadBytes, 'u');
+  if (!chunked) {
+    return Post(path, body);
+  }
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n" +
+         http::ChunkHeader(body.size()) + body + "\r\n0\r\n\r\n";
+}
+
+// Sends an upload to a backend server that reads only its start, and waits
+// until the buffers are full. With `kept` it goes over a connection that has
+// carried a request.
+TestPeer& StartUpload(WorkerFixture* fixture,
+                      TestPeer* caller,
+                      bool chunked,
+                      bool kept) {
+  if (kept) {
+    caller->Send(Get("/before"));
+    TestPeer& backend = fixture->BackendGot("GET /before ");
+    backend.Send(Reply("earlier"));
+    WaitUntil([&] { return caller->Received("earlier"); });
+    caller->ClearReceived();
+    backend.ClearReceived();
+    backend.PauseAfter(1);
+  } else {
+    fixture->backend().m_pause_peers_after = 1;
+  }
+  caller->Send(Upload("/upload", chunked));
+  TestPeer& backend = fixture->BackendGot("POST /upload ");
+  RunEvents();
+  CPPUNIT_ASSERT(backend.received().size() < kUploadBytes / 2);
+  return backend;
+}
+
+// Runs `test` for uploads with a length and in chunks, on new and on kept
+// connections to the backend server.
+void ForEachUpload(const std::string& name,
+                   const std::function<void(WorkerFixture* fixture,
+                                            TestPeer* caller,
+                                            TestPeer* backend)>& test) {
+  for (const bool chunked : {false, true}) {
+    for (const bool kept : {false, true}) {
+      Section(name + (chunked ? ", body in chunks" : ", body with a length") +
+                  (kept ? ", kept connection" : ", new connection"),
+              [&] {
+                WorkerFixture fixture;
+                TestPeer& caller = fixture.Caller();
+                test(&fixture, &caller,
+                     &StartUpload(&fixture, &caller, chunked, kept));
+              });
+    }
+  }
+}
+
 }  // namespace
 
 // An answer with status 000 reached callers.
@@ -57,4 +119,47 @@
   });
 }
 
+// The part that had arrived reached callers as a complete answer.
+GUAVACROSS_TEST_CASE(AnswersWithoutLengthThatAreReset) {
+  ForEachUpload(
+      "before their part is passed on",
+      [](WorkerFixture*, TestPeer* caller, TestPeer* backend) {
+        backend->Send(std::string(kHeadWithoutLength) + "only this");
+        backend->Abort();
+        WaitUntil([&] { return caller->gone() || caller->Received("0\r\n"); });
+        CPPUNIT_ASSERT(!caller->Received(http::kLastChunk));
+        CPPUNIT_ASSERT(caller->reset());
+      });
+  ForEachUpload(
+      "after their part is passed on",
+      [](WorkerFixture*, TestPeer* caller, TestPeer* backend) {
+        backend->Send(std::string(kHeadWithoutLength) + "only this");
+        WaitUntil([&] { return caller->Received("only this"); });
+        backend->Abort();
+        WaitUntil([&] { return caller->gone() || caller->Received("0\r\n"); });
+        CPPUNIT_ASSERT(!caller->Received(http::kLastChunk));
+        CPPUNIT_ASSERT(caller->reset());
+      });
+}
+
+// A backend server may answer in full before it has read the request, and reset
+// the connection for what still arrives.
+GUAVACROSS_TEST_CASE(AnswersWithoutLengthThatEndBeforeTheUpload) {
+  ForEachUpload("with a close",
+                [](WorkerFixture*, TestPeer* caller, TestPeer* backend) {
+                  backend->Send(std::string(kHeadWithoutLength) + "all of it");
+                  backend->FinishWriting();
+                  WaitUntil([&] { return caller->Received(http::kLastChunk); });
+                  CPPUNIT_ASSERT(caller->Received("all of it"));
+                });
+  ForEachUpload("with a close and a reset after it",
+                [](WorkerFixture*, TestPeer* caller, TestPeer* backend) {
+                  backend->Send(std::string(kHeadWithoutLength) + "all of it");
+                  backend->FinishWriting();
+                  backend->Abort();
+                  WaitUntil([&] { return caller->Received(http::kLastChunk); });
+                  CPPUNIT_ASSERT(caller->Received("all of it"));
+                });
+}
+
 }  // namespace guavacross::forwarding
--- a/src/forwarding/exchange_relay_test.cc
+++ b/src/forwarding/exchange_relay_test.cc
@@ -16,6 +16,7 @@
 using callers::Post;
 using callers::Reply;
 using callers::WorkerFixture;
+using net::RunEvents;
 using net::TestPeer;
 using net::WaitUntil;
 using util::Section;
@@ -169,6 +170,34 @@
     WaitUntil([&] { return caller.gone(); });
     CPPUNIT_ASSERT(caller.reset());
   });
+  // The peer sends an answer without length before it has read an upload.
+  const auto answer_upload = [&fixture](TestPeer* caller) -> TestPeer& {
+    fixture.LosePath();
+    for (const auto& server : fixture.m_peers) {
+      server->peers().clear();
+      server->m_pause_peers_after = 1;
+    }
+    caller->Send(Post("/upload", std::string(std::size_t{5} << 20, 'u')));
+    TestPeer& peer = fixture.PeerGot("POST /upload ");
+    RunEvents();
+    peer.Send("HTTP/1.1 200 OK\r\n\r\nits answer");
+    return peer;
+  };
+  Section("within an answer without length does too", [&] {
+    TestPeer& caller = fixture.Caller();
+    answer_upload(&caller).Abort();
+    WaitUntil([&] { return caller.gone() || caller.Received("0\r\n"); });
+    CPPUNIT_ASSERT(!caller.Received(http::kLastChunk));
+    CPPUNIT_ASSERT(caller.reset());
+  });
+  Section("after a regular end leaves the answer complete", [&] {
+    TestPeer& caller = fixture.Caller();
+    TestPeer& peer = answer_upload(&caller);
+    peer.FinishWriting();
+    peer.Abort();
+    WaitUntil([&] { return caller.Received(http::kLastChunk); });
+    CPPUNIT_ASSERT(caller.Received("its answer"));
+  });
 }
 
 GUAVACROSS_TEST_CASE(RequestOfAPeer) {
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -67,18 +67,24 @@
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
 
-// Sends two parts in order; returns the number of bytes the kernel accepted.
-std::size_t SendParts(int descriptor,
-                      std::string_view first,
-                      std::string_view second) {
+// Sends two parts in order; returns the number of bytes the kernel accepted, or
+// -1 with `errno` set.
+ssize_t SendParts(int descriptor,
+                  std::string_view first,
+                  std::string_view second) {
   std::array<iovec, 2> parts{};
   parts[0] = {const_cast<char*>(first.data()), first.size()};
   parts[1] = {const_cast<char*>(second.data()), second.size()};
   msghdr message{};
   message.msg_iov = parts.data();
   message.msg_iovlen = parts.size();
-  const ssize_t sent = sendmsg(descriptor, &message, MSG_NOSIGNAL);
-  return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+  return sendmsg(descriptor, &message, MSG_NOSIGNAL);
+}
+
+// Whether a failed send means that the peer's direction failed too. A reset
+// that follows the peer's regular end is reported as EPIPE.
+bool EndsPeerDirection(int error) {
+  return !WouldBlock(error) && error != EPIPE;
 }
 
 }  // namespace
@@ -144,10 +150,13 @@
     return {ReadStatus::kBytes,
             std::string_view(buffer.data(), static_cast<std::size_t>(count))};
   }
-  if (count == 0) {
+  if (count == 0 && !m_send_error) {
     m_peer_finished = true;
     return {ReadStatus::kEnd, {}};
   }
+  if (count == 0) {
+    return {ReadStatus::kFailed, {}};
+  }
   return {WouldBlock(errno) ? ReadStatus::kWouldBlock : ReadStatus::kFailed,
           {}};
 }
@@ -173,8 +182,10 @@
 void Stream::Send(std::string_view more) {
   const std::string_view buffered =
       std::string_view(m_unsent).substr(m_unsent_start);
-  // A send error is not handled here: the event loop reports it.
-  const std::size_t sent = SendParts(m_descriptor, buffered, more);
+  const ssize_t result = SendParts(m_descriptor, buffered, more);
+  // `Read` reports the error after the bytes that the peer sent before it.
+  m_send_error = m_send_error || (result < 0 && EndsPeerDirection(errno));
+  const std::size_t sent = result < 0 ? 0 : static_cast<std::size_t>(result);
   m_bytes_sent += sent;
   if (sent < buffered.size()) {
     m_unsent_start += sent;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -71,7 +71,8 @@
   /// Replaces the hooks. Must not be called from within a hook.
   void SetHooks(Hooks hooks) { m_hooks = std::move(hooks); }
 
-  /// Reads into `buffer` without blocking.
+  /// Reads into `buffer` without blocking. `kEnd` is the peer's regular end; a
+  /// reset is `kFailed`, also if a send met it first.
   ReadResult Read(std::span<char> buffer);
 
   /// Sends `bytes`, buffering what the kernel does not accept. Small writes
@@ -152,6 +153,9 @@
   bool m_reading = false;
   bool m_peer_finished = false;
   bool m_finish_writing = false;
+  // Whether a send was given the connection's error, such as a reset. The
+  // kernel reports it once; later reads see what looks like a regular end.
+  bool m_send_error = false;
 };
 
 }  // namespace guavacross::net
--- a/testsuite/broken-answers-reach-no-caller/run.py
+++ b/testsuite/broken-answers-reach-no-caller/run.py
@@ -5,22 +5,32 @@
 Targets write their answers by hand: one of the two of the service `mixed`, both
 of the service `broken`."""
 
+import contextlib
 import http.client
 import itertools
 import pathlib
+import socket
 import sys
+import threading
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import harness
 
 from harness import check, wait_until
 from platform_entry import Entry
-from platform_standin import Store, Target, config
+from platform_standin import Store, Target, config, reset
 
 STORE_PORT = 9900
 TARGET_PORT = 9910
 ROUTES = [("read", "/read/", "safe", "mixed"),
           ("pay", "/pay/", "unsafe", "broken")]
+UPLOADS = 8
+UPLOAD_BYTES = 4 << 20
+UPLOAD_LIMITS = {"MaxHeaderBytes": 16384, "MaxBodyBytes": UPLOAD_BYTES,
+                 "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
+# Long enough for the buffers to fill with what the target doesn't read.
+FILL_S = 0.1
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
 
@@ -31,9 +41,26 @@
     return answer
 
 
+def answer_upload(end):
+    """A function for `Target.broken`: answers before the request's body is
+    read, without a length, and ends the connection with `end`."""
+    def answer(connection, fields):
+        connection.sendall(f"HTTP/1.1 200 OK\r\n{fields}\r\n"
+                           "what arrived".encode())
+        time.sleep(FILL_S)
+        end(connection)
+    return answer
+
+
+def close_then_reset(connection):
+    connection.shutdown(socket.SHUT_WR)
+    reset(connection)
+
+
 with harness.Case(__file__) as case:
     store = Store(case.at(STORE_PORT))
-    store.append("keyed.op", "config", config(5, ROUTES, ["mixed", "broken"]))
+    store.append("keyed.op", "config", {
+        **config(5, ROUTES, ["mixed", "broken"]), "Limits": UPLOAD_LIMITS})
     numbers = itertools.count()
     sound = Target(store, case.at(TARGET_PORT), "sound", "mixed")
     entry = case.start_process(Entry(case, 1, case.at(STORE_PORT)))
@@ -57,6 +84,15 @@
         except http.client.HTTPException as error:
             raise harness.Failure(f"{request}: not an answer: {error!r}")
 
+    wait_until(lambda: call("/read/")[1].status == 200, "requests are served")
+
+    def remove(targets):
+        for target in targets:
+            target.deregister()
+        for target in targets:
+            wait_until(lambda: f'target="{target.name}" change="removed"' in
+                       entry.log(), f"{target.name} isn't used any more")
+
     def check_round(kind, targets):
         """Sends a request of each kind to targets with broken answers."""
         request, read = call("/read/")
@@ -79,11 +115,50 @@
             target.broken = None
         wait_until(lambda: call("/pay/", "POST")[1].status == 200,
                    "the targets' sound answers are delivered again")
-        for target in targets:
-            target.deregister()
+        remove(targets)
 
     with case.section("a status that isn't one"):
         for status in ("000", "099", "600"):
             check_stays_with_target(status, answer_with(
                 f"HTTP/1.1 {status} Trouble\r\nFIELDSContent-Length: 2\r\n"
                 "\r\nok"))
+
+    def upload(chunked):
+        """Sends a body in a thread of its own; returns all that comes back."""
+        connection = harness.RawConnection(entry.front)
+        body = b"u" * UPLOAD_BYTES
+        framing = f"Content-Length: {len(body)}"
+        if chunked:
+            framing = "Transfer-Encoding: chunked"
+            body = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+        connection.send(f"POST /pay/up HTTP/1.1\r\nHost: shop.example\r\n"
+                        f"X-Request-Id: r{next(numbers)}\r\n"
+                        f"X-Deadline-Ms: 1500\r\n{framing}\r\n\r\n")
+
+        def write():
+            with contextlib.suppress(OSError):
+                connection.send(body)
+        writer = threading.Thread(target=write)
+        writer.start()
+        answer = connection.read_to_end()
+        writer.join()
+        connection.close()
+        return answer
+
+    def check_uploads(end, is_whole):
+        """Checks by the last chunk whether answers are complete."""
+        targets = [start_target("broken", answer_upload(end))
+                   for _ in range(2)]
+        wait_until(lambda: b"what arrived" in upload(chunked=False),
+                   "a target answers")
+        for number in range(UPLOADS):
+            answer = upload(chunked=number % 2 == 1)
+            check(b" 200 " in answer, f"not a target's answer: {answer}")
+            check(answer.endswith(b"0\r\n\r\n") == is_whole,
+                  f"upload {number}: {answer}")
+        remove(targets)
+
+    with case.section("an answer without length that is reset isn't complete"):
+        check_uploads(reset, is_whole=False)
+    with case.section("one that ends regularly is, though reset later"):
+        check_uploads(close_then_reset, is_whole=True)
