Tests: field names with a blank or a control byte (held before)

The product is unchanged for it.

The unit test also covers names with a carriage return, a line feed, no colon or no characters, and Content-Length and Transfer-Encoding in disguise.

--- a/src/http/message_reader_test.cc
+++ b/src/http/message_reader_test.cc
@@ -208,4 +208,54 @@
   }
 }
 
+// An intermediary that passes such a line on, or skips it, frames the body
+// differently from its caller.
+GUAVACROSS_TEST_CASE(ResponseFieldNames) {
+  const std::string own = "Content-Length: 2\r\nX-Own: a\r\n";
+  const std::vector<std::pair<std::string, std::string>> lines = {
+      {"a blank", "X Bad: a"},
+      {"a blank at its start", " X-Bad: a"},
+      {"a blank before the colon", "X-Bad : a"},
+      {"a tab", "X\tBad: a"},
+      {"a tab before the colon", "X-Bad\t: a"},
+      {"the control byte 0x01",
+       "X\x01"
+       "Bad: a"},
+      {"the control byte 0x1f",
+       "X\x1f"
+       "Bad: a"},
+      {"the control byte 0x7f",
+       "X\x7f"
+       "Bad: a"},
+      {"a NUL byte", std::string("X\0Bad: a", 8)},
+      {"a carriage return", "X\rBad: a"},
+      {"a line feed", "X\nBad: a"},
+      {"a byte above 0x7f", "X\xe9: a"},
+      {"no characters", ": a"},
+      {"no colon", "X-Bad"},
+      {"a separator", "X(Bad): a"},
+      {"Content-Length and a blank before the colon", "Content-Length : 9"},
+      {"Content-Length and a control byte", "Content-Length\x01: 9"},
+      {"Content-Length and a blank inside", "Content -Length: 9"},
+      {"Transfer-Encoding and a blank before the colon",
+       "Transfer-Encoding : chunked"},
+      {"Transfer-Encoding and a control byte",
+       "Transfer-Encoding\x0b: chunked"},
+  };
+  for (const auto& [name, line] : lines) {
+    Section("with " + name + " is malformed", [&, &line = line] {
+      for (const std::string& fields :
+           {line + "\r\n" + own, own + line + "\r\n"}) {
+        CPPUNIT_ASSERT(ResponseError("HTTP/1.1 200 OK\r\n" + fields +
+                                     "\r\nok") == ErrorKind::kBackendBadAnswer);
+      }
+    });
+  }
+  Section("of all other characters are read", [&] {
+    CPPUNIT_ASSERT(!ResponseError("HTTP/1.1 200 OK\r\n" + own +
+                                  "!#$%&'*+-.^_`|~09azAZ: a\r\n\r\nok")
+                        .has_value());
+  });
+}
+
 }  // namespace guavacross::http
--- a/testsuite/broken-answers-reach-no-caller/run.py
+++ b/testsuite/broken-answers-reach-no-caller/run.py
@@ -123,6 +123,13 @@
                 f"HTTP/1.1 {status} Trouble\r\nFIELDSContent-Length: 2\r\n"
                 "\r\nok"))
 
+    with case.section("a blank or a control byte in the name of a field"):
+        for line in ("X Bad: a", "X-Bad : a", "X\x01Bad: a", "X\x7fBad: a",
+                     "Content-Length : 9", "Transfer-Encoding : chunked"):
+            for fields in (f"FIELDS{line}\r\n", f"{line}\r\nFIELDS"):
+                check_stays_with_target(repr(fields), answer_with(
+                    f"HTTP/1.1 200 OK\r\n{fields}Content-Length: 2\r\n\r\nok"))
+
     def upload(chunked):
         """Sends a body in a thread of its own; returns all that comes back."""
         connection = harness.RawConnection(entry.front)
