Answers of the store, log service and instance list are read within limits

Cause: HttpFetcher was built on Qt's network access, which keeps whatever arrives until the call's time-out. Qt has no limit to set for heads or interim answers. It also reads answers by rules of its own, so that the reader that keeps broken answers from callers didn't see these.

Why it works: ClientConnection reads by http::MessageReader over net::Stream, so that status, field names, framing, resets and limits are judged in the one place where answers are read. Each kind of call names the largest body that it may get; a longer answer ends the call as failed with a reason, and its connection is closed.

Kept: six connections to an address, one result for each call, its time-out, a request whose connection ends before any byte of an answer is sent again. That happens once, not three times. Streams connect to IPv6 addresses too, as Qt's did. The title of a section in LogAppends no longer names Qt; its checks are the same.

--- a/src/instance_list/instance_poller.cc
+++ b/src/instance_list/instance_poller.cc
@@ -15,6 +15,9 @@
 
 constexpr int kOk = 200;
 
+// Ten thousand instances with long names.
+constexpr std::size_t kMaxListBytes = std::size_t{4} << 20;
+
 std::string TextOf(const QJsonValue& entry, const char* key) {
   return entry[QLatin1String(key)].toString().toStdString();
 }
@@ -75,12 +78,13 @@
 }
 
 void InstancePoller::Poll() {
-  m_fetcher.Get(m_options.m_endpoint, "/instances", m_options.m_timeout,
-                [this](const net::FetchResult& fetched) {
-                  HandleResult(fetched);
-                  m_timer = m_clock.m_call_after(m_options.m_interval,
-                                                 [this] { Poll(); });
-                });
+  m_fetcher.Get(
+      m_options.m_endpoint, "/instances", {m_options.m_timeout, kMaxListBytes},
+      [this](const net::FetchResult& fetched) {
+        HandleResult(fetched);
+        m_timer =
+            m_clock.m_call_after(m_options.m_interval, [this] { Poll(); });
+      });
 }
 
 void InstancePoller::HandleResult(const net::FetchResult& fetched) {
--- a/src/log_service/http_log_access.cc
+++ b/src/log_service/http_log_access.cc
@@ -22,6 +22,10 @@
 /// Lower than `kMaxRecordsPerRead`, because the parts of a snapshot are large.
 constexpr int kMaxSnapshotPartsPerRead = 16;
 
+constexpr std::size_t kMaxAppendAnswerBytes = std::size_t{64} << 10;
+// Ten sections of 28,000 targets each, in base64.
+constexpr std::size_t kMaxReadBytes = std::size_t{64} << 20;
+
 constexpr int kCreated = 201;
 constexpr int kOk = 200;
 constexpr int kTooManyRequests = 429;
@@ -117,7 +121,8 @@
   access.m_append = [client, endpoint](const std::string& stream,
                                        const std::string& data,
                                        std::function<void(AppendResult)> done) {
-    client->m_appends.Post(endpoint, RecordsPath(stream), data, kAppendTimeout,
+    client->m_appends.Post(endpoint, RecordsPath(stream), data,
+                           {kAppendTimeout, kMaxAppendAnswerBytes},
                            [done](const net::FetchResult& fetched) {
                              done(ToAppendResult(fetched));
                            });
@@ -133,7 +138,7 @@
     const std::string path =
         RecordsPath(stream) + "?from=" + std::to_string(from) +
         "&max=" + std::to_string(max) + "&wait_ms=" + std::to_string(wait_ms);
-    client->m_reads.Get(endpoint, path, wait + kReadTimeout,
+    client->m_reads.Get(endpoint, path, {wait + kReadTimeout, kMaxReadBytes},
                         [done](const net::FetchResult& fetched) {
                           util::Handle(
                               [&]() -> Result<void> {
--- a/src/log_service/http_log_access.h
+++ b/src/log_service/http_log_access.h
@@ -24,8 +24,8 @@
 /// on one thread that runs an event loop. No callback is called after the last
 /// copy is destroyed.
 ///
-/// `QNetworkAccessManager` resends a POST if the connection closes before the
-/// response, so one append may leave two equal records. Records therefore carry
+/// A POST is sent again if its connection closes before the response, so one
+/// append may leave two equal records. Records therefore carry
 /// ids (edit ids, claim ids), and readers ignore duplicates. An append that was
 /// sent more than once is never reported as rejected.
 LogAccess MakeLogAccess(const Endpoint& endpoint, const Clock& clock);
--- a/src/log_service/http_log_access_test.cc
+++ b/src/log_service/http_log_access_test.cc
@@ -71,7 +71,7 @@
     });
     CPPUNIT_ASSERT(AppendTo(server.endpoint()).m_end == AppendEnd::kUnclear);
   });
-  Section("Qt resends a POST after the connection closed", [] {
+  Section("a POST is sent again after the connection closed", [] {
     RawServer server([](int index, const std::string&) {
       return index == 0 ? "" : HttpAnswer("429 Too Many Requests", "");
     });
--- a/src/net/stream.cc
+++ b/src/net/stream.cc
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <optional>
 #include <utility>
 
 namespace guavacross::net {
@@ -46,21 +47,42 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
-bool ToSocketAddress(const std::string& ip,
-                     std::uint16_t port,
-                     sockaddr_in* address) {
-  address->sin_family = AF_INET;
-  address->sin_port = htons(port);
-  return inet_pton(AF_INET, ip.c_str(), &address->sin_addr) == 1;
+// An IPv4 or IPv6 address.
+struct SocketAddress {
+  sockaddr_storage m_storage{};
+  socklen_t m_size = 0;
+
+  const sockaddr* get() const {
+    return reinterpret_cast<const sockaddr*>(&m_storage);
+  }
+};
+
+std::optional<SocketAddress> ToSocketAddress(const std::string& ip,
+                                             std::uint16_t port) {
+  SocketAddress address;
+  auto* const v4 = reinterpret_cast<sockaddr_in*>(&address.m_storage);
+  if (inet_pton(AF_INET, ip.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(port);
+    address.m_size = sizeof(*v4);
+    return address;
+  }
+  auto* const v6 = reinterpret_cast<sockaddr_in6*>(&address.m_storage);
+  if (inet_pton(AF_INET6, ip.c_str(), &v6->sin6_addr) == 1) {
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(port);
+    address.m_size = sizeof(*v6);
+    return address;
+  }
+  return std::nullopt;
 }
 
 // Binds a socket to an IP address; the port is chosen when it connects.
 bool BindTo(const std::string& ip, int descriptor) {
-  sockaddr_in source{};
+  const auto source = ToSocketAddress(ip, 0);
   SetOption(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
-  return ToSocketAddress(ip, 0, &source) &&
-         bind(descriptor, reinterpret_cast<const sockaddr*>(&source),
-              sizeof(source)) == 0;
+  return source.has_value() &&
+         bind(descriptor, source->get(), source->m_size) == 0;
 }
 
 bool WouldBlock(int error) {
@@ -102,12 +124,12 @@
                                         const Endpoint& address,
                                         const std::string& source,
                                         Hooks hooks) {
-  sockaddr_in target{};
-  if (!ToSocketAddress(address.m_ip, address.m_port, &target)) {
+  const auto target = ToSocketAddress(address.m_ip, address.m_port);
+  if (!target.has_value()) {
     return nullptr;
   }
-  const int descriptor =
-      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int descriptor = socket(target->m_storage.ss_family,
+                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return nullptr;
   }
@@ -116,8 +138,7 @@
     close(descriptor);
     return nullptr;
   }
-  const int result = connect(
-      descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+  const int result = connect(descriptor, target->get(), target->m_size);
   if (result != 0 && errno != EINPROGRESS) {
     close(descriptor);
     return nullptr;
--- a/src/operators/commands_test.cc
+++ b/src/operators/commands_test.cc
@@ -155,7 +155,7 @@
 std::string FetchPath(const Endpoint& endpoint, const std::string& path) {
   net::HttpFetcher fetcher(util::QtClock());
   std::optional<net::FetchResult> result;
-  fetcher.Get(endpoint, path, std::chrono::seconds(5),
+  fetcher.Get(endpoint, path, {std::chrono::seconds(5), std::size_t{1} << 20},
               [&result](const net::FetchResult& done) { result = done; });
   CPPUNIT_ASSERT(net::RunUntil([&result] { return result.has_value(); }));
   return std::to_string(result->m_status) + " " + result->m_body;
--- a/testsuite/platform_standin.py
+++ b/testsuite/platform_standin.py
@@ -105,7 +105,9 @@
 
     Faults: `refusing` answers all calls with 503 (all or none, since the store
     can't tell which instance calls), `down` leaves calls without an answer,
-    `forget` drops the history of a topic, `restore` brings back a copy."""
+    `forget` drops the history of a topic, `restore` brings back a copy.
+    `broken`, if set, writes all answers by hand: it is called with the
+    connection, which ends with the answer."""
 
     def __init__(self, address):
         self._topics = {}
@@ -115,6 +117,7 @@
         self._changed = threading.Condition()
         self.down = False
         self.refusing = False
+        self.broken = None
         self.calls = 0
         store = self
 
@@ -171,6 +174,10 @@
         if self.refusing:
             handler.answer(503)
             return
+        if self.broken:
+            self.broken(handler.connection)
+            handler.close_connection = True
+            return
         url = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/log-newest":
