Broken answers are logged with their reason and counted as what they are

What operators saw: a broken answer of a target ended its attempt as `reset`, in the log and in guavacross_attempts_total, as if the connection had failed. Its reason stood only in the line about the request, and only if that failed: when another target answered, nothing said that a target answers nonsense.

Cause: AttemptEnd had no value for it, and the attempt didn't keep the text of its failure.

Evidence, before: broken-answers-reach-no-caller fails at the first broken answer, whose line has end="reset" and no reason. Now each has exactly one line `attempt ended` with end="bad-answer" and `why`, and AnswersWithAnInvalidStatus counts 4 of 4.

Decisions stay as they were: a bad answer counts against the target like a reset, it shows that the path to the target works, it isn't evidence that the request crashes targets, and an unsafe request isn't sent again for it.

--- a/src/backends/backend_connection.cc
+++ b/src/backends/backend_connection.cc
@@ -256,7 +256,7 @@
       return;
     }
     if (!taken) {
-      Fail(AttemptEnd::kReset, ErrorKind::kBackendBadAnswer,
+      Fail(AttemptEnd::kBadAnswer, ErrorKind::kBackendBadAnswer,
            taken.m_error.m_text);
       return;
     }
@@ -286,7 +286,7 @@
     m_body_bytes_left = head.m_length;
   }
   if (head.m_status == kSwitchingProtocols) {
-    Fail(AttemptEnd::kReset, ErrorKind::kBackendBadAnswer,
+    Fail(AttemptEnd::kBadAnswer, ErrorKind::kBackendBadAnswer,
          "the backend server switched protocols");
   } else if (!m_skip_message && m_attempt != nullptr) {
     m_attempt->m_hooks.m_on_head(head);
--- a/src/forwarding/broken_answers_test.cc
+++ b/src/forwarding/broken_answers_test.cc
@@ -117,6 +117,17 @@
       }
     }
   });
+  Section("are counted by what they were", [&] {
+    const std::string metrics = fixture.m_metrics.Text();
+    const std::string counter =
+        "guavacross_attempts_total{end=\"bad-answer\",service=\"shop\","
+        "zone=\"z1\"} ";
+    const std::size_t at = metrics.find(counter);
+    CPPUNIT_ASSERT(at != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(4, std::stoi(metrics.substr(at + counter.size())));
+  });
+  Section("quarantine no request",
+          [&] { CPPUNIT_ASSERT(fixture.m_router.Quarantines().empty()); });
 }
 
 // The part that had arrived reached callers as a complete answer.
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -64,6 +64,8 @@
     AttemptReport m_report;
     TimePoint m_sent_at;
     int m_answer_status = 0;
+    // Why there is no complete answer; empty if there is one or none was due.
+    std::string m_failure_text;
     // Sent again on a new connection because the reused one was closed.
     bool m_resent = false;
     // The grant has been released to the router.
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -74,10 +74,12 @@
 // may have run.
 void Exchange::OnBadAnswer(ActiveAttempt* attempt) {
   m_worst_outcome = std::max(m_worst_outcome, Outcome::kUnknown);
+  const Error error{.m_kind = ErrorKind::kBackendBadAnswer,
+                    .m_text = "the answer isn't the backend server's own"};
   attempt->m_report.m_answer_begun = true;
-  EndAttempt(attempt, AttemptEnd::kReset);
-  RetryOrFail({.m_kind = ErrorKind::kBackendBadAnswer,
-               .m_text = "the answer isn't the backend server's own"});
+  attempt->m_failure_text = error.m_text;
+  EndAttempt(attempt, AttemptEnd::kBadAnswer);
+  RetryOrFail(error);
 }
 
 bool Exchange::ShouldRetryServerError(const http::ResponseHead& head) {
@@ -188,6 +190,7 @@
     Send(attempt, /*fresh_connection=*/true);
     return;
   }
+  attempt->m_failure_text = failure.m_text;
   if (!attempt->m_grant.m_peer.empty()) {
     OnPeerFailure(attempt, failure);
     return;
--- a/src/forwarding/exchange_log.cc
+++ b/src/forwarding/exchange_log.cc
@@ -31,6 +31,8 @@
       return "connect-failed";
     case AttemptEnd::kReset:
       return "reset";
+    case AttemptEnd::kBadAnswer:
+      return "bad-answer";
     case AttemptEnd::kTimeout:
       return "timeout";
     case AttemptEnd::kPeerRefused:
@@ -60,20 +62,23 @@
       !context().m_log->ShouldLogProblem()) {
     return;
   }
-  RequestLog::LogEvent(
-      "attempt ended", RequestId(),
-      {{"end", std::string(AttemptEndName(end))},
-       {"target", ended.m_grant.m_target},
-       {"peer", ended.m_grant.m_peer},
-       {"address", ToString(ended.m_grant.m_address)},
-       {"service", ended.m_grant.m_service},
-       {"status", std::to_string(ended.m_answer_status)},
-       {"told_slowdown", ended.m_report.m_load.m_slowdown.has_value()
-                             ? std::to_string(*ended.m_report.m_load.m_slowdown)
-                             : "none"},
-       {"asked_pause_ms", FormatMilliseconds(ended.m_report.m_load.m_pause)},
-       {"sent_ms_ago", FormatMilliseconds(now() - ended.m_sent_at)},
-       {"attempt", std::to_string(m_targets_tried.size())}});
+  RequestLog::Fields fields = {
+      {"end", std::string(AttemptEndName(end))},
+      {"target", ended.m_grant.m_target},
+      {"peer", ended.m_grant.m_peer},
+      {"address", ToString(ended.m_grant.m_address)},
+      {"service", ended.m_grant.m_service},
+      {"status", std::to_string(ended.m_answer_status)},
+      {"told_slowdown", ended.m_report.m_load.m_slowdown.has_value()
+                            ? std::to_string(*ended.m_report.m_load.m_slowdown)
+                            : "none"},
+      {"asked_pause_ms", FormatMilliseconds(ended.m_report.m_load.m_pause)},
+      {"sent_ms_ago", FormatMilliseconds(now() - ended.m_sent_at)},
+      {"attempt", std::to_string(m_targets_tried.size())}};
+  if (!ended.m_failure_text.empty()) {
+    fields.emplace_back("why", ended.m_failure_text);
+  }
+  RequestLog::LogEvent("attempt ended", RequestId(), fields);
 }
 
 void Exchange::LogRequestEnd(int status, const std::string& reason) {
--- a/src/include/guavacross/routing.h
+++ b/src/include/guavacross/routing.h
@@ -113,6 +113,9 @@
   kPeerRefused,
   kConnectFailed,
   kReset,
+  /// Bytes that aren't an answer in the protocol, or not the target's own
+  /// answer; the request may have run.
+  kBadAnswer,
   kTimeout,
   /// Cancelled by this instance: the caller disconnected or another copy was
   /// answered first.
--- a/src/routing/service_feedback.cc
+++ b/src/routing/service_feedback.cc
@@ -47,6 +47,7 @@
     case AttemptEnd::kServerError:
     case AttemptEnd::kConnectFailed:
     case AttemptEnd::kReset:
+    case AttemptEnd::kBadAnswer:
     case AttemptEnd::kTimeout:
       break;
   }
@@ -371,7 +372,8 @@
   if (report.m_end == AttemptEnd::kWrongTarget) {
     target->m_replaced = true;
   }
-  if (report.m_end == AttemptEnd::kReset) {
+  if (report.m_end == AttemptEnd::kReset ||
+      report.m_end == AttemptEnd::kBadAnswer) {
     // A request didn't crash a backend server that had begun to answer it.
     const bool may_have_crashed_target =
         !report.m_answer_begun && traits.m_fingerprint != 0;
--- a/src/routing/service_path.cc
+++ b/src/routing/service_path.cc
@@ -57,6 +57,7 @@
     case AttemptEnd::kServerError:
     case AttemptEnd::kRefusedNotRun:
     case AttemptEnd::kWrongTarget:
+    case AttemptEnd::kBadAnswer:
       RecordPath(AnswerEventOf(grant), target, sent_at, now, effects);
       break;
     case AttemptEnd::kConnectFailed:
--- a/testsuite/broken-answers-reach-no-caller/run.py
+++ b/testsuite/broken-answers-reach-no-caller/run.py
@@ -104,6 +104,19 @@
         check(paid.status == 502 if runs else paid.status in PROMISES_NOT_RUN,
               f"{kind}: {paid}")
 
+    def attempt_lines(request):
+        return [line for line in entry.log().splitlines()
+                if 'event="attempt ended"' in line
+                and f'request="{request}"' in line]
+
+    def check_is_logged(kind, targets):
+        """Each broken answer has one line that says why it is one."""
+        for request in [run for target in targets for run in target.runs]:
+            line, = wait_until(lambda: attempt_lines(request),
+                               f"{kind}: {request} is logged")
+            check('end="bad-answer"' in line and ' why="' in line,
+                  f"{kind}: {line}")
+
     def check_stays_with_target(kind, answer):
         """Sends requests while targets give a kind of broken answer."""
         targets = [start_target(service, answer)
@@ -111,6 +124,7 @@
         wait_until(lambda: check_round(kind, targets) or
                    all(target.runs for target in targets),
                    f"{kind}: each target has answered")
+        check_is_logged(kind, targets)
         for target in targets:
             target.broken = None
         wait_until(lambda: call("/pay/", "POST")[1].status == 200,
