The load client no longer takes a reset for the end of an answer

What it did: an answer without length that was reset was counted by the load client, the demo and the stand-ins' control as complete, so that measured runs could show cut answers as served.

Cause: QTcpSocket reports a reset like a regular end (RemoteHostClosedError), which the client passed to the reader as the end of the stream.

A regular end completes the answer before and after.

Why it works: the client's connections are net::ClientConnection, which the store's client uses too, so that one copy of the code decides what a complete answer is. Kept: each request is sent once, errors keep their kinds.

--- a/src/load/http_client.cc
+++ b/src/load/http_client.cc
@@ -2,21 +2,17 @@
 
 #include <xxhash.h>
 
-#include <QHostAddress>
-#include <QTcpSocket>
 #include <QTimer>
-#include <boost/leaf/error.hpp>
 #include <optional>
 #include <utility>
 
 #include "http/message_reader.h"
+#include "net/client_connection.h"
 
 namespace guavacross::load {
 
 namespace {
 
-constexpr qint64 kReadBytes = qint64{256} << 10;
-
 struct HashStateDeleter {
   void operator()(XXH3_state_t* state) const { XXH3_freeState(state); }
 };
@@ -26,68 +22,41 @@
 // One connection, with at most one request in flight.
 class HttpClient::Connection {
  public:
-  Connection(HttpClient* client, Endpoint to)
-      : m_client(client), m_to(std::move(to)), m_hash(XXH3_createState()) {
+  Connection(HttpClient* client, const Endpoint& to)
+      : m_client(client),
+        m_connection(&client->m_sockets, to),
+        m_hash(XXH3_createState()) {
     m_timer.setSingleShot(true);
     QObject::connect(&m_timer, &QTimer::timeout, [this] {
+      m_connection.Close();
       Fail(ErrorKind::kBackendTimeout, "no complete answer in time");
     });
-    QObject::connect(&m_socket, &QTcpSocket::connected, [this] { Write(); });
-    QObject::connect(&m_socket, &QTcpSocket::readyRead, [this] { Read(); });
-    QObject::connect(&m_socket, &QTcpSocket::disconnected,
-                     [this] { OnDisconnected(); });
-    QObject::connect(&m_socket, &QTcpSocket::errorOccurred,
-                     [this](QAbstractSocket::SocketError error) {
-                       if (error != QAbstractSocket::RemoteHostClosedError) {
-                         OnSocketError();
-                       }
-                     });
-  }
-
-  ~Connection() {
-    QObject::disconnect(&m_socket, nullptr, nullptr, nullptr);
-    m_socket.abort();
   }
 
-  bool IsReusable() const {
-    return m_socket.state() == QAbstractSocket::ConnectedState &&
-           m_socket.bytesAvailable() == 0;
-  }
+  bool IsReusable() const { return m_connection.IsReusable(); }
 
-  const Endpoint& to() const { return m_to; }
+  const Endpoint& to() const { return m_connection.to(); }
 
-  void Start(std::string bytes, bool to_head, Duration timeout, Done done) {
-    m_request = std::move(bytes);
+  void Start(const std::string& bytes,
+             bool to_head,
+             Duration timeout,
+             Done done) {
     m_done = std::move(done);
-    m_sent = false;
     m_answer = {};
     XXH3_64bits_reset(m_hash.get());
-    http::MessageReader::Hooks hooks;
-    hooks.m_on_response = [this](const http::ResponseHead& head) {
+    m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(timeout));
+    net::ClientConnection::Hooks hooks;
+    hooks.m_on_head = [this](const http::ResponseHead& head) {
       m_answer.m_head = head;
     };
     hooks.m_on_body = [this](std::string_view body) { AppendBody(body); };
-    m_reader.emplace(http::MessageReader::ForResponse({}, to_head, hooks));
-    m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(timeout));
-    if (m_socket.state() == QAbstractSocket::ConnectedState) {
-      Write();
-      return;
-    }
-    m_socket.connectToHost(QHostAddress(QString::fromStdString(m_to.m_ip)),
-                           m_to.m_port);
+    hooks.m_on_end = [this](const std::optional<Error>& error) {
+      OnEnd(error);
+    };
+    m_connection.Send(bytes, to_head, {}, std::move(hooks));
   }
 
  private:
-  void Write() {
-    if (!m_reader.has_value()) {
-      return;
-    }
-    m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    m_sent = true;
-    m_socket.write(m_request.data(), static_cast<qint64>(m_request.size()));
-    m_request.clear();
-  }
-
   void AppendBody(std::string_view body) {
     XXH3_64bits_update(m_hash.get(), body.data(), body.size());
     m_answer.m_body_bytes += body.size();
@@ -96,83 +65,35 @@
     m_answer.m_body.append(body.substr(0, room));
   }
 
-  void Read() {
-    while (m_reader.has_value() && m_socket.bytesAvailable() > 0) {
-      const QByteArray bytes = m_socket.read(kReadBytes);
-      const auto consumed = util::Catch([&] {
-        return m_reader->Feed(std::string_view(
-            bytes.constData(), static_cast<std::size_t>(bytes.size())));
-      });
-      if (!consumed) {
-        Fail(ErrorKind::kBackendBadAnswer, consumed.m_error.m_text);
-        return;
-      }
-      if (m_reader->done()) {
-        const bool surplus =
-            *consumed.m_value < static_cast<std::size_t>(bytes.size()) ||
-            m_socket.bytesAvailable() > 0;
-        Succeed(!surplus && m_answer.m_head.m_keep_alive);
-        return;
-      }
-    }
-  }
-
-  // The server closed the connection.
-  void OnDisconnected() {
-    Read();
-    if (!m_reader.has_value()) {
-      return;
-    }
-    const bool complete = util::Handle(
-        [this]() -> Result<bool> {
-          BOOST_LEAF_CHECK(m_reader->FeedEndOfStream());
-          return true;
-        },
-        [](const Error&) { return false; });
-    if (complete) {
-      Succeed(false);
+  void OnEnd(const std::optional<Error>& error) {
+    if (!error.has_value()) {
+      m_answer.m_body_hash = XXH3_64bits_digest(m_hash.get());
+      Finish({.m_value = std::move(m_answer)});
       return;
     }
-    Fail(ErrorKind::kBackendReset, "connection closed before the answer ended");
-  }
-
-  void OnSocketError() {
-    const ErrorKind kind =
-        m_sent ? ErrorKind::kBackendReset : ErrorKind::kConnectFailed;
-    Fail(kind, m_socket.errorString().toStdString());
-  }
-
-  void Succeed(bool reusable) {
-    m_answer.m_body_hash = XXH3_64bits_digest(m_hash.get());
-    Finish({.m_value = std::move(m_answer)}, reusable);
+    const bool lost = error->m_kind == ErrorKind::kConnectFailed ||
+                      error->m_kind == ErrorKind::kBackendReset;
+    Fail(lost ? error->m_kind : ErrorKind::kBackendBadAnswer, error->m_text);
   }
 
   void Fail(ErrorKind kind, std::string text) {
-    if (m_reader.has_value()) {
-      Finish({.m_error = {.m_kind = kind, .m_text = std::move(text)}}, false);
-    }
+    Finish({.m_error = {.m_kind = kind, .m_text = std::move(text)}});
   }
 
-  void Finish(util::Expected<ClientAnswer> result, bool reusable) {
+  void Finish(util::Expected<ClientAnswer> result) {
     m_timer.stop();
-    m_reader.reset();
     const Done done = std::move(m_done);
     m_done = nullptr;
-    m_client->ReleaseConnection(this, reusable);
+    m_client->ReleaseConnection(this);
     done(std::move(result));
   }
 
   HttpClient* m_client;
-  Endpoint m_to;
-  QTcpSocket m_socket;
+  net::ClientConnection m_connection;
   QTimer m_timer;
-  std::string m_request;
   Done m_done;
-  bool m_sent = false;
   ClientAnswer m_answer;
   std::unique_ptr<XXH3_state_t, HashStateDeleter> m_hash;
-  // Set while a request is in flight.
-  std::optional<http::MessageReader> m_reader;
 };
 
 HttpClient::HttpClient(std::size_t kept_body_bytes)
@@ -217,18 +138,16 @@
   return count;
 }
 
-void HttpClient::ReleaseConnection(Connection* connection, bool reusable) {
+void HttpClient::ReleaseConnection(Connection* connection) {
   const auto found = m_busy.find(connection);
   std::unique_ptr<Connection> owned = std::move(found->second);
   m_busy.erase(found);
-  if (reusable) {
+  if (owned->IsReusable()) {
     m_idle[owned->to()].push_back(std::move(owned));
-    return;
+  } else {
+    // A member function of the connection is still on the stack.
+    m_sockets.DeleteLater(std::move(owned));
   }
-  // A member function of the connection is still on the stack, so it is
-  // destroyed from the event loop.
-  QTimer::singleShot(0, [kept = std::shared_ptr<Connection>(
-                             std::move(owned))]() mutable { kept.reset(); });
 }
 
 }  // namespace guavacross::load
--- a/src/load/http_client.h
+++ b/src/load/http_client.h
@@ -11,6 +11,7 @@
 #include "guavacross/identity.h"
 #include "guavacross/time.h"
 #include "http/message.h"
+#include "net/socket_set.h"
 #include "util/handle.h"
 
 namespace guavacross::load {
@@ -59,9 +60,10 @@
 
  private:
   class Connection;
-  void ReleaseConnection(Connection* connection, bool reusable);
+  void ReleaseConnection(Connection* connection);
 
   std::size_t m_kept_body_bytes;
+  net::SocketSet m_sockets;
   std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> m_idle;
   std::map<Connection*, std::unique_ptr<Connection>> m_busy;
 };
