A 204 or 304 with the framing of a body leaves no stray bytes at the caller

Callers would see: a target answers 204 with `Transfer-Encoding: chunked`. Such an answer has no body, and a caller that keeps to the protocol looks for the next answer behind its head. It got `0\r\n\r\n` first, which is no answer (MIXED), on a connection that it keeps. A 204 with a Content-Length was passed on with it, which no 204 may have.

Cause: the parser ends such a message at its head, but the reader still took the framing from its fields, and whoever passed the answer on closed a chunked body that had never begun.

Evidence: AnswersThatHaveNoBody fails before in its first section, 204 with chunks; its four sections pass now, each followed by another answer on the caller's connection.

Why it works: the reader reports no body for 204, and none in chunks for 304 (RFC 9112, 6.3), so that everyone who passes answers on frames them rightly. A 304 keeps its Content-Length, which tells the length that a 200 would have.

--- a/src/forwarding/broken_answers_test.cc
+++ b/src/forwarding/broken_answers_test.cc
@@ -173,4 +173,36 @@
                 });
 }
 
+// Answers with these statuses have no body whatever their fields say; the end
+// of a body that isn't there would be bytes outside of any answer.
+GUAVACROSS_TEST_CASE(AnswersThatHaveNoBody) {
+  WorkerFixture fixture;
+  TestPeer& caller = fixture.Caller();
+  int number = 0;
+
+  for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    for (const std::string framing :
+         {"Transfer-Encoding: chunked\r\n", "Content-Length: 5\r\n"}) {
+      Section(status + " with " + framing, [&] {
+        caller.ClearReceived();
+        const std::string path = "/" + std::to_string(++number);
+        caller.Send(Get(path));
+        fixture.BackendGot("GET " + path + " ")
+            .Send("HTTP/1.1 " + status + "\r\n" + framing + "\r\n");
+        WaitUntil([&] { return caller.Received("\r\n\r\n"); });
+        caller.Send(Get(path + "/next"));
+        fixture.BackendGot("GET " + path + "/next ").Send(Reply("its own"));
+        WaitUntil([&] { return caller.Received("its own"); });
+        const std::string& received = caller.received();
+        const std::size_t end = received.find("\r\n\r\n") + 4;
+        CPPUNIT_ASSERT(received.substr(end).starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(!caller.Received("Transfer-Encoding"));
+        CPPUNIT_ASSERT(status.starts_with("304") ||
+                       received.substr(0, end).find("Content-Length") ==
+                           std::string::npos);
+      });
+    }
+  }
+}
+
 }  // namespace guavacross::forwarding
--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -18,6 +18,9 @@
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
 
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
 std::string_view ToStd(StringView text) {
   return {text.data(), text.size()};
 }
@@ -326,8 +329,14 @@
   void FillHead(Head* head) {
     head->m_fields = std::move(m_fields);
     head->m_keep_alive = Base::keep_alive();
+    const bool is_204 = !kIsRequest && m_response.m_status == kNoContent;
+    const bool is_304 = !kIsRequest && m_response.m_status == kNotModified;
     const auto length = Base::content_length();
-    if (Base::chunked()) {
+    // These responses have no body (RFC 9112, 6.3). With 304, a length is that
+    // of the body which a 200 would have.
+    if (is_204 || (is_304 && Base::chunked())) {
+      head->m_framing = BodyFraming::kNone;
+    } else if (Base::chunked()) {
       head->m_framing = BodyFraming::kChunked;
     } else if (length.has_value()) {
       head->m_framing = BodyFraming::kLength;
