--- a/src/net/http_fetcher_test.cc
+++ b/src/net/http_fetcher_test.cc
@@ -252,6 +252,8 @@
   Section("end at their time-out, with their connection", [&] {
     const auto result = fixture.Get("/silent");
     TestPeer& peer = fixture.Got("GET /silent ");
+    // A response that arrives with the time-out isn't read any more.
+    peer.Send(Reply("late"));
     fixture.m_clock.Advance(kTimeout);
     WaitUntil([&] { return result->has_value(); });
     CPPUNIT_ASSERT_EQUAL(std::string("no answer in time"), (*result)->m_error);
