review: case 10, two instances give a tenant's limit until a cut is noticed

Disruption: node_cut, the instance that owns the limit, one of three, for 12 s; the tenant is hot (x 7.5, 6.5 s) with TROUBLE=0 too.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # that there is nothing to build; this checks that they can be read.
 set -eu
 cd "$(dirname "$0")"
-python3 - support_2.py [0-9]*/case.py <<'END'
+python3 - *_2.py [0-9]*/case.py <<'END'
 import ast
 import sys
 
