--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,8 @@
 """Connections to targets go silent while answers are on their way.
 
-Three instances, six targets behind proxies that carry 10 Mbit/s a connection.
-Clients download. Twice a share of the open connections between instances and
-targets goes silent for good, without a reset; new ones work. A request that is
+Three instances, six targets behind proxies that carry 15 Mbit/s a connection.
+Clients download. Five times half of the open connections to targets of two of the
+instances go silent for good, without a reset; new ones work. A request that is
 unanswered at its route's TimeoutMs must have its final answer, or the end of its
 connection, half a second later."""
 
@@ -17,12 +17,13 @@
 TIME_LIMIT_S = 8.0
 STABLE_S = 3.0
 ANSWER_SLACK_S = 0.5
-RATE_PER_S = 40
-SHARE_SILENT = 0.7
-BYTES_PER_S = 10e6 / 8
+RATE_PER_S = 60
+INSTANCES, HIT = 3, 2
+SHARE_SILENT = 0.5
+BYTES_PER_S = 15e6 / 8
 PIECE = 8192
-SILENT_AT_S = (5.0, 14.0)
-LENGTH_S = 18.0
+SILENT_AT_S = (4.0, 12.0, 20.0, 28.0, 36.0)
+LENGTH_S = 38.0
 
 
 class Proxy:
@@ -41,7 +42,8 @@
 
     async def _serve(self, reader, writer):
         other_reader, other_writer = await connect(self._target.address)
-        link = {"silent": False}
+        link = {"silent": False,
+                "from": writer.get_extra_info("peername")[0]}
         self.links.append(link)
         both = [asyncio.ensure_future(self._carry(reader, other_writer, link)),
                 asyncio.ensure_future(self._carry(other_reader, writer, link))]
@@ -75,10 +77,10 @@
     proxies = []
     for index in range(6):
         target = Target(deployment.store, record, deployment.ip(20 + index),
-                        8283, f"i-desk-{index}", "stylist-desk",
-                        work=lambda request: (0.057, rng.randint(90_000,
+                        PORTS["target"], f"i-desk-{index}", "stylist-desk",
+                        work=lambda request: (0.057, rng.randint(300_000,
                                                                  540_000)))
-        proxy = Proxy(deployment.ip(60 + index), 8283, target)
+        proxy = Proxy(deployment.ip(60 + index), PORTS["target"], target)
         await target.start(advertised=proxy.address)
         await proxy.start()
         proxies.append(proxy)
@@ -86,7 +88,13 @@
         [{"Name": "lookbook-pull", "PathPrefix": "/pull/", "Kind": "download",
           "TimeoutMs": int(TIMEOUT_S * 1000), "SloMs": 1200,
           "Service": "stylist-desk"}], ["stylist-desk"])
-    deployment.add_instances(3)
+    for index in range(INSTANCES):
+        ip = deployment.ip(1 + index)
+        deployment.instances.append(Instance(
+            deployment.folder, f"edge-{index}", ip, "zone-a",
+            [deployment.ip(1 + each) for each in range(INSTANCES)],
+            deployment.store.address, more=f'targets_from = "{ip}"\n'))
+        deployment.instances[-1].start()
     await deployment.wait_ready()
     await asyncio.sleep(2)
 
@@ -126,13 +134,15 @@
             return
         for at in SILENT_AT_S:
             await asyncio.sleep(max(0, begun + at - time.monotonic()))
-            links = [link for link in Proxy.links
-                     if not link["silent"]]
-            for link in rng.sample(links, round(SHARE_SILENT * len(links))):
-                link["silent"] = True
+            for instance in rng.sample(deployment.instances, HIT):
+                links = [link for link in Proxy.links
+                         if not link["silent"] and link["from"] == instance.ip]
+                count = int(SHARE_SILENT * len(links))
+                for link in rng.sample(links, count):
+                    link["silent"] = True
+                record.add("connections silent", instance=instance.name,
+                           of=len(links), count=count)
             silences.append(time.monotonic())
-            record.add("connections silent", of=len(links),
-                       count=round(SHARE_SILENT * len(links)))
 
     tasks = [asyncio.ensure_future(silence())]
     while time.monotonic() < begun + LENGTH_S:
