--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,2 +1,4 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+exec python3 "$here/../run_case_2.py" "$here/case.py"
--- a/review/support_2.py
+++ b/review/support_2.py
@@ -25,6 +25,13 @@
 # Exit codes of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
+# The ports of a deployment, the same on all its addresses; `Deployment` moves
+# them if one is in use. That of the operators stands in the deploy file's
+# template.
+PORTS = {"front": 8144, "ready": 8140, "directory": 8143, "control": 8146,
+         "peers": 7670, "relay": 7675, "store": 8142, "target": 8283}
+OPERATORS_PORT = 7661
+
 
 def trouble():
     """Whether the disruption is brought about."""
@@ -375,15 +382,23 @@
                 work_s, size = self.work(request)
                 await asyncio.sleep(work_s)
                 body = body_of(request.id, size)
-                if self.answer is not None:
-                    return await self.answer(self, request, writer, body)
-                self._write(writer, 200, [*known, self.signature(request)],
-                            body)
-                await writer.drain()
-                return True
+                # A target stops work at the deadline that it was given.
+                limit = int(request.head.get("x-deadline-ms") or 60000) / 1000
+                try:
+                    return await asyncio.wait_for(
+                        self._send(request, writer, known, body), limit)
+                except asyncio.TimeoutError:
+                    return False
         finally:
             self._busy -= 1
 
+    async def _send(self, request, writer, known, body):
+        if self.answer is not None:
+            return await self.answer(self, request, writer, body)
+        self._write(writer, 200, [*known, self.signature(request)], body)
+        await writer.drain()
+        return True
+
     def signature(self, request):
         return ("X-Response-Signature", f"s.{self.name}.{request.id}")
 
@@ -404,14 +419,15 @@
                  more=""):
         self.name, self.ip, self.zone = name, ip, zone
         self.front, self.ready, self.directory = (
-            f"{ip}:{port}" for port in (8144, 8140, 8143))
+            f"{ip}:{PORTS[name]}" for name in ("front", "ready", "directory"))
         self._folder = folder
         self.settings = folder / f"{name}.toml"
         self._fields = {
             "Node": name, "Region": "r", "Zone": zone,
             "Listen.Front": self.front, "Listen.Ready": self.ready,
             "Listen.Directory": self.directory, "Ip": ip,
-            "InternalPorts.0": "7670", "InternalPorts.1": "7671",
+            "InternalPorts.0": PORTS["peers"],
+            "InternalPorts.1": PORTS["relay"],
             "Seeds": seeds, "Platform.Address": store,
             "Bounds.DrainMs": "2000", "Bounds.GraceS": "6",
             "Limits.MaxFds": "10250", "Bounds.RetryBudgetRatio": "0.2",
@@ -424,7 +440,7 @@
 
     def write_settings(self):
         text = (ROOT / "deploy/settings.toml.in").read_text()
-        seeds = ", ".join(f'"{each}:8146"' for each in self._fields["Seeds"])
+        seeds = ", ".join(f'"{each}:{PORTS["control"]}"' for each in self._fields["Seeds"])
         text = re.sub(r"\{\{#Seeds\}\}.*?\{\{/Seeds\}\}", seeds, text)
         text = re.sub(r"\{\{([\w.]+)\}\}",
                       lambda found: str(self._fields[found[1]]), text)
@@ -509,22 +525,26 @@
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._folder.name)
         self._net = self._free_net()
-        self.store = Store(self.ip(250), 8142)
+        self.store = Store(self.ip(250), PORTS["store"])
         self.targets, self.instances, self.version = [], [], 0
         self._ids = 0
 
     def _free_net(self):
         """A block of loopback addresses whose ports are free."""
         for step in range(200):
-            number = (os.getpid() + step * 37) % 60000
-            net = f"127.{20 + number // 250 % 230}.{1 + number % 250}"
+            number = (os.getpid() + step * 37) % 57500
+            net = f"127.{20 + number // 250}.{1 + number % 250}"
+            moved = {name: port + 20 * step for name, port in PORTS.items()}
             try:
-                for ip, port in ((1, 8144), (250, 8142), (1, 7661)):
-                    with socket.socket() as probe:
-                        probe.bind((f"{net}.{ip}", port))
-                return net
+                # The highest and lowest addresses in use, and some between.
+                for host in (1, 2, 3, 20, 30, 60, 100, 102, 250):
+                    for port in (*moved.values(), OPERATORS_PORT):
+                        with socket.socket() as probe:
+                            probe.bind((f"{net}.{host}", port))
             except OSError:
                 continue
+            PORTS.update(moved)
+            return net
         raise RuntimeError("no free addresses")
 
     def ip(self, number):
@@ -537,7 +557,7 @@
         added = []
         for index in range(count):
             number = 20 + len(self.targets)
-            target = Target(self.store, self.record, self.ip(number), 8283,
+            target = Target(self.store, self.record, self.ip(number), PORTS["target"],
                             f"i-{service}-{index}", service,
                             zones[index % len(zones)], **options)
             await target.start()
--- a/review/tenant_cut_2.py
+++ b/review/tenant_cut_2.py
@@ -13,7 +13,6 @@
 TENANT, KEY = "choir-1", "k-4711"
 QUOTA_WINDOW_S, QUOTA_OVERAGE, QUOTA_SLACK = 5, 0.1, 20
 HOT_X, HOT_S, CUT_S = 7.5, 6.5, 12.0
-PEERS_PORT = 7670
 
 
 class PeerProxy:
@@ -23,13 +22,13 @@
 
     def __init__(self, ip, instance_name, instance_ip):
         self.ip, self._name = ip, instance_name
-        self._to = f"{instance_ip}:{PEERS_PORT}"
+        self._to = f"{instance_ip}:{PORTS['peers']}"
         # Whether nothing passes between these two instances.
         self.is_cut = lambda one, other: False
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, self.ip,
-                                                  PEERS_PORT)
+                                                  PORTS["peers"])
 
     async def _serve(self, reader, writer):
         link = {"from": None}
@@ -98,6 +97,7 @@
                  "Rows": [[TENANT, [KEY], 1, plan.rate_per_s,
                           plan.burst]]})
     cut = {"on": False}
+    peers_port = PORTS["peers"]
     proxies = []
     for index in range(plan.instances):
         proxies.append(PeerProxy(deployment.ip(100 + index), f"edge-{index}",
@@ -110,7 +110,7 @@
             deployment.folder, f"edge-{index}", deployment.ip(1 + index),
             "zone-a", [proxy.ip for proxy in proxies],
             deployment.store.address,
-            more=f'peers_advertised = "{proxies[index].ip}:{PEERS_PORT}"\n'))
+            more=f'peers_advertised = "{proxies[index].ip}:{peers_port}"\n'))
         deployment.instances[-1].start()
     await deployment.wait_ready()
     await asyncio.sleep(4)
