An answer with a length ends by its request's time limit

Cause: AcceptAnswer dropped the timer of the deadline once the head had come, and LimitBodyTime set another one only for answers in chunks or without a length. Ruled out: the limit for unacknowledged bytes, which concerns bytes of the request; none is in flight while an answer is read.

Change: one limit for every framing, the deadline and 0.3 s. The limit waits while the caller is the slow side of an answer with a length: what is ready is delivered late. The target counts as timed out only if it was silent for half of the route's time. Related paths with the same cause: keyed requests, and requests whose answer begins after their caller has left, had no limit in any framing and kept the target's slot.

Why it works: the timer that ends the request exists from its start to the end of its answer, whatever the head says.

--- a/src/forwarding/exchange.cc
+++ b/src/forwarding/exchange.cc
@@ -388,7 +388,10 @@
     const bool plain = sent == m_winner && m_caller_waiting && !m_claimed;
     return plain ? m_hooks.m_raw_stream() : nullptr;
   };
-  hooks.m_on_moved = [this, sent] { PauseIfBuffered(sent, 0); };
+  hooks.m_on_moved = [this, sent] {
+    sent->m_progress_at = now();
+    PauseIfBuffered(sent, 0);
+  };
   hooks.m_on_drained = [this] { NotifyBodyWanted(); };
   sent->m_sent_at = now();
   sent->m_attempt =
--- a/src/forwarding/exchange.h
+++ b/src/forwarding/exchange.h
@@ -63,7 +63,11 @@
     std::unique_ptr<backends::Attempt> m_attempt;
     AttemptReport m_report;
     TimePoint m_sent_at;
+    // When the latest part of the chosen answer arrived.
+    TimePoint m_progress_at;
     int m_answer_status = 0;
+    // The answer's head names the length of its body.
+    bool m_has_length = false;
     // Why there is no complete answer; empty if there is one or none was due.
     std::string m_failure_text;
     // Sent again on a new connection because the reused one was closed.
@@ -117,8 +121,11 @@
   void OnBadAnswer(ActiveAttempt* attempt);
   bool ShouldRetryServerError(const http::ResponseHead& head);
   void AcceptAnswer(ActiveAttempt* winner, const http::ResponseHead& head);
-  // Ends an answer whose body may have no end, some time after the deadline.
-  void LimitBodyTime(const http::ResponseHead& head);
+  // Limits the time that the rest of the answer may take: until shortly after
+  // the deadline, and `min_time` at least.
+  void LimitBodyTime(Duration min_time);
+  void OnBodyOverdue();
+  AttemptEnd EndOfOverdue(const ActiveAttempt& attempt) const;
   void OnAnswerBody(ActiveAttempt* attempt, std::string_view bytes);
   // Pauses reading the answer if more than `limit` bytes of it are buffered.
   void PauseIfBuffered(ActiveAttempt* attempt, std::size_t limit);
--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -18,9 +18,14 @@
 // more, so that it can be recorded.
 constexpr Duration kMaxDetachedTime = std::chrono::minutes(10);
 
-// How long after the deadline the body of an answer without a length may go on.
+// How long after the deadline the rest of an answer is waited for, while the
+// caller has taken what came before it.
 constexpr Duration kLateBodyTime = std::chrono::milliseconds(300);
 
+// How long to wait, so that it can be recorded, for the rest of an answer that
+// is overdue.
+constexpr Duration kMaxOverdueRecordTime = std::chrono::seconds(10);
+
 constexpr int kFirstServerError = 500;
 
 // Server errors that another target may not return.
@@ -32,7 +37,8 @@
 
 void Exchange::OnHead(ActiveAttempt* attempt, const http::ResponseHead& head) {
   attempt->m_answer_status = head.m_status;
-  if (head.m_framing == http::BodyFraming::kLength) {
+  attempt->m_has_length = head.m_framing == http::BodyFraming::kLength;
+  if (attempt->m_has_length) {
     attempt->m_report.m_answer_bytes = head.m_length;
   }
   attempt->m_report.m_latency = now() - attempt->m_sent_at;
@@ -91,6 +97,7 @@
 void Exchange::AcceptAnswer(ActiveAttempt* winner,
                             const http::ResponseHead& head) {
   m_winner = winner;
+  winner->m_progress_at = now();
   m_deadline_timer.reset();
   m_hedge_timer.reset();
   StopAcquiring();
@@ -111,28 +118,64 @@
   if (m_caller_waiting) {
     m_hooks.m_on_head(to_caller);
   }
-  LimitBodyTime(head);
+  LimitBodyTime(Duration::zero());
 }
 
-void Exchange::LimitBodyTime(const http::ResponseHead& head) {
-  const bool may_be_endless = head.m_framing == http::BodyFraming::kChunked ||
-                              head.m_framing == http::BodyFraming::kUntilClose;
-  if (!may_be_endless || m_ended || m_claimed ||
-      m_request.m_deadline == TimePoint::max()) {
+void Exchange::LimitBodyTime(Duration min_time) {
+  if (m_ended || m_winner == nullptr) {
+    return;
+  }
+  if (m_request.m_deadline == TimePoint::max()) {
+    if (!m_caller_waiting) {
+      m_deadline_timer = context().m_clock.m_call_after(kMaxDetachedTime,
+                                                        [this] { Abandon(); });
+    }
     return;
   }
   const Duration remaining =
-      std::max(m_request.m_deadline + kLateBodyTime - now(), Duration::zero());
-  m_deadline_timer = context().m_clock.m_call_after(remaining, [this] {
-    EndAttempt(m_winner, AttemptEnd::kTimeout);
+      std::max(m_request.m_deadline + kLateBodyTime - now(), min_time);
+  m_deadline_timer =
+      context().m_clock.m_call_after(remaining, [this] { OnBodyOverdue(); });
+}
+
+void Exchange::OnBodyOverdue() {
+  m_deadline_timer.reset();
+  if (m_reading_paused && m_winner->m_has_length) {
+    // The caller reads slowly, and the answer has an end. It is still
+    // delivered; `OnCallerDrained` limits the time of the rest.
+    return;
+  }
+  m_winner->m_failure_text = "the rest of the answer came too late";
+  if (!m_claimed || m_record_too_large) {
+    EndAttempt(m_winner, EndOfOverdue(*m_winner));
     AbortAnswer();
-  });
+    return;
+  }
+  // The answer is still worth recording for a later copy of the request.
+  ReleaseAttempt(m_winner, EndOfOverdue(*m_winner));
+  if (std::exchange(m_caller_waiting, false)) {
+    Count(Outcome::kUnknown);
+    LogRequestEnd(0, "the answer was cut short");
+    m_hooks.m_on_abort();
+  }
+  m_deadline_timer = context().m_clock.m_call_after(kMaxOverdueRecordTime,
+                                                    [this] { Abandon(); });
+}
+
+// A target that has been silent for most of the time has failed to answer; if
+// bytes still arrive, the path may be slow or the caller's deadline too short.
+AttemptEnd Exchange::EndOfOverdue(const ActiveAttempt& attempt) const {
+  const Duration max_silence =
+      std::max(m_request.m_class->m_deadline / 2, kLateBodyTime);
+  return now() - attempt.m_progress_at >= max_silence ? AttemptEnd::kTimeout
+                                                      : AttemptEnd::kCancelled;
 }
 
 void Exchange::OnAnswerBody(ActiveAttempt* attempt, std::string_view bytes) {
   if (attempt != m_winner) {
     return;
   }
+  attempt->m_progress_at = now();
   if (m_claimed && !m_record_too_large) {
     m_record_too_large =
         m_record.m_body.size() + bytes.size() > kMaxRecordedBytes;
@@ -155,6 +198,9 @@
 void Exchange::OnCallerDrained() {
   if (std::exchange(m_reading_paused, false) && m_winner != nullptr) {
     m_winner->m_attempt->SetReading(true);
+    if (m_winner->m_has_length && m_request.m_deadline <= now()) {
+      LimitBodyTime(kLateBodyTime);
+    }
   }
 }
 
@@ -315,6 +361,10 @@
   for (const auto& each : m_active_attempts) {
     each->m_attempt->SetReading(true);
   }
+  if (m_winner != nullptr) {
+    LimitBodyTime(Duration::zero());
+    return;
+  }
   const Duration remaining =
       m_request.m_deadline == TimePoint::max()
           ? kMaxDetachedTime
@@ -333,9 +383,7 @@
     return;
   }
   for (const auto& each : m_active_attempts) {
-    if (each.get() != m_winner) {
-      ReleaseAttempt(each.get(), AttemptEnd::kTimeout);
-    }
+    ReleaseAttempt(each.get(), AttemptEnd::kTimeout);
   }
   m_deadline_timer =
       context().m_clock.m_call_after(kMaxDetachedTime, [this] { Abandon(); });
--- a/src/forwarding/exchange_relay_test.cc
+++ b/src/forwarding/exchange_relay_test.cc
@@ -170,6 +170,18 @@
     WaitUntil([&] { return caller.gone(); });
     CPPUNIT_ASSERT(caller.reset());
   });
+  // Guards against callers that got neither the rest of such an answer nor the
+  // end of their connection.
+  Section("by silence does so by the request's time limit", [&] {
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/stops", "Guavacross-Deadline-Ms: 1000\r\n"));
+    TestPeer& peer = fixture.PeerGot("GET /stops ");
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this");
+    WaitUntil([&] { return caller.Received("only this"); });
+    fixture.m_clock.Advance(std::chrono::milliseconds(1500));
+    WaitUntil([&] { return caller.gone() && peer.gone(); });
+    CPPUNIT_ASSERT(caller.reset());
+  });
   // The peer sends an answer without length before it has read an upload.
   const auto answer_upload = [&fixture](TestPeer* caller) -> TestPeer& {
     fixture.LosePath();
