Tests: status 000 on every way to a caller (held before)

Here MessageReader refuses such a status since; these tests look at the ways that its tests left out: after another answer on the same connection, after an interim answer or one to another request, in other framings, byte by byte, of keyed requests, from a peer and through one.

--- a/src/forwarding/broken_answers_test.cc
+++ b/src/forwarding/broken_answers_test.cc
@@ -130,6 +130,79 @@
           [&] { CPPUNIT_ASSERT(fixture.m_router.Quarantines().empty()); });
 }
 
+// Guards against an answer with status 000 that reaches a caller on another way
+// than as the first answer on a new connection.
+GUAVACROSS_TEST_CASE(InvalidStatusOnEveryWay) {
+  const std::string nonsense = Reply("nonsense", "000 Trouble");
+  // Sends a request and an answer to it, and expects a failure of the instance.
+  const auto check = [](WorkerFixture* fixture, const std::string& request,
+                        const std::string& answer) {
+    TestPeer& caller = fixture->Caller();
+    caller.Send(request);
+    TestPeer& backend =
+        LatestBackend(fixture, request.substr(0, request.find("HTTP/1.1")));
+    backend.Send(answer);
+    WaitUntil([&] { return caller.Received("\r\n\r\n"); });
+    RunEvents();
+    CPPUNIT_ASSERT(caller.Received("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(!caller.Received("nonsense"));
+    CPPUNIT_ASSERT(backend.gone());
+  };
+  // A request that isn't sent again: its body can't be.
+  const std::string upload = Post("/upload", std::string(1 << 20, 'u'));
+  const std::string keyed =
+      Post("/charge", "10 EUR", "Idempotency-Key: k1\r\n");
+
+  Section("after another answer on the same connection", [&] {
+    WorkerFixture fixture;
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Get("/before"));
+    fixture.BackendGot("GET /before ").Send(Reply("earlier"));
+    WaitUntil([&] { return caller.Received("earlier"); });
+    check(&fixture, upload, nonsense);
+  });
+  for (const std::string interim : {"100 Continue", "103 Early Hints"}) {
+    Section("after " + interim, [&] {
+      WorkerFixture fixture;
+      check(&fixture, upload, "HTTP/1.1 " + interim + "\r\n\r\n" + nonsense);
+    });
+  }
+  Section("after the answer to another request", [&] {
+    WorkerFixture fixture;
+    ServiceConfig service = fixture.Service();
+    service.m_request_id_header = "X-Request-Id";
+    fixture.Configure(service);
+    check(&fixture, upload,
+          Reply("other", "200 OK", "X-Request-Id: other\r\n") + nonsense);
+  });
+  for (const std::string framing :
+       {"Transfer-Encoding: chunked\r\n\r\n8\r\nnonsense\r\n0\r\n\r\n",
+        "\r\nnonsense", "Content-Length: 0\r\n\r\n"}) {
+    Section("framed by " + framing.substr(0, framing.find(':')), [&] {
+      WorkerFixture fixture;
+      check(&fixture, upload, "HTTP/1.1 000 Trouble\r\n" + framing);
+    });
+  }
+  Section("in pieces", [&] {
+    WorkerFixture fixture;
+    TestPeer& caller = fixture.Caller();
+    caller.Send(upload);
+    TestPeer& backend = fixture.BackendGot("POST /upload ");
+    for (const char byte : nonsense) {
+      backend.Send(std::string(1, byte));
+      RunEvents();
+    }
+    WaitUntil([&] { return caller.Received("HTTP/1.1 502 "); });
+    CPPUNIT_ASSERT(!caller.Received("nonsense"));
+  });
+  Section("of a keyed request, which isn't recorded as done", [&] {
+    WorkerFixture fixture;
+    check(&fixture, keyed, nonsense);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.m_finished.size());
+    CPPUNIT_ASSERT(fixture.m_finished.front().m_outcome == Outcome::kUnknown);
+  });
+}
+
 // The part that had arrived reached callers as a complete answer.
 GUAVACROSS_TEST_CASE(AnswersWithoutLengthThatAreReset) {
   ForEachUpload(
--- a/src/forwarding/exchange_relay_test.cc
+++ b/src/forwarding/exchange_relay_test.cc
@@ -212,6 +212,37 @@
   });
 }
 
+// Guards against an answer with status 000 that reaches a caller through
+// another instance.
+GUAVACROSS_TEST_CASE(InvalidStatusThroughAPeer) {
+  const std::string nonsense = Reply("nonsense", "000 Trouble");
+  Section("that the peer sends itself isn't passed on", [&] {
+    CutOffInstance fixture;
+    TestPeer& caller = fixture.Caller();
+    caller.Send(Post("/charge", "30 EUR"));
+    fixture.PeerGot("30 EUR").Send(nonsense);
+    WaitUntil([&] { return caller.Received("HTTP/1.1 502 "); });
+    CPPUNIT_ASSERT(caller.Received("Guavacross-Outcome: unknown"));
+    CPPUNIT_ASSERT(!caller.Received("nonsense"));
+  });
+  Section("that a target sends to the peer reaches it as a refusal", [&] {
+    WorkerFixture fixture;
+    fixture.m_hooks.m_relay_identity =
+        RelayIdentity{.m_cluster = "c", .m_name = "self"};
+    fixture.MakeWorker();
+    fixture.m_connection_kind = ConnectionKind::kPeer;
+    TestPeer& peer = fixture.Caller();
+    peer.Send(Post("/charge", "30 EUR",
+                   "Idempotency-Key: k1\r\n"
+                   "Guavacross-Relay: 1 0 0 7 1 c e1\r\n"));
+    fixture.BackendGot("30 EUR").Send(nonsense);
+    WaitUntil([&] { return peer.Received("Guavacross-Relay-Attempts: 1"); });
+    CPPUNIT_ASSERT(peer.Received("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(peer.Received("Guavacross-Outcome: unknown"));
+    CPPUNIT_ASSERT(!peer.Received("nonsense"));
+  });
+}
+
 GUAVACROSS_TEST_CASE(RequestOfAPeer) {
   WorkerFixture fixture;
   fixture.m_hooks.m_relay_identity =
