A recorded answer with an invalid status isn't sent to a caller

Cause: ReplayToAnswer takes the status of a record as it is. Builds from before passed such answers on and recorded them; their records are read by this one, from the log and, in an upgrade, from instances beside it. Ruled out: new records, since a malformed answer ends a request as unknown (InvalidStatusOnEveryWay).

Change: a record whose status isn't 100 to 599 is reported as lost, outcome done, like one that was too large. One function says what a status code is.

Evidence: RecordedAnswersWithAnInvalidStatus was red at 99 on the code before (the answer reached the caller) and is green now, with ResponseStatus and RecordedAnswers. Not seen with real processes of two builds.

Why it works: all replays go through this function.

--- a/src/forwarding/broken_answers_test.cc
+++ b/src/forwarding/broken_answers_test.cc
@@ -203,6 +203,26 @@
   });
 }
 
+// An earlier build, or one that runs beside this one in an upgrade, may have
+// recorded such an answer.
+GUAVACROSS_TEST_CASE(RecordedAnswersWithAnInvalidStatus) {
+  for (const int status : {0, 99, 600, 999}) {
+    Section(std::to_string(status) + " is reported as lost", [&] {
+      WorkerFixture fixture;
+      fixture.m_grant_claims = false;
+      TestPeer& caller = fixture.Caller();
+      caller.Send(Post("/charge", "10 EUR", "Idempotency-Key: k1\r\n"));
+      WaitUntil([&] { return !fixture.m_claims.empty(); });
+      fixture.Decide({.m_kind = ClaimDecision::Kind::kReplay,
+                      .m_answer = {.m_status = status, .m_body = "nonsense"}});
+      WaitUntil([&] { return caller.Received("\r\n\r\n"); });
+      CPPUNIT_ASSERT(caller.Received("Guavacross-Outcome: done"));
+      CPPUNIT_ASSERT(caller.Received("outcome-lost"));
+      CPPUNIT_ASSERT(!caller.Received("nonsense"));
+    });
+  }
+}
+
 // The part that had arrived reached callers as a complete answer.
 GUAVACROSS_TEST_CASE(AnswersWithoutLengthThatAreReset) {
   ForEachUpload(
--- a/src/forwarding/own_answer.cc
+++ b/src/forwarding/own_answer.cc
@@ -52,10 +52,13 @@
 }
 
 CompleteAnswer ReplayToAnswer(const RecordedAnswer& recorded) {
-  if (recorded.m_status == 0) {
+  // A status of 0 stands for an answer that was too large. Others that aren't
+  // status codes were recorded by builds that passed them on.
+  if (!http::IsStatusCode(recorded.m_status)) {
     CompleteAnswer lost = ErrorToAnswer(
         {.m_kind = ErrorKind::kOutcomeLost,
-         .m_text = "the request ran; its answer was too large to be kept"},
+         .m_text = "the request ran; its answer was too large to be kept, "
+                   "or malformed"},
         Outcome::kDone);
     lost.m_head.m_fields.Add(kReplayHeader, kRecordedValue);
     return lost;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -96,6 +96,11 @@
 /// The chunk-size line of a chunk with `size` bytes of data. `kChunkEnd`
 /// follows the data; `kLastChunk` ends the body.
 std::string ChunkHeader(std::size_t size);
+/// Whether a number is a status code of the protocol (RFC 9110, 15).
+constexpr bool IsStatusCode(int status) {
+  return status >= 100 && status <= 599;
+}
+
 inline constexpr std::string_view kChunkEnd = "\r\n";
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
--- a/src/http/message_reader.cc
+++ b/src/http/message_reader.cc
@@ -14,10 +14,6 @@
 using ErrorCode = boost::beast::error_code;
 using StringView = boost::beast::string_view;
 
-// Status codes of the protocol (RFC 9110, 15). Beast accepts any three digits.
-constexpr int kMinStatus = 100;
-constexpr int kMaxStatus = 599;
-
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -258,7 +254,8 @@
                         StringView reason,
                         int version,
                         ErrorCode& code) override {
-    if (status < kMinStatus || status > kMaxStatus) {
+    // Beast accepts any three digits.
+    if (!IsStatusCode(status)) {
       Reject("status code outside of 100 to 599", &code);
       return;
     }
