--- a/src/forwarding/stalled_answers_test.cc
+++ b/src/forwarding/stalled_answers_test.cc
@@ -167,6 +167,30 @@
   }
 }
 
+// Without a time limit such an answer kept its connection for good.
+GUAVACROSS_TEST_CASE(AnswersWithoutTimeLimitWhoseCallerLeft) {
+  WorkerFixture fixture;
+  ServiceConfig service = fixture.Service();
+  service.m_classes.front().m_deadline = Duration::zero();
+  fixture.Configure(service);
+  TestPeer& caller = fixture.Caller();
+  caller.Send(Post("/charge", "10 EUR", "Idempotency-Key: k1\r\n"));
+  TestPeer& target = fixture.BackendGot("POST /charge ");
+  caller.Abort();
+  RunEvents();
+  target.Send(kStarts[0].second);
+  RunEvents();
+  Section("are waited for a while", [&] {
+    fixture.m_clock.Advance(std::chrono::minutes(9));
+    RunEvents();
+    CPPUNIT_ASSERT(!target.gone());
+  });
+  Section("and then given up", [&] {
+    fixture.m_clock.Advance(std::chrono::minutes(2));
+    WaitUntil([&] { return target.gone(); });
+  });
+}
+
 // A keyed request whose caller got only a part of the answer may be sent again:
 // the whole answer is recorded if it still comes.
 GUAVACROSS_TEST_CASE(KeyedAnswersThatAreLate) {
@@ -186,6 +210,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("only this+end"),
                          fixture.m_finished.front().m_answer.m_body);
   });
+  Section("leave the target's slots free meanwhile", [&] {
+    for (int i = 0; i < 4; ++i) {
+      fixture.Begin(&fixture.Caller(),
+                    Post("/charge/" + std::to_string(i), "10 EUR", kKeyed),
+                    start);
+    }
+    fixture.m_clock.Advance(kAnsweredBy);
+    TestPeer& next = fixture.Caller();
+    next.Send(Get("/next", kFields));
+    callers::LatestBackend(&fixture, "GET /next ").Send(Reply("in time"));
+    WaitUntil([&] { return next.Received("in time"); });
+  });
 }
 
 // The time limit counts only while the target is waited for: an answer that is
@@ -243,25 +279,26 @@
 // The users' time limit holds for answers that go on moving too, but their
 // target isn't at fault.
 GUAVACROSS_TEST_CASE(AnswersThatArriveTooSlowly) {
-  OneTarget fixture;
-  TestPeer& caller = fixture.Caller();
-  TestPeer& target =
-      fixture.Begin(&caller, Get("/slow", kFields), kStarts[0].second);
-  Section("end by the time limit", [&] {
-    for (int i = 0; i < 12; ++i) {
-      fixture.m_clock.Advance(milliseconds(100));
-      target.Send("more");
-      RunEvents();
-      CPPUNIT_ASSERT(!caller.gone());
-    }
-    fixture.m_clock.Advance(kAnsweredBy - milliseconds(1200));
-    WaitUntil([&] { return caller.gone() && target.gone(); });
-    CPPUNIT_ASSERT(caller.reset());
-  });
-  Section("are no time-out of the target", [&] {
-    CPPUNIT_ASSERT_EQUAL(0, fixture.Attempts("timeout"));
-    CPPUNIT_ASSERT_EQUAL(1, fixture.Attempts("cancelled"));
-  });
+  for (const auto& [framing, start] : kStarts) {
+    OneTarget fixture;
+    TestPeer& caller = fixture.Caller();
+    TestPeer& target = fixture.Begin(&caller, Get("/slow", kFields), start);
+    Section("end by the time limit, " + framing, [&] {
+      for (int i = 0; i < 12; ++i) {
+        fixture.m_clock.Advance(milliseconds(100));
+        target.Send(framing == "in chunks" ? "4\r\nmore\r\n" : "more");
+        RunEvents();
+        CPPUNIT_ASSERT(!caller.gone());
+      }
+      fixture.m_clock.Advance(kAnsweredBy - milliseconds(1200));
+      WaitUntil([&] { return caller.gone() && target.gone(); });
+      CPPUNIT_ASSERT(caller.reset());
+    });
+    Section("are no time-out of the target, " + framing, [&] {
+      CPPUNIT_ASSERT_EQUAL(0, fixture.Attempts("timeout"));
+      CPPUNIT_ASSERT_EQUAL(1, fixture.Attempts("cancelled"));
+    });
+  }
 }
 
 // Of a request that a peer has passed on both instances limit the answer.
--- a/src/policy/tenant_quota_test.cc
+++ b/src/policy/tenant_quota_test.cc
@@ -317,4 +317,49 @@
   });
 }
 
+// Guards against a substitute that gives what the owner, which others still
+// reach, gives too.
+GUAVACROSS_TEST_CASE(SubstitutesOfOwners) {
+  const TenantLimit limit{.m_rate = 100, .m_burst = 100};
+  const QuotaReserve reserve{.m_rate = 10, .m_free_rate = 80};
+  QuotaOwner owner("self");
+  TimePoint now = kStart;
+  QuotaStanding standing{.m_substitute_part = 0.5, .m_owner_is_live = true};
+  // Lets instances ask every 10 ms; returns what they get.
+  const auto ask = [&](std::vector<std::string> askers, Duration time,
+                       std::uint32_t wanted) {
+    std::uint32_t granted = 0;
+    for (const TimePoint end = now + time; now < end; now += milliseconds(10)) {
+      for (const std::string& asker : askers) {
+        granted += owner
+                       .Ask(asker,
+                            {.m_tenant = kTenant,
+                             .m_wanted = wanted,
+                             .m_reserve = reserve},
+                            limit, standing, now)
+                       .m_granted;
+      }
+    }
+    return granted;
+  };
+  Section("give each what is held back for it, and little more", [&] {
+    // 20 are held back; of 38 extra tokens and 5 first ones half, and 3.
+    CPPUNIT_ASSERT(ask({"a", "b"}, seconds(1), 50) <= 20 + 19 + 2.5 + 3);
+    CPPUNIT_ASSERT(ask({"a", "b"}, seconds(1), 50) <= 21);
+  });
+  Section("give nothing for one that has turned back to the owner", [&] {
+    ask({"a"}, milliseconds(200), 50);
+    CPPUNIT_ASSERT(ask({"a"}, milliseconds(500), 50) <= 6);
+  });
+  Section("save up little of what isn't asked for", [&] {
+    ask({"a", "b"}, seconds(5), 0);
+    CPPUNIT_ASSERT(ask({"a"}, milliseconds(10), 100) <= 11);
+  });
+  Section("give the unused rest if all come to them", [&] {
+    standing.m_substitute_part = 1;
+    ask({"a", "b"}, seconds(1), 50);
+    CPPUNIT_ASSERT(ask({"a", "b"}, seconds(1), 50) >= 95);
+  });
+}
+
 }  // namespace guavacross::policy
