An instance counts the others when its view of them changes

Callers saw: nothing; a tenant's backend servers got more than its limit.

Cause: the largest number of live instances was noted only when a question came, so that the cut-off instance counted 1 of 1; a number older than 20 s was dropped although it had held until the cut.

Change: InstanceCount records the number whenever the members' views change and remembers a larger one for 20 s from its end.

Why it works: the count no longer depends on whether somebody asks.

--- a/src/serve/route_instance.cc
+++ b/src/serve/route_instance.cc
@@ -404,6 +404,9 @@
     }
     m_router->SetInstances(places);
     m_router->SetRelayPeers(RelayPeers(m_peers->Members()));
+    if (m_tenants != nullptr) {
+      m_tenants->RecordMembers();
+    }
     m_instance_count_timer = m_clock.m_call_after(
         kInstanceCountInterval, [this] { UpdateInstanceCount(); });
   }
--- a/src/serve/tenant_admission.cc
+++ b/src/serve/tenant_admission.cc
@@ -17,9 +17,6 @@
 // A state of a tenant's limit is logged again after this time.
 constexpr Duration kLogInterval = std::chrono::seconds(10);
 
-// How long the number of instances that were live at once is remembered.
-constexpr Duration kCountRetention = std::chrono::seconds(20);
-
 }  // namespace
 
 TenantAdmission::TenantAdmission(std::string self,
@@ -106,6 +103,10 @@
   return AskSelf(asker, question, limit.value_or(question.m_limit));
 }
 
+void TenantAdmission::RecordMembers() {
+  m_instances.Record(m_hooks.m_live_peers().size() + 1, m_clock.m_now());
+}
+
 std::uint64_t TenantAdmission::refused() const {
   const std::lock_guard lock(m_mutex);
   return m_refused;
@@ -201,8 +202,9 @@
   const TimePoint now = m_clock.m_now();
   const std::vector<std::string> peers = m_hooks.m_live_peers();
   const std::size_t live = peers.size() + 1;
+  m_instances.Record(live, now);
   policy::QuotaStanding standing{
-      .m_share = policy::OwnedShare(live, LargestCount(live, now))};
+      .m_share = policy::OwnedShare(live, m_instances.Largest(now))};
   std::vector<std::string> possible = m_hooks.m_possible_peers();
   possible.push_back(m_self);
   const std::string owner =
@@ -261,14 +263,4 @@
           .m_retry_after = policy::RetryAfter(retry_after, &m_random)};
 }
 
-std::size_t TenantAdmission::LargestCount(std::size_t live, TimePoint now) {
-  const bool is_outdated =
-      m_largest_at == TimePoint::min() || now - m_largest_at > kCountRetention;
-  if (live >= m_largest_count || is_outdated) {
-    m_largest_count = live;
-    m_largest_at = now;
-  }
-  return m_largest_count;
-}
-
 }  // namespace guavacross::serve
--- a/src/serve/tenant_admission.h
+++ b/src/serve/tenant_admission.h
@@ -16,6 +16,7 @@
 #include "guavacross/error.h"
 #include "guavacross/route_table.h"
 #include "guavacross/time.h"
+#include "policy/instance_count.h"
 #include "policy/random.h"
 #include "policy/tenant_quota.h"
 #include "util/log.h"
@@ -64,6 +65,9 @@
   /// Returns the token of a request that no target has run.
   void GiveBack(const std::string& tenant);
 
+  /// Notes how many instances are live; to be called when that changes.
+  void RecordMembers();
+
   /// Answers the instance `asker`, which takes this one for the owner, or for
   /// the next in rank after one that doesn't answer it.
   policy::QuotaAnswer Answer(const std::string& asker,
@@ -92,7 +96,6 @@
                 const char* message,
                 std::vector<util::LogField> fields);
   Error Refusal(const std::string& tenant, Duration retry_after);
-  std::size_t LargestCount(std::size_t live, TimePoint now);
 
   const std::string m_self;
   const Clock m_clock;
@@ -106,8 +109,7 @@
   policy::QuotaOwner m_owner;
   policy::PassedOverOwners m_passed_over;
   std::map<std::string, TimePoint> m_unusable_until;
-  std::size_t m_largest_count = 0;
-  TimePoint m_largest_at = TimePoint::min();
+  policy::InstanceCount m_instances;
   // When states of tenants' limits have been logged.
   std::map<std::pair<std::string, std::string>, TimePoint> m_logged_at;
 };
--- a/src/serve/tenant_admission_test.cc
+++ b/src/serve/tenant_admission_test.cc
@@ -17,6 +17,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 using util::Section;
 
 constexpr char kTenant[] = "choir";
@@ -59,6 +60,7 @@
   std::vector<std::string> m_peers;
   // Peers that were asked; none of them answers.
   std::vector<std::string> m_asked;
+  TenantAdmission m_admission;
 
  private:
   TenantAdmissionHooks Hooks() {
@@ -73,8 +75,6 @@
     };
     return hooks;
   }
-
-  TenantAdmission m_admission;
 };
 
 // A name that ranks before `self` as the owner of the tenant.
@@ -137,4 +137,36 @@
   });
 }
 
+// Guards against an instance that gives a whole limit when it is asked first
+// after it has been cut off: review/7.
+GUAVACROSS_TEST_CASE(LimitsAtAnInstanceThatWasNeverAsked) {
+  for (const Duration before :
+       {Duration(seconds(1)), Duration(seconds(3600))}) {
+    AdmissionFixture fixture({"a", "b", "c"});
+    fixture.m_admission.RecordMembers();
+    fixture.m_clock.Advance(before);
+    fixture.m_peers.clear();
+    fixture.m_admission.RecordMembers();
+    const auto given_in_a_second = [&fixture] {
+      std::uint32_t given = 0;
+      for (int i = 0; i < 100; ++i) {
+        fixture.m_clock.Advance(milliseconds(10));
+        given += fixture.Ask("self", 100).m_granted;
+      }
+      return given;
+    };
+    Section("give its part while it may be cut off", [&] {
+      fixture.m_clock.Advance(seconds(4));
+      // Of 100 a second, a quarter, and what a new owner has.
+      CPPUNIT_ASSERT(given_in_a_second() <= 25 * 1.05 + 10 + 5);
+      CPPUNIT_ASSERT(given_in_a_second() <= 25 * 1.05 + 1);
+    });
+    Section("give the whole once the others are long gone", [&] {
+      fixture.m_clock.Advance(seconds(20));
+      given_in_a_second();
+      CPPUNIT_ASSERT(given_in_a_second() >= 99);
+    });
+  }
+}
+
 }  // namespace guavacross::serve
--- a/src/serve/tenant_limit_histories_test.cc
+++ b/src/serve/tenant_limit_histories_test.cc
@@ -52,10 +52,6 @@
     for (std::size_t i = 0; i < size; ++i) {
       Start(i);
     }
-    for (const Instance& each : m_instances) {
-      // All have been asked for some limit before.
-      each.m_admission->Answer("", {.m_tenant = "another"});
-    }
     m_cut.assign(size * size, false);
     m_cut_since_ms.assign(size * size, 0);
   }
@@ -122,6 +118,7 @@
                         .m_rate = m_limit.m_rate,
                         .m_burst = m_limit.m_burst}};
     started.m_admission->SetTable(table);
+    started.m_admission->RecordMembers();
     if (!m_cut.empty()) {
       for (std::size_t i = 0; i < size(); ++i) {
         ScheduleViews(i, instance);
@@ -316,6 +313,9 @@
       const bool reaches =
           IsRunning(other) && !IsCut(at, other) && !IsCut(other, at);
       m_instances[at].m_views[other] = reaches ? View::kLive : worst;
+      if (IsRunning(at)) {
+        m_instances[at].m_admission->RecordMembers();
+      }
     };
     const bool is_back =
         IsRunning(other) && !IsCut(at, other) && !IsCut(other, at);
