Shorter functions of the quota owner; no time before the first question

QuotaAskers::IsSilent and KnownReserve::OfMissingOwner subtracted TimePoint::min() before they asked whether there had been a question, which overflows; the values weren't used.

--- a/src/forwarding/stalled_answers_test.cc
+++ b/src/forwarding/stalled_answers_test.cc
@@ -31,8 +31,13 @@
 // Callers must have a final answer by then (RULES.md, CONFIG).
 constexpr milliseconds kAnsweredBy{1500};
 
+struct Start {
+  std::string m_framing;
+  std::string m_bytes;
+};
+
 // Starts of answers, in each framing, whose rest is missing.
-const std::vector<std::pair<std::string, std::string>> kStarts = {
+const std::vector<Start> kStarts = {
     {"with a length",
      "HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\nonly this"},
     {"in chunks",
@@ -40,6 +45,11 @@
     {"until the end of the connection", "HTTP/1.1 200 OK\r\n\r\nonly this"},
 };
 
+struct Request {
+  std::string m_kind;
+  std::string m_bytes;
+};
+
 // One instance with one target; all requests have the time limit `kTimeLimit`.
 struct OneTarget : WorkerFixture {
   OneTarget() {
@@ -86,27 +96,30 @@
 // An answer with a length had no time limit once its head had come: callers of
 // answers that stopped got neither the rest nor the end of their connection.
 GUAVACROSS_TEST_CASE(AnswersThatStop) {
-  for (const auto& [framing, start] : kStarts) {
-    const std::vector<std::pair<std::string, std::string>> requests = {
+  for (const Start& start : kStarts) {
+    const std::vector<Request> requests = {
         {"a read", Get("/read", kFields)},
         {"an unsafe request", Post("/order", "body", kFields)},
         {"a keyed request", Post("/charge", "10 EUR", kKeyed)}};
-    for (const auto& [kind, request] : requests) {
-      Section(framing + ", of " + kind + ", end by the time limit", [&] {
-        OneTarget fixture;
-        TestPeer& caller = fixture.Caller();
-        TestPeer& target = fixture.Begin(&caller, request, start);
-        fixture.m_clock.Advance(kTimeLimit);
-        RunEvents();
-        CPPUNIT_ASSERT(!caller.gone());
-        fixture.m_clock.Advance(kAnsweredBy - kTimeLimit);
-        WaitUntil([&] { return caller.gone(); });
-        CPPUNIT_ASSERT(caller.reset());
-        CPPUNIT_ASSERT(!caller.Received(http::kLastChunk));
-        // The target's connection is never used again.
-        fixture.m_clock.Advance(seconds(30));
-        WaitUntil([&] { return target.gone(); });
-      });
+    for (const Request& request : requests) {
+      Section(start.m_framing + ", of " + request.m_kind +
+                  ", end by the time limit",
+              [&] {
+                OneTarget fixture;
+                TestPeer& caller = fixture.Caller();
+                TestPeer& target =
+                    fixture.Begin(&caller, request.m_bytes, start.m_bytes);
+                fixture.m_clock.Advance(kTimeLimit);
+                RunEvents();
+                CPPUNIT_ASSERT(!caller.gone());
+                fixture.m_clock.Advance(kAnsweredBy - kTimeLimit);
+                WaitUntil([&] { return caller.gone(); });
+                CPPUNIT_ASSERT(caller.reset());
+                CPPUNIT_ASSERT(!caller.Received(http::kLastChunk));
+                // The target's connection is never used again.
+                fixture.m_clock.Advance(seconds(30));
+                WaitUntil([&] { return target.gone(); });
+              });
     }
   }
   Section("leave the target's slots free", [&] {
@@ -115,7 +128,7 @@
     for (int i = 0; i < 4; ++i) {
       callers.push_back(&fixture.Caller());
       fixture.Begin(callers.back(), Get("/" + std::to_string(i), kFields),
-                    kStarts[0].second);
+                    kStarts[0].m_bytes);
     }
     fixture.m_clock.Advance(kAnsweredBy);
     for (TestPeer* const caller : callers) {
@@ -129,7 +142,7 @@
   Section("are a time-out of the target", [&] {
     OneTarget fixture;
     TestPeer& caller = fixture.Caller();
-    fixture.Begin(&caller, Get("/stops", kFields), kStarts[0].second);
+    fixture.Begin(&caller, Get("/stops", kFields), kStarts[0].m_bytes);
     fixture.m_clock.Advance(kAnsweredBy);
     WaitUntil([&] { return caller.gone(); });
     CPPUNIT_ASSERT_EQUAL(1, fixture.Attempts("timeout"));
@@ -151,13 +164,13 @@
                 TestPeer& target = callers::LatestBackend(
                     &fixture, request.substr(0, request.find(" HTTP/1.1")));
                 if (answer_first) {
-                  target.Send(kStarts[0].second);
+                  target.Send(kStarts[0].m_bytes);
                   WaitUntil([&] { return caller.Received("only this"); });
                 }
                 caller.Abort();
                 RunEvents();
                 if (!answer_first) {
-                  target.Send(kStarts[0].second);
+                  target.Send(kStarts[0].m_bytes);
                   RunEvents();
                 }
                 fixture.m_clock.Advance(seconds(30));
@@ -178,7 +191,7 @@
   TestPeer& target = fixture.BackendGot("POST /charge ");
   caller.Abort();
   RunEvents();
-  target.Send(kStarts[0].second);
+  target.Send(kStarts[0].m_bytes);
   RunEvents();
   Section("are waited for a while", [&] {
     fixture.m_clock.Advance(std::chrono::minutes(9));
@@ -279,14 +292,15 @@
 // The users' time limit holds for answers that go on moving too, but their
 // target isn't at fault.
 GUAVACROSS_TEST_CASE(AnswersThatArriveTooSlowly) {
-  for (const auto& [framing, start] : kStarts) {
+  for (const Start& start : kStarts) {
     OneTarget fixture;
     TestPeer& caller = fixture.Caller();
-    TestPeer& target = fixture.Begin(&caller, Get("/slow", kFields), start);
-    Section("end by the time limit, " + framing, [&] {
+    TestPeer& target =
+        fixture.Begin(&caller, Get("/slow", kFields), start.m_bytes);
+    Section("end by the time limit, " + start.m_framing, [&] {
       for (int i = 0; i < 12; ++i) {
         fixture.m_clock.Advance(milliseconds(100));
-        target.Send(framing == "in chunks" ? "4\r\nmore\r\n" : "more");
+        target.Send(start.m_framing == "in chunks" ? "4\r\nmore\r\n" : "more");
         RunEvents();
         CPPUNIT_ASSERT(!caller.gone());
       }
@@ -294,7 +308,7 @@
       WaitUntil([&] { return caller.gone() && target.gone(); });
       CPPUNIT_ASSERT(caller.reset());
     });
-    Section("are no time-out of the target, " + framing, [&] {
+    Section("are no time-out of the target, " + start.m_framing, [&] {
       CPPUNIT_ASSERT_EQUAL(0, fixture.Attempts("timeout"));
       CPPUNIT_ASSERT_EQUAL(1, fixture.Attempts("cancelled"));
     });
@@ -311,8 +325,8 @@
   TestPeer& peer = fixture.Caller();
   const std::string mark = "Guavacross-Relay: 1 0 0 7 1 c e1\r\n";
   Section("end as cut off", [&] {
-    TestPeer& target =
-        fixture.Begin(&peer, Get("/passed", kFields + mark), kStarts[0].second);
+    TestPeer& target = fixture.Begin(&peer, Get("/passed", kFields + mark),
+                                     kStarts[0].m_bytes);
     fixture.m_clock.Advance(kAnsweredBy);
     WaitUntil([&] { return peer.gone() && target.gone(); });
     CPPUNIT_ASSERT(peer.reset());
--- a/src/policy/quota_askers.cc
+++ b/src/policy/quota_askers.cc
@@ -133,9 +133,8 @@
 }
 
 bool QuotaAskers::IsSilent(const Asker& asker, TimePoint now) {
-  const Duration silence = now - asker.m_asked_at;
-  return IsRegular(asker) && silence > SilentAfter(asker) &&
-         silence <= kReserveTime;
+  return IsRegular(asker) && now - asker.m_asked_at > SilentAfter(asker) &&
+         now - asker.m_asked_at <= kReserveTime;
 }
 
 Duration QuotaAskers::SilentAfter(const Asker& asker) {
@@ -161,7 +160,7 @@
 
 std::optional<QuotaReserve> KnownReserve::OfMissingOwner(TimePoint now) const {
   const bool is_held_back =
-      m_missing_since != TimePoint::min() &&
+      m_reserve.has_value() && m_missing_since != TimePoint::min() &&
       now - m_missing_since <= QuotaAskers::kReserveTime &&
       m_missing_since - m_answered_at <= QuotaAskers::kReserveTime;
   return is_held_back ? m_reserve : std::nullopt;
--- a/src/policy/tenant_quota.cc
+++ b/src/policy/tenant_quota.cc
@@ -37,6 +37,11 @@
 constexpr double kDividedFirstTokens = 5;
 constexpr double kExtraTokens = 3;
 constexpr double kExtraSeconds = 0.35;
+
+// A substitute has its first and its extra tokens again once it wasn't asked
+// for this long.
+constexpr Duration kExtraInterval = std::chrono::seconds(6);
+
 // All instances but few come to a substitute.
 constexpr double kPartOfAll = 0.9;
 constexpr int kMeanIterations = 10;
@@ -51,8 +56,6 @@
 // may return to the owner, which saves up its own.
 constexpr double kSubstituteSeconds = 0.2;
 
-constexpr Duration kExtraInterval = std::chrono::seconds(6);
-
 // How long an instance that comes to a substitute counts after its question.
 constexpr Duration kApplicantRetention = std::chrono::seconds(1);
 
@@ -79,53 +82,56 @@
                             const TenantLimit& limit,
                             const QuotaStanding& standing,
                             TimePoint now) {
-  const auto [place, is_new] = m_buckets.try_emplace(question.m_tenant);
-  Bucket& bucket = place->second;
-  const bool is_substitute = standing.m_substitute_part.has_value();
-  if (is_substitute) {
-    FillAsSubstitute(&bucket, is_new, asker, question, limit, standing, now);
+  Bucket& bucket = m_buckets[question.m_tenant];
+  if (standing.m_substitute_part.has_value()) {
+    FillAsSubstitute(&bucket, asker, question, limit, standing, now);
   } else {
-    FillAsOwner(&bucket, is_new, limit, standing.m_share, now);
+    FillAsOwner(&bucket, limit, standing.m_share, now);
   }
   if (IsInCharge(standing) && !question.m_reserve.has_value()) {
     bucket.m_tokens += bucket.m_askers.HeldBackInVain(asker, now);
   }
-  bucket.m_is_substitute = is_substitute;
+  bucket.m_is_substitute = standing.m_substitute_part.has_value();
   bucket.m_members = m_members;
   bucket.m_filled_at = now;
+  const double rate = limit.m_rate * standing.m_share;
   bucket.m_tokens =
       std::min(std::max(1.0, limit.m_burst * standing.m_share),
                bucket.m_tokens + std::min(question.m_returned, kMaxPortion));
-  const double first_tokens =
-      is_substitute ? std::max(0.0, kFirstTokens +
-                                        kDividedFirstTokens *
-                                            *standing.m_substitute_part -
-                                        bucket.m_first_spent)
-                    : 0;
-  const std::uint32_t granted =
-      std::min({static_cast<std::uint32_t>(bucket.m_tokens + first_tokens),
-                question.m_wanted, kMaxPortion});
-  const double of_first = std::max(0.0, granted - bucket.m_tokens);
-  bucket.m_first_spent += of_first;
-  bucket.m_tokens -= granted - of_first;
-  QuotaAnswer answer{.m_granted = granted};
+  QuotaAnswer answer{.m_granted =
+                         TakeTokens(&bucket, question.m_wanted, standing)};
   if (IsInCharge(standing)) {
-    bucket.m_askers.Record(asker, asker == m_self, question.m_wanted,
-                           static_cast<double>(granted) - question.m_returned,
-                           now);
-    answer.m_reserve =
-        bucket.m_askers.Reserve(asker, limit.m_rate * standing.m_share, now);
+    bucket.m_askers.Record(
+        asker, asker == m_self, question.m_wanted,
+        static_cast<double>(answer.m_granted) - question.m_returned, now);
+    answer.m_reserve = bucket.m_askers.Reserve(asker, rate, now);
   }
-  if (granted == 0 && question.m_wanted > 0) {
-    const double rate = limit.m_rate * standing.m_share;
+  if (answer.m_granted == 0 && question.m_wanted > 0) {
     answer.m_retry_after =
         rate > 0 ? FromSeconds((1 - bucket.m_tokens) / rate) : kMaxDenial;
   }
   return answer;
 }
 
+std::uint32_t QuotaOwner::TakeTokens(Bucket* bucket,
+                                     std::uint32_t wanted,
+                                     const QuotaStanding& standing) {
+  double first_tokens = 0;
+  if (standing.m_substitute_part.has_value()) {
+    first_tokens = std::max(
+        0.0, kFirstTokens + kDividedFirstTokens * *standing.m_substitute_part -
+                 bucket->m_first_spent);
+  }
+  const std::uint32_t granted =
+      std::min({static_cast<std::uint32_t>(bucket->m_tokens + first_tokens),
+                wanted, kMaxPortion});
+  const double of_first = std::max(0.0, granted - bucket->m_tokens);
+  bucket->m_first_spent += of_first;
+  bucket->m_tokens -= granted - of_first;
+  return granted;
+}
+
 void QuotaOwner::FillAsOwner(Bucket* bucket,
-                             bool is_new,
                              const TenantLimit& limit,
                              double share,
                              TimePoint now) const {
@@ -134,7 +140,7 @@
                std::max(0.0, limit.m_rate - bucket->m_askers.HeldBack(now)));
   const double of_new_owner =
       kTokensOfNewOwner + limit.m_rate * share * kSecondsOfNewOwner;
-  if (is_new) {
+  if (IsNew(*bucket)) {
     bucket->m_tokens = of_new_owner;
     bucket->m_owned_since = now;
     return;
@@ -147,13 +153,45 @@
 }
 
 void QuotaOwner::FillAsSubstitute(Bucket* bucket,
-                                  bool is_new,
                                   const std::string& asker,
                                   const QuotaQuestion& question,
                                   const TenantLimit& limit,
                                   const QuotaStanding& standing,
-                                  TimePoint now) const {
+                                  TimePoint now) {
+  RecordApplicant(bucket, asker, question, now);
   const double part = *standing.m_substitute_part;
+  const double full_rate = limit.m_rate * standing.m_share * part;
+  const double rate = std::clamp(
+      standing.m_owner_is_live ? RateBesideOwner(*bucket, limit, part, now)
+                               : limit.m_rate - bucket->m_askers.HeldBack(now),
+      0.0, full_rate);
+  const bool is_new = IsNew(*bucket);
+  if (is_new || now - bucket->m_filled_at > kExtraInterval) {
+    bucket->m_first_spent = 0;
+    bucket->m_extra_spent = 0;
+  }
+  if (is_new || !bucket->m_is_substitute ||
+      now - bucket->m_filled_at > kMaxGap) {
+    bucket->m_tokens = 0;
+    return;
+  }
+  const double seconds = Seconds(now - bucket->m_filled_at);
+  bucket->m_tokens += rate * seconds;
+  if (standing.m_owner_is_live) {
+    const double extra =
+        std::clamp(part * (kExtraTokens + kExtraSeconds * limit.m_rate) -
+                       bucket->m_extra_spent,
+                   0.0, (full_rate - rate) * seconds);
+    bucket->m_extra_spent += extra;
+    bucket->m_tokens = std::min(bucket->m_tokens + extra,
+                                std::max(1.0, kSubstituteSeconds * full_rate));
+  }
+}
+
+void QuotaOwner::RecordApplicant(Bucket* bucket,
+                                 const std::string& asker,
+                                 const QuotaQuestion& question,
+                                 TimePoint now) {
   std::erase_if(bucket->m_applicants, [now](const auto& entry) {
     return now - entry.second.m_asked_at > kApplicantRetention;
   });
@@ -164,46 +202,24 @@
   applicant.m_asked_at = now;
   applicant.m_reserve = question.m_reserve;
   ++applicant.m_questions;
+}
+
+// What the owner, if it still runs, holds back for those that come to this
+// instance, and the unused rest if all do.
+double QuotaOwner::RateBesideOwner(const Bucket& bucket,
+                                   const TenantLimit& limit,
+                                   double part,
+                                   TimePoint now) {
   double reserved = 0;
   double free = std::min(limit.m_rate,
                          kHandoverBaseRate + kHandoverRateShare * limit.m_rate);
-  for (const auto& [name, each] : bucket->m_applicants) {
+  for (const auto& [name, each] : bucket.m_applicants) {
     if (each.m_reserve.has_value()) {
       reserved += HasLeft(each, now) ? 0 : each.m_reserve->m_rate;
       free = std::min(free, each.m_reserve->m_free_rate);
     }
   }
-  const double full_rate = limit.m_rate * standing.m_share * part;
-  double rate = full_rate;
-  if (standing.m_owner_is_live) {
-    rate = std::min(full_rate,
-                    reserved + (HasAll(*bucket, part) ? part : 0) * free);
-  } else {
-    rate = std::clamp(limit.m_rate - bucket->m_askers.HeldBack(now), 0.0,
-                      full_rate);
-  }
-  if (is_new || now - bucket->m_filled_at > kExtraInterval) {
-    bucket->m_first_spent = 0;
-    bucket->m_extra_spent = 0;
-  }
-  if (is_new || !bucket->m_is_substitute ||
-      now - bucket->m_filled_at > kMaxGap) {
-    bucket->m_tokens = 0;
-    return;
-  }
-  const double seconds = Seconds(now - bucket->m_filled_at);
-  const double extra =
-      standing.m_owner_is_live
-          ? std::clamp(part * (kExtraTokens + kExtraSeconds * limit.m_rate) -
-                           bucket->m_extra_spent,
-                       0.0, (full_rate - rate) * seconds)
-          : 0;
-  bucket->m_extra_spent += extra;
-  bucket->m_tokens += rate * seconds + extra;
-  if (standing.m_owner_is_live) {
-    bucket->m_tokens = std::min(bucket->m_tokens,
-                                std::max(1.0, kSubstituteSeconds * full_rate));
-  }
+  return reserved + (HasAll(bucket, part) ? part * free : 0);
 }
 
 bool QuotaOwner::HasLeft(const Applicant& applicant, TimePoint now) {
--- a/src/policy/tenant_quota.h
+++ b/src/policy/tenant_quota.h
@@ -123,8 +123,8 @@
 
   struct Bucket {
     double m_tokens = 0;
-    TimePoint m_filled_at;
-    TimePoint m_owned_since;
+    TimePoint m_filled_at = TimePoint::min();
+    TimePoint m_owned_since = TimePoint::min();
     std::uint64_t m_members = 0;
     QuotaAskers m_askers;
     // While this instance answers in place of the owner.
@@ -140,18 +140,31 @@
   // ended or has been cut off, if there is another.
   static bool IsInCharge(const QuotaStanding& standing);
   static bool HasAll(const Bucket& bucket, double part);
+  static bool IsNew(const Bucket& bucket) {
+    return bucket.m_filled_at == TimePoint::min();
+  }
   void FillAsOwner(Bucket* bucket,
-                   bool is_new,
                    const TenantLimit& limit,
                    double share,
                    TimePoint now) const;
-  void FillAsSubstitute(Bucket* bucket,
-                        bool is_new,
-                        const std::string& asker,
-                        const QuotaQuestion& question,
-                        const TenantLimit& limit,
-                        const QuotaStanding& standing,
-                        TimePoint now) const;
+  static void FillAsSubstitute(Bucket* bucket,
+                               const std::string& asker,
+                               const QuotaQuestion& question,
+                               const TenantLimit& limit,
+                               const QuotaStanding& standing,
+                               TimePoint now);
+  static void RecordApplicant(Bucket* bucket,
+                              const std::string& asker,
+                              const QuotaQuestion& question,
+                              TimePoint now);
+  static double RateBesideOwner(const Bucket& bucket,
+                                const TenantLimit& limit,
+                                double part,
+                                TimePoint now);
+  // Takes tokens from a bucket that has just been filled.
+  static std::uint32_t TakeTokens(Bucket* bucket,
+                                  std::uint32_t wanted,
+                                  const QuotaStanding& standing);
   // The tokens that a bucket gets until `now`.
   static double Refill(const Bucket& bucket, double rate, TimePoint now);
 
