Long downloads that go on aren't cut where a class limits the time to the answer

In the own document the deadline is "from the request's arrival to the start of its answer"; only an answer that stops may be ended by it.

Change: m_limit_whole_answer, set by the plans of the platform's routes. Without it an answer with a length goes on until no part has come for a second.

LongAnswersThatGoOn is new. Answers without a length end as before.

--- a/src/forwarding/exchange_answer.cc
+++ b/src/forwarding/exchange_answer.cc
@@ -22,6 +22,10 @@
 // caller has taken what came before it.
 constexpr Duration kLateBodyTime = std::chrono::milliseconds(300);
 
+// The longest time without a part of an answer that may go on after the
+// deadline.
+constexpr Duration kMaxPause = std::chrono::seconds(1);
+
 // How long to wait, so that it can be recorded, for the rest of an answer that
 // is overdue.
 constexpr Duration kMaxOverdueRecordTime = std::chrono::seconds(10);
@@ -145,6 +149,11 @@
     // delivered; `OnCallerDrained` limits the time of the rest.
     return;
   }
+  if (m_winner->m_has_length && !m_request.m_class->m_limit_whole_answer &&
+      m_caller_waiting && now() - m_winner->m_progress_at < kMaxPause) {
+    LimitBodyTime(kMaxPause);
+    return;
+  }
   m_winner->m_failure_text = "the rest of the answer came too late";
   if (!m_claimed || m_record_too_large) {
     EndAttempt(m_winner, EndOfOverdue(*m_winner));
--- a/src/forwarding/stalled_answers_test.cc
+++ b/src/forwarding/stalled_answers_test.cc
@@ -52,10 +52,11 @@
 
 // One instance with one target; all requests have the time limit `kTimeLimit`.
 struct OneTarget : WorkerFixture {
-  OneTarget() {
+  explicit OneTarget(bool limit_whole_answer = true) {
     ServiceConfig service = Service();
     for (ClassConfig& each : service.m_classes) {
       each.m_deadline = kTimeLimit;
+      each.m_limit_whole_answer = limit_whole_answer;
     }
     ClassConfig order;
     order.m_name = "order";
@@ -63,6 +64,7 @@
     order.m_repeatable = false;
     order.m_claims = false;
     order.m_deadline = kTimeLimit;
+    order.m_limit_whole_answer = limit_whole_answer;
     service.m_classes.insert(service.m_classes.begin(), order);
     Configure(service);
   }
@@ -315,6 +317,28 @@
   }
 }
 
+// Long downloads that go on moving aren't cut where the class only limits the
+// time to the answer.
+GUAVACROSS_TEST_CASE(LongAnswersThatGoOn) {
+  OneTarget fixture(/*limit_whole_answer=*/false);
+  TestPeer& caller = fixture.Caller();
+  TestPeer& target =
+      fixture.Begin(&caller, Get("/long", kFields), kStarts[0].m_bytes);
+  Section("last beyond the time limit", [&] {
+    for (int i = 0; i < 20; ++i) {
+      fixture.m_clock.Advance(milliseconds(500));
+      target.Send("more");
+      RunEvents();
+      CPPUNIT_ASSERT(!caller.gone());
+    }
+  });
+  Section("end soon after they stop", [&] {
+    fixture.m_clock.Advance(seconds(2));
+    WaitUntil([&] { return caller.gone() && target.gone(); });
+    CPPUNIT_ASSERT(caller.reset());
+  });
+}
+
 // Of a request that a peer has passed on both instances limit the answer.
 GUAVACROSS_TEST_CASE(AnswersThatStopOnTheWayToAPeer) {
   OneTarget fixture;
--- a/src/include/guavacross/document.h
+++ b/src/include/guavacross/document.h
@@ -57,8 +57,13 @@
   /// Whether answers are large downloads, which get a separate share of slots.
   bool m_bulk = false;
   /// Longest time from the request's arrival to the start of its answer; zero
-  /// means none. An answer that has started is not aborted by it.
+  /// means none. An answer that has started is not aborted by it unless it
+  /// stops.
   Duration m_deadline = std::chrono::seconds(10);
+  /// Whether an answer with a length ends at the deadline even if it still
+  /// arrives. Otherwise one that has begun may go on as long as it doesn't
+  /// stop.
+  bool m_limit_whole_answer = false;
   /// Most requests that may wait for a slot on one instance.
   int m_queue_limit = 64;
   /// Longest wait for a slot.
--- a/src/routes/service_plan.cc
+++ b/src/routes/service_plan.cc
@@ -47,6 +47,7 @@
                       route.m_kind == RouteKind::kDownload;
   plan.m_claims = false;
   plan.m_deadline = route.m_deadline;
+  plan.m_limit_whole_answer = true;
   plan.m_latency_objective = route.m_latency_objective;
   plan.m_max_attempts = route.m_max_attempts;
   plan.m_queue_limit = kQueueLimit;
