--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -24,6 +24,12 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
+# Ports in use on a deployment's addresses, and the number of these.
+(STORE_PORT, TARGET_PORT, FRONT_PORT, READY_PORT, DIRECTORY_PORT, SEED_PORT,
+ PEERS_PORT, RELAY_PORT, OPERATORS_PORT) = PORTS = (
+     8142, 8544, 8144, 8140, 8143, 8146, 7660, 7675, 7661)
+MAX_HOSTS = 40
+
 
 class CannotRun(Exception):
     """The case could not be run."""
@@ -40,7 +46,8 @@
 
     def write(self, text):
         with self._lock:
-            self._file.write(f"{time.monotonic() - self.begin:8.3f} s  {text}\n")
+            at = time.monotonic() - self.begin
+            self._file.write(f"{at:8.3f} s  {text}\n")
             self._file.flush()
 
 
@@ -58,14 +65,32 @@
     def __init__(self, case_file):
         self.record = Record(case_file)
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
-        self.network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
+        self.network = self._free_network()
         self._next_host = 1
         self.instances = []
-        self.store_address = f"{self.new_ip()}:9900"
+        self.store_address = f"{self.new_ip()}:{STORE_PORT}"
         self.store = platform_standin.Store(self.store_address)
 
+    @staticmethod
+    def _free_network():
+        """A block of loopback addresses on which all ports are free."""
+        for _ in range(50):
+            network = (f"127.{random.randint(20, 250)}."
+                       f"{random.randint(1, 250)}")
+            try:
+                for host in range(2, MAX_HOSTS + 2):
+                    for port in PORTS:
+                        with socket.socket() as probe:
+                            probe.bind((f"{network}.{host}", port))
+            except OSError:
+                continue
+            return network
+        raise CannotRun("no free addresses")
+
     def new_ip(self):
         self._next_host += 1
+        if self._next_host > MAX_HOSTS + 1:
+            raise CannotRun("too many addresses")
         return f"{self.network}.{self._next_host}"
 
     def configure(self, version, routes, services, timeout_ms, limits=None,
@@ -124,20 +149,20 @@
         ip = deployment.new_ip()
         self.ip = ip
         self.front, self.ready, self.directory = (
-            f"{ip}:{port}" for port in (8144, 8140, 8143))
-        self.relay = f"{ip}:7675"
+            f"{ip}:{port}" for port in (FRONT_PORT, READY_PORT, DIRECTORY_PORT))
+        self.relay = f"{ip}:{RELAY_PORT}"
         figures = {"drain_ms": 2000, "grace_s": 6, "address_lifetime_s": 4,
                    "address_lifetime_max_s": 5, "max_descriptors": 10250,
                    "retry_share": 0.2, "retry_extra": 62,
                    "probes_per_target_second": 60, "max_pipelined": 8,
                    "zone_ms_per_mb": 1000, **bounds}
         if seeds is None:
-            seeds = [f"{each.ip}:8146" for each in deployment.instances[:3]]
+            seeds = [f"{each.ip}:{SEED_PORT}" for each in deployment.instances[:3]]
         settings = {
             "name": f"edge-a-{number}", "region": "r", "zone": "zone-a",
             "callers": self.front, "ready": self.ready,
-            "directory": self.directory, "peers": f"{ip}:7660",
-            "relay": self.relay, "operators": f"{ip}:7661",
+            "directory": self.directory, "peers": f"{ip}:{PEERS_PORT}",
+            "relay": self.relay, "operators": f"{ip}:{OPERATORS_PORT}",
             "seeds": list(seeds), "store": deployment.store_address}
         self.settings_path = (pathlib.Path(deployment.folder.name)
                               / f"edge-{number}.toml")
@@ -193,7 +218,7 @@
     def __init__(self, deployment, name, service, answer, slots=4):
         self.deployment, self.name, self.service = deployment, name, service
         self.answer, self.slots = answer, slots
-        self.address = f"{deployment.new_ip()}:8544"
+        self.address = f"{deployment.new_ip()}:{TARGET_PORT}"
         self.born = int(time.time() * 1000)
         self.seq = 0
         # (time, request id) of each run.
@@ -442,18 +467,23 @@
 
 def main(case_file, play):
     """Runs a case: `play(deployment)` returns whether the rule held."""
-    deployment = None
+    def end(*_):
+        raise CannotRun("ended by a signal")
+
+    signal.signal(signal.SIGTERM, end)
+    deployment, code = None, NOT_RUN
     try:
         deployment = Deployment(case_file)
         held = play(deployment)
         deployment.record.write("the rule held" if held
                                 else "the rule was broken")
         code = HELD if held else BROKEN
-    except CannotRun as error:
-        print(f"could not run: {error}")
-        code = NOT_RUN
+    except (Exception, KeyboardInterrupt) as error:
+        # Whatever else goes wrong is no broken rule.
+        print(f"could not run: {error!r}")
     finally:
         if deployment is not None:
             deployment.close()
     sys.stdout.flush()
+    # Without waiting for the threads of stand-ins.
     os._exit(code)
