--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -211,9 +211,13 @@
 
 
 class Target:
-    """A target that registers itself and answers health checks; `answer` is
-    called with the target, the connection, the head's fields and the body of
-    each request. It returns whether the connection is kept."""
+    """A target that registers itself, answers health checks at once, runs
+    `slots` requests, queues `QUEUE` more and refuses the rest as not executed.
+    `answer` is called with the target, the connection, the head's fields and
+    the body of each request that it runs. It returns whether the connection is
+    kept."""
+
+    QUEUE = 8
 
     def __init__(self, deployment, name, service, answer, slots=4):
         self.deployment, self.name, self.service = deployment, name, service
@@ -221,6 +225,10 @@
         self.address = f"{deployment.new_ip()}:{TARGET_PORT}"
         self.born = int(time.time() * 1000)
         self.seq = 0
+        # Requests that are run or queued.
+        self._taken = 0
+        self._count_lock = threading.Lock()
+        self._free_slots = threading.Semaphore(slots)
         # (time, request id) of each run.
         self.runs = []
         ip, port = self.address.rsplit(":", 1)
@@ -273,28 +281,54 @@
                     connection.sendall(
                         b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
                         + f"X-Instance-Id: {self.name}\r\n"
-                          f"X-Server-Load: 0,0,{self.slots},100\r\n\r\n"
-                        .encode())
+                          f"X-Server-Load: {self._load()}\r\n\r\n".encode())
                     continue
                 if fields.get("x-expected-instance") != self.name:
-                    connection.sendall(
-                        f"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
-                        f"X-Request-Id: {fields.get('x-request-id')}\r\n"
-                        "X-Not-Executed: 1\r\n\r\n".encode())
+                    self._refuse(connection, "421 Misdirected", fields)
                     continue
                 fields[":line"] = lines[0]
-                if not self.answer(self, connection, fields, body):
+                if not self._take(connection, fields, body):
                     return
         except OSError:
             pass
         finally:
             connection.close()
 
+    def _take(self, connection, fields, body):
+        """Runs a request in its turn; returns whether the connection is kept."""
+        arrived = time.monotonic()
+        with self._count_lock:
+            is_full = self._taken >= self.slots + self.QUEUE
+            self._taken += 0 if is_full else 1
+        if is_full:
+            self._refuse(connection, "503 Full", fields)
+            return True
+        try:
+            with self._free_slots:
+                waited_ms = (time.monotonic() - arrived) * 1000
+                if waited_ms >= int(fields.get("x-deadline-ms", 60000)):
+                    self._refuse(connection, "503 Late", fields)
+                    return True
+                return self.answer(self, connection, fields, body)
+        finally:
+            with self._count_lock:
+                self._taken -= 1
+
+    @staticmethod
+    def _refuse(connection, status, fields):
+        connection.sendall(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n"
+                           f"X-Request-Id: {fields.get('x-request-id')}\r\n"
+                           "X-Not-Executed: 1\r\n\r\n".encode())
+
+    def _load(self):
+        running = min(self._taken, self.slots)
+        return f"{running},{self._taken - running},{self.slots},100"
+
     def head(self, status, request, length, more=""):
         return (f"HTTP/1.1 {status}\r\nContent-Length: {length}\r\n"
                 f"X-Request-Id: {request}\r\n"
                 f"X-Response-Signature: s.{self.name}.{request}\r\n"
-                f"X-Server-Load: 1,0,{self.slots},100\r\n{more}\r\n").encode()
+                f"X-Server-Load: {self._load()}\r\n{more}\r\n").encode()
 
     def run(self, request):
         self.runs.append((time.monotonic(), request))
@@ -337,6 +371,9 @@
             self._open.discard(connection)
 
     def _run(self, connection, fields, _):
+        if self._down:
+            # It was queued when the target ended.
+            return False
         request = fields["x-request-id"]
         self.run(request)
         if self._is_deadly(fields):
